--- a/src/bin/tillerpass-simhost/main.rs
+++ b/src/bin/molelug-simhost/main.rs
@@ -6,7 +6,7 @@
 use std::io::{self, BufReader, BufWriter};
 use std::process::ExitCode;
 
-use tillerpass::Brain;
+use molelug::Brain;
 use wire::{Field, Message, Reply, WireError};
 
 struct Instance {
@@ -50,7 +50,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("tillerpass-simhost: {e}");
+            eprintln!("molelug-simhost: {e}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/tillerpass-simhost/wire.rs
+++ b/src/bin/molelug-simhost/wire.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::io::{self, Read, Write};
 
-use tillerpass::api::*;
+use molelug::api::*;
 
 /// Bytes of an event record, an action record and a list entry.
 const EVENT: usize = 56;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,7 +1,7 @@
 //! The decision module, without the bench.
 
-use tillerpass::api::*;
-use tillerpass::brain::{allowed, never_ran, Allowed, Brain};
+use molelug::api::*;
+use molelug::brain::{allowed, never_ran, Allowed, Brain};
 
 const SECOND: Micros = 1_000_000;
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn play(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_tillerpass-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_molelug-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -115,6 +115,6 @@
         let out = play(&input);
         let said = String::from_utf8_lossy(&out.stderr).into_owned();
         assert_eq!(out.status.code(), Some(1), "{said}");
-        assert!(said.starts_with("tillerpass-simhost: ") && !said.contains("panicked"), "{said}");
+        assert!(said.starts_with("molelug-simhost: ") && !said.contains("panicked"), "{said}");
     }
 }
