--- a/src/bin/molelug-simhost/main.rs
+++ b/src/bin/molelug-simhost/main.rs
@@ -6,8 +6,9 @@
 use std::io::{self, BufReader, BufWriter};
 use std::process::ExitCode;
 
+use molelug::settings::Field;
 use molelug::Brain;
-use wire::{Field, Message, Reply, WireError};
+use wire::{Message, Reply, WireError};
 
 struct Instance {
     brain: Brain,
--- a/src/bin/molelug-simhost/wire.rs
+++ b/src/bin/molelug-simhost/wire.rs
@@ -1,10 +1,10 @@
 //! Frames and facts of the bench's wire, and nothing else: wire words end here.
 
-use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{self, Read, Write};
 
 use molelug::api::*;
+use molelug::settings::{self, Field};
 
 /// Bytes of an event record, an action record and a list entry.
 const EVENT: usize = 56;
@@ -54,23 +54,6 @@
     Ignored,
 }
 
-/// The values of a load report, in the order in which they come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Field {
-    /// Requests waiting.
-    Queue,
-    /// Requests held.
-    Inflight,
-    /// Share of the processors at work.
-    Busy,
-    /// Share of memory that cannot be freed.
-    Pinned,
-    /// Loads under way.
-    Loads,
-    /// Anything else.
-    Other,
-}
-
 /// Reads a frame's body and record count and clock; `None` at a clean end of input.
 pub fn read_frame(input: &mut impl Read, body: &mut Vec<u8>) -> Result<Option<(usize, Micros)>, WireError> {
     let mut head = [0u8; 16];
@@ -199,7 +182,7 @@
     Ok(Message::Event(match r[0] {
         8 => {
             let text = String::from_utf8_lossy(tail(body, count, r, 11, 1)?).into_owned();
-            let (settings, fields) = settings(&text);
+            let (settings, fields) = settings::from_facts(&settings::lines(&text));
             return Ok(Message::Enlist(u64_at(r, 3)?, Box::new(settings), fields));
         }
         5 => return Ok(Message::Killed),
@@ -287,78 +270,6 @@
     })
 }
 
-fn settings(text: &str) -> (Settings, Vec<Field>) {
-    let facts: BTreeMap<&str, &str> = text.lines().filter_map(|l| l.split_once('=')).collect();
-    let get = |key: &str| facts.get(key).copied();
-    let number = |key: &str| get(key).and_then(|v| v.trim().parse::<f64>().ok()).filter(|v| v.is_finite());
-    let time = |key: &str| micros(number(key).unwrap_or(0.0));
-    let yes = |key: &str| get(key).is_some_and(|v| v.eq_ignore_ascii_case("true"));
-    let count = |key: &str| number(key).unwrap_or(0.0).clamp(0.0, 4096.0) as usize;
-    let class = |i: usize| {
-        let key = |k: &str| format!("services.{i}.{k}");
-        Class {
-            aim: time(&key("aimMs")),
-            deadline: time(&key("hardLimitMs")),
-            worth: number(&key("worth")).unwrap_or(1.0),
-            late_worth: number(&key("lateWorth")).unwrap_or(0.0),
-            effect: match get(&key("repeat")) {
-                Some("read_like") => Effect::Safe,
-                Some("idempotency_key") => Effect::Keyed {
-                    window: time(&key("dedupWindowMs")),
-                    group: match get(&key("group")) {
-                        Some("all") => Group::All,
-                        Some("zone") => Group::Zone,
-                        _ => Group::Cell,
-                    },
-                },
-                _ => Effect::Unsafe,
-            },
-        }
-    };
-    let fields = get("report.fields").unwrap_or("").split(',').map(|name| match name.trim() {
-        "q" => Field::Queue,
-        "rif" => Field::Inflight,
-        "busy" => Field::Busy,
-        "x0" => Field::Pinned,
-        "x1" => Field::Loads,
-        _ => Field::Other,
-    });
-    let window = time("familyInfo.loadWindowMs");
-    let settings = Settings {
-        instances: count("groupSize").max(1) as u32,
-        zone: ZoneId(count("zone") as u8),
-        tick: time("tickMs"),
-        classes: (0..count("services.count")).map(class).collect(),
-        tenants: (0..count("orgs.count"))
-            .map(|i| Tenant { quota_per_s: number(&format!("orgs.{i}.quotaPerS")).unwrap_or(0.0) })
-            .collect(),
-        over_share_worth: number("overShareWorth").unwrap_or(1.0),
-        answer_grace: time("obligations.graceToAnswerMs"),
-        drain_grace: time("obligations.drainGraceMs"),
-        cold_from: number("obligations.coldFrom").unwrap_or(1.0),
-        cold_time: time("obligations.coldMs"),
-        fall_multiple: number("obligations.fallMultiple").unwrap_or(0.0),
-        fall_window: time("obligations.fallMs"),
-        keep: time("familyInfo.keepMs"),
-        may_load: yes("familyInfo.mayLoad"),
-        ration: (window > 0).then(|| LoadRation {
-            window,
-            free: number("familyInfo.loadsAnyway").unwrap_or(0.0),
-            ratio: number("familyInfo.loadRatio").unwrap_or(0.0),
-        }),
-        order_limit: time("familyInfo.orderLimitMs"),
-        on_miss: if get("familyInfo.onMiss") == Some("miss") { OnMiss::Answers } else { OnMiss::Loads },
-        tells_warm: yes("familyInfo.marksCold"),
-        max_attempts: number("caps.mostTries").unwrap_or(1.0).max(1.0) as u32,
-        may_cancel: yes("caps.cancel"),
-        may_probe: yes("caps.probes"),
-        reports_inline: get("report.via") == Some("inline"),
-        max_retry_after: if yes("caps.retryAfter") { time("caps.maxRetryAfterMs") } else { 0 },
-        must_subscribe: get("registryMode") == Some("on_request"),
-    };
-    (settings, fields.collect())
-}
-
 /// A reply under construction.
 #[derive(Default)]
 pub struct Reply {
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,210 @@
+//! What a gateway is told: RELAY_* and the JSON that they point to.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::api::{Micros, Settings};
+use crate::board::Notice;
+use crate::settings;
+
+/// Why a configuration cannot be used.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// A variable is not set.
+    Missing(&'static str),
+    /// A file cannot be read.
+    Read(PathBuf, std::io::Error),
+    /// A file is not what it should be.
+    Parse(PathBuf, String),
+    /// A value cannot be used.
+    Value(&'static str, String),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Missing(name) => write!(f, "{name} is not set"),
+            ConfigError::Read(path, e) => write!(f, "cannot read {}: {e}", path.display()),
+            ConfigError::Parse(path, e) => write!(f, "{} cannot be used: {e}", path.display()),
+            ConfigError::Value(name, value) => write!(f, "{name} = '{value}' cannot be used"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// The limits of the machine.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// Memory, in MB.
+    #[serde(default = "default_memory")]
+    pub memory_mb: f64,
+    /// File descriptors.
+    #[serde(default = "default_sockets")]
+    pub sockets: usize,
+}
+
+fn default_memory() -> f64 {
+    192.0
+}
+
+fn default_sockets() -> usize {
+    1024
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { memory_mb: default_memory(), sockets: default_sockets() }
+    }
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    name: Option<String>,
+    listen: Option<String>,
+    #[serde(default)]
+    seed: Value,
+    #[serde(default)]
+    limits: Limits,
+    board: Option<String>,
+    #[serde(default)]
+    known: Known,
+    settings: Value,
+}
+
+#[derive(Default, Deserialize)]
+struct Known {
+    #[serde(default)]
+    rev: u64,
+    #[serde(default)]
+    notices: Vec<Value>,
+}
+
+/// Names that the wires use, by their places in the module's settings.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+}
+
+impl Names {
+    /// The place of a name in a list.
+    pub fn place(list: &[String], name: &str) -> Option<usize> {
+        list.iter().position(|n| n == name)
+    }
+}
+
+/// A gateway's configuration.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Limits.
+    pub limits: Limits,
+    /// The notice board, if there is one.
+    pub board: Option<SocketAddr>,
+    /// The last notice known at the start.
+    pub known_rev: u64,
+    /// The notices known at the start.
+    pub known: Vec<Notice>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names.
+    pub names: Names,
+    /// A connect that has not come up by then has failed.
+    pub connect_limit: Micros,
+    /// Workers close connections that have been idle for so long.
+    pub conn_idle: Micros,
+    /// Requests that a worker connection carries at once.
+    pub streams: usize,
+    /// Requests held at once.
+    pub most_held: usize,
+}
+
+impl Config {
+    /// Reads what the environment names.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        let var = |name| std::env::var(name).ok().filter(|v| !v.is_empty());
+        let path = var("RELAY_CONFIG").ok_or(ConfigError::Missing("RELAY_CONFIG"))?;
+        Config::read(Path::new(&path), var("RELAY_NAME"), var("RELAY_LISTEN"))
+    }
+
+    /// Reads a file; `name` and `listen` win over what it says.
+    pub fn read(path: &Path, name: Option<String>, listen: Option<String>) -> Result<Config, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Read(path.into(), e))?;
+        Config::parse(&text, name, listen).map_err(|e| match e {
+            ConfigError::Parse(_, e) => ConfigError::Parse(path.into(), e),
+            e => e,
+        })
+    }
+
+    /// Reads the JSON itself.
+    pub fn parse(text: &str, name: Option<String>, listen: Option<String>) -> Result<Config, ConfigError> {
+        let raw: Raw = serde_json::from_str(text)
+            .map_err(|e| ConfigError::Parse(PathBuf::from("configuration"), e.to_string()))?;
+        let address = |what, text: &str| -> Result<SocketAddr, ConfigError> {
+            text.parse().map_err(|_| ConfigError::Value(what, text.to_owned()))
+        };
+        let listen = listen.or(raw.listen).ok_or(ConfigError::Missing("RELAY_LISTEN"))?;
+        let board = raw.board.filter(|b| !b.is_empty());
+        let facts = settings::nested(&raw.settings);
+        let (mut module, _) = settings::from_facts(&facts);
+        if module.classes.is_empty() {
+            return Err(ConfigError::Value("settings.services", "no class".into()));
+        }
+        let number = |key: &str| facts.get(key).and_then(|v| v.parse::<f64>().ok()).filter(|v| *v > 0.0);
+        // Clients of the simulator are told nothing; on sockets every refusal says when to come back.
+        let advice = number("caps.maxRetryAfterMs").unwrap_or(0.0);
+        module.max_retry_after = module.max_retry_after.max((advice * 1e3) as Micros);
+        let listed = |list: &str, field: &str| -> Vec<String> {
+            let named = |v: &Value| v.get(field).and_then(Value::as_str).unwrap_or_default().to_owned();
+            raw.settings.get(list).and_then(Value::as_array).into_iter().flatten().map(named).collect()
+        };
+        let zones = raw.settings.get("dcs").and_then(Value::as_array).into_iter().flatten();
+        let names = Names {
+            classes: listed("services", "name"),
+            tenants: listed("orgs", "name"),
+            zones: zones.filter_map(Value::as_str).map(str::to_owned).collect(),
+        };
+        let known = raw.known.notices.iter().map(|n| {
+            Notice::from_value(n, &names).map_err(|e| ConfigError::Value("known.notices", e.to_string()))
+        });
+        Ok(Config {
+            name: name.or(raw.name).unwrap_or_default(),
+            listen: address("RELAY_LISTEN", &listen)?,
+            seed: seed(&raw.seed)?,
+            limits: raw.limits,
+            board: board.map(|b| address("board", &b)).transpose()?,
+            known_rev: raw.known.rev,
+            known: known.collect::<Result<_, _>>()?,
+            names,
+            connect_limit: number("caps.connectTimeoutMs").map_or(250_000, |ms| (ms * 1e3) as Micros),
+            conn_idle: number("caps.connIdleMs").map_or(30_000_000, |ms| (ms * 1e3) as Micros),
+            streams: number("caps.streamsPerConn").map_or(100, |n| n as usize),
+            most_held: number("caps.mostHeld").map_or(20_000, |n| n as usize),
+            settings: module,
+        })
+    }
+}
+
+/// A seed comes as 16 hex digits; a number will do too.
+fn seed(value: &Value) -> Result<u64, ConfigError> {
+    match value {
+        Value::Null => Ok(0),
+        Value::Number(n) => n.as_u64().ok_or_else(|| ConfigError::Value("seed", n.to_string())),
+        Value::String(s) => u64::from_str_radix(s, 16).map_err(|_| ConfigError::Value("seed", s.clone())),
+        other => Err(ConfigError::Value("seed", other.to_string())),
+    }
+}
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,496 @@
+//! The core: requests, attempts and orders in numbered slots, every deadline in one ordered structure.
+//!
+//! It knows no wire and no socket. Events come in, go through the decision module, and leave as [`Command`]s.
+//! Every call that it takes gets exactly one [`Answer`].
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
+
+use slotmap::{new_key_type, Key, KeyData, SlotMap};
+
+use crate::api::*;
+use crate::brain::Brain;
+use crate::counters::Counters;
+use crate::ending::{Ending, Left};
+
+new_key_type! {
+    /// The slot of a request; a stale key names nothing.
+    pub struct RequestKey;
+    /// The slot of an attempt.
+    pub struct AttemptKey;
+    /// The slot of a load order.
+    pub struct OrderKey;
+    /// The slot of a probe.
+    pub struct ProbeKey;
+}
+
+/// What falls due at a deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Wake(u64),
+    Attempt(u64),
+    Request(u64),
+    Order(u64),
+    Probe(u64),
+    /// Something of the core's user; handed back as it came.
+    Outside(u64),
+}
+
+/// A call as a front hands it in.
+#[derive(Clone, Debug)]
+pub struct Call<O> {
+    /// Whose answer it is; handed back with it.
+    pub origin: O,
+    /// The identity that workers are told.
+    pub id: Rc<str>,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// The function called.
+    pub function: FunctionId,
+    /// When the caller stops waiting.
+    pub expires: Micros,
+    /// A rough hint at the work.
+    pub work: Option<Micros>,
+    /// Memory of a loaded copy, in MB.
+    pub memory_mb: f64,
+    /// Requests that a copy runs at once.
+    pub lanes: u32,
+    /// The usual time of a load.
+    pub load_time: Option<Micros>,
+    /// What the worker gets.
+    pub body: Rc<[u8]>,
+}
+
+impl<O> Call<O> {
+    /// The same call with another origin.
+    pub fn with<P>(self, origin: P) -> Call<P> {
+        let Call { id, class, tenant, function, expires, work, memory_mb, lanes, load_time, body, .. } = self;
+        Call { origin, id, class, tenant, function, expires, work, memory_mb, lanes, load_time, body }
+    }
+}
+
+/// The final answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A worker's body.
+    Served(Vec<u8>),
+    /// Refused: trying again is harmless, after this time.
+    Refused {
+        /// The module's advice.
+        retry_after: Micros,
+    },
+    /// Failed; promises nothing.
+    Failed,
+}
+
+/// What the sockets' side is to do.
+#[derive(Debug)]
+pub enum Command<O> {
+    /// Send an attempt.
+    Go {
+        /// Names it until it has ended.
+        attempt: AttemptKey,
+        /// To whom.
+        worker: WorkerId,
+        /// The request's identity.
+        id: Rc<str>,
+        /// Its class.
+        class: ClassId,
+        /// The function.
+        function: FunctionId,
+        /// When the gateway stops waiting.
+        expires: Micros,
+        /// The payload.
+        body: Rc<[u8]>,
+    },
+    /// An attempt is given up: take it back or tell the worker, and report its ending with how much of it
+    /// had left.
+    Halt {
+        /// Which.
+        attempt: AttemptKey,
+        /// The ending to report.
+        why: Ending,
+    },
+    /// Send an order to load.
+    Stage {
+        /// Names it until it has ended.
+        order: OrderKey,
+        /// To whom.
+        worker: WorkerId,
+        /// What.
+        function: FunctionId,
+        /// How many copies; 0 only asks.
+        copies: u8,
+    },
+    /// Nobody waits for an order any more: take it back if it has not left, and report it as timed out.
+    Forget {
+        /// Which.
+        order: OrderKey,
+    },
+    /// Have idle copies unloaded.
+    Purge {
+        /// To whom.
+        worker: WorkerId,
+        /// What.
+        function: FunctionId,
+    },
+    /// Probe a worker.
+    Probe {
+        /// Names it until it has ended.
+        probe: ProbeKey,
+        /// Whom.
+        worker: WorkerId,
+    },
+    /// The one final answer to a call.
+    Answer {
+        /// Whose.
+        origin: O,
+        /// What.
+        answer: Answer,
+    },
+}
+
+/// What came back with an attempt's end.
+#[derive(Debug, Default)]
+pub struct Back {
+    /// The answer's body.
+    pub body: Vec<u8>,
+    /// What it tells of the copy.
+    pub warmth: Option<Warmth>,
+    /// Requests of the function that the worker held.
+    pub crowd: u32,
+    /// The worker's report.
+    pub report: Option<Report>,
+}
+
+#[derive(Debug)]
+struct Request<O> {
+    brain_id: RequestId,
+    call: Call<O>,
+    attempts: u8,
+    out: Option<AttemptKey>,
+    answered: bool,
+    /// Whether an attempt was sent that is not proved never to have run.
+    may_have_run: bool,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    request: RequestKey,
+    worker: WorkerId,
+    number: u8,
+    sent: Micros,
+    expires: Micros,
+}
+
+/// The decisions and everything that is open.
+#[derive(Debug)]
+pub struct Core<O> {
+    brain: Brain,
+    grace: Micros,
+    order_limit: Micros,
+    safe: Vec<bool>,
+    requests: SlotMap<RequestKey, Request<O>>,
+    by_id: HashMap<RequestId, RequestKey>,
+    attempts: SlotMap<AttemptKey, Attempt>,
+    orders: SlotMap<OrderKey, (WorkerId, FunctionId, Micros)>,
+    probes: SlotMap<ProbeKey, (WorkerId, Micros)>,
+    deadlines: BTreeSet<(Micros, Due)>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    commands: VecDeque<Command<O>>,
+    next_id: u32,
+    /// What was taken, sent and answered.
+    pub counters: Counters,
+}
+
+/// How long a probe may take.
+const PROBE_LIMIT: Micros = 250_000;
+
+impl<O: Clone + std::fmt::Debug> Core<O> {
+    /// A core that knows only the settings.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Core<O> {
+        let (grace, order_limit) = (settings.answer_grace, settings.order_limit);
+        let safe = settings.classes.iter().map(|c| c.effect == Effect::Safe).collect();
+        Core {
+            brain: Brain::new(settings, seed, now),
+            grace,
+            order_limit: if order_limit == 0 { 10_000_000 } else { order_limit },
+            safe,
+            requests: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            attempts: SlotMap::with_key(),
+            orders: SlotMap::with_key(),
+            probes: SlotMap::with_key(),
+            deadlines: BTreeSet::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            commands: VecDeque::new(),
+            next_id: 0,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Requests that still wait for their answer.
+    pub fn open(&self) -> usize {
+        self.requests.values().filter(|r| !r.answered).count()
+    }
+
+    /// The next thing to be done outside, if any.
+    pub fn command(&mut self) -> Option<Command<O>> {
+        self.commands.pop_front()
+    }
+
+    /// When [`Core::tick`] is next to be called.
+    pub fn next_deadline(&self) -> Option<Micros> {
+        self.deadlines.first().map(|(t, _)| *t)
+    }
+
+    /// Hangs a deadline of the core's user among the others.
+    pub fn hang(&mut self, at: Micros, token: u64) {
+        self.deadlines.insert((at, Due::Outside(token)));
+    }
+
+    /// Takes a deadline of the core's user away.
+    pub fn unhang(&mut self, at: Micros, token: u64) {
+        self.deadlines.remove(&(at, Due::Outside(token)));
+    }
+
+    /// Does what has fallen due; appends the user's own deadlines that have.
+    pub fn tick(&mut self, now: Micros, outside: &mut Vec<u64>) {
+        while let Some(&(at, due)) = self.deadlines.first().filter(|(t, _)| *t <= now) {
+            self.deadlines.remove(&(at, due));
+            match due {
+                Due::Wake(token) => self.feed(now, Event::Wake { token }),
+                Due::Attempt(k) => {
+                    let key = AttemptKey::from(KeyData::from_ffi(k));
+                    self.commands.push_back(Command::Halt { attempt: key, why: Ending::TimedOut });
+                }
+                Due::Request(k) => self.overdue(RequestKey::from(KeyData::from_ffi(k))),
+                Due::Order(k) => {
+                    self.commands.push_back(Command::Forget { order: OrderKey::from(KeyData::from_ffi(k)) });
+                }
+                Due::Probe(k) => {
+                    self.probe_ended(now, ProbeKey::from(KeyData::from_ffi(k)), Ending::TimedOut, None)
+                }
+                Due::Outside(token) => outside.push(token),
+            }
+        }
+    }
+
+    /// Takes news of the list of workers.
+    pub fn members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>) {
+        self.feed(now, Event::Members { kind, members });
+    }
+
+    /// Takes a call; from here on it is owed one answer.
+    pub fn call(&mut self, now: Micros, call: Call<O>) -> RequestKey {
+        self.next_id = self.next_id.wrapping_add(1);
+        while self.by_id.contains_key(&RequestId(self.next_id)) {
+            self.next_id = self.next_id.wrapping_add(1);
+        }
+        let brain_id = RequestId(self.next_id);
+        let arrival = Arrival {
+            request: brain_id,
+            class: call.class,
+            tenant: call.tenant,
+            function: call.function,
+            expires: call.expires,
+            work: call.work,
+            memory_mb: call.memory_mb,
+            lanes: call.lanes,
+            load_time: call.load_time,
+        };
+        let expires = call.expires;
+        let key = self.requests.insert(Request {
+            brain_id,
+            call,
+            attempts: 0,
+            out: None,
+            answered: false,
+            may_have_run: false,
+        });
+        self.by_id.insert(brain_id, key);
+        // The module answers by the deadline; this guards the one answer against its oversight.
+        self.deadlines.insert((expires + self.grace, Due::Request(key.data().as_ffi())));
+        self.counters.taken += 1;
+        self.feed(now, Event::Request(arrival));
+        key
+    }
+
+    /// The caller has left: no answer is owed any more.
+    pub fn caller_gone(&mut self, now: Micros, key: RequestKey) {
+        let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
+        r.answered = true;
+        let request = r.brain_id;
+        self.counters.left += 1;
+        self.feed(now, Event::ClientGone { request });
+        self.drop_finished(key);
+    }
+
+    /// An attempt has ended outside. An attempt that is not open any more is passed over: the late answer of
+    /// an old attempt must not be taken for that of a new one.
+    pub fn ended(&mut self, now: Micros, key: AttemptKey, ending: Ending, left: Left, back: Back) {
+        let Some(a) = self.attempts.remove(key) else { return };
+        self.deadlines.remove(&(a.expires, Due::Attempt(key.data().as_ffi())));
+        self.counters.ended(ending);
+        let Some(r) = self.requests.get_mut(a.request) else { return };
+        r.out = None;
+        let outcome = ending.outcome(left);
+        r.may_have_run |= !crate::brain::never_ran(outcome);
+        let first = outcome == Outcome::Ok && !r.answered;
+        if first {
+            r.answered = true;
+            self.counters.served += 1;
+            let origin = r.call.origin.clone();
+            self.commands.push_back(Command::Answer { origin, answer: Answer::Served(back.body) });
+        }
+        let ended = Ended {
+            request: r.brain_id,
+            worker: a.worker,
+            attempt: a.number,
+            terminal: r.answered,
+            outcome,
+            warmth: back.warmth,
+            crowd: back.crowd,
+            latency: now.saturating_sub(a.sent),
+            report: back.report,
+        };
+        self.feed(now, Event::Ended(ended));
+        self.drop_finished(a.request);
+    }
+
+    /// A load order has ended outside.
+    pub fn order_ended(&mut self, now: Micros, key: OrderKey, ending: Ending, left: Left, copies: u32) {
+        let Some((worker, function, at)) = self.orders.remove(key) else { return };
+        self.deadlines.remove(&(at, Due::Order(key.data().as_ffi())));
+        let outcome = ending.outcome(left);
+        self.feed(now, Event::Loaded { worker, function, outcome, copies });
+    }
+
+    /// A probe has ended outside.
+    pub fn probe_ended(&mut self, now: Micros, key: ProbeKey, ending: Ending, report: Option<Report>) {
+        let Some((worker, at)) = self.probes.remove(key) else { return };
+        self.deadlines.remove(&(at, Due::Probe(key.data().as_ffi())));
+        self.feed(now, Event::Probed { worker, outcome: ending.outcome(Left::Some), report });
+    }
+
+    /// Whether refusing this call is harmless: its class is safe, or nothing of it can have run.
+    fn overdue(&mut self, key: RequestKey) {
+        let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
+        r.answered = true;
+        let safe = self.safe.get(r.call.class.0 as usize).copied().unwrap_or(false);
+        let answer = if (safe || !r.may_have_run) && r.out.is_none() {
+            self.counters.refused += 1;
+            Answer::Refused { retry_after: 0 }
+        } else {
+            self.counters.failed += 1;
+            Answer::Failed
+        };
+        self.counters.overdue += 1;
+        self.commands.push_back(Command::Answer { origin: r.call.origin.clone(), answer });
+        self.drop_finished(key);
+    }
+
+    fn drop_finished(&mut self, key: RequestKey) {
+        let done = |r: &Request<O>| r.answered && r.out.is_none();
+        if self.requests.get(key).is_some_and(done) {
+            if let Some(r) = self.requests.remove(key) {
+                self.by_id.remove(&r.brain_id);
+                let at = r.call.expires + self.grace;
+                self.deadlines.remove(&(at, Due::Request(key.data().as_ffi())));
+            }
+        }
+    }
+
+    /// Hands events to the module and carries out its actions. What an action ends at once is queued, so
+    /// that the module is never entered while it decides.
+    fn feed(&mut self, now: Micros, event: Event) {
+        self.events.push_back(event);
+        if self.events.len() > 1 {
+            return;
+        }
+        while let Some(event) = self.events.front().cloned() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.brain.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+            self.actions = actions;
+            self.events.pop_front();
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, worker, within } => self.send(now, request, worker, within),
+            Action::Cancel { request, attempt } => {
+                let Some(r) = self.by_id.get(&request).and_then(|k| self.requests.get(*k)) else { return };
+                let Some(key) = r.out.filter(|_| r.attempts == attempt + 1) else { return };
+                self.commands.push_back(Command::Halt { attempt: key, why: Ending::CalledOff });
+            }
+            Action::Refuse { request, retry_after } => {
+                self.finish(request, Answer::Refused { retry_after });
+            }
+            Action::Fail { request } => self.finish(request, Answer::Failed),
+            Action::Load { worker, function, copies } => {
+                let at = now + self.order_limit;
+                let order = self.orders.insert((worker, function, at));
+                self.deadlines.insert((at, Due::Order(order.data().as_ffi())));
+                self.counters.orders += u64::from(copies > 0);
+                self.counters.asks += u64::from(copies == 0);
+                self.commands.push_back(Command::Stage { order, worker, function, copies });
+            }
+            Action::Unload { worker, function } => {
+                self.commands.push_back(Command::Purge { worker, function })
+            }
+            Action::Probe { worker } => {
+                let at = now + PROBE_LIMIT;
+                let probe = self.probes.insert((worker, at));
+                self.deadlines.insert((at, Due::Probe(probe.data().as_ffi())));
+                self.counters.probes += 1;
+                self.commands.push_back(Command::Probe { probe, worker });
+            }
+            Action::Wake { after, token } => {
+                self.deadlines.insert((now + after.max(1), Due::Wake(token)));
+            }
+            // The board pushes; there is nothing to subscribe to.
+            Action::Subscribe => {}
+        }
+    }
+
+    fn send(&mut self, now: Micros, request: RequestId, worker: WorkerId, within: Option<Micros>) {
+        let Some(&key) = self.by_id.get(&request) else { return };
+        let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered && r.out.is_none()) else { return };
+        let expires = within.map_or(r.call.expires, |w| r.call.expires.min(now + w));
+        let number = r.attempts;
+        r.attempts = r.attempts.saturating_add(1);
+        let attempt = self.attempts.insert(Attempt { request: key, worker, number, sent: now, expires });
+        r.out = Some(attempt);
+        self.counters.sent += 1;
+        self.deadlines.insert((expires, Due::Attempt(attempt.data().as_ffi())));
+        self.commands.push_back(Command::Go {
+            attempt,
+            worker,
+            id: r.call.id.clone(),
+            class: r.call.class,
+            function: r.call.function,
+            expires,
+            body: r.call.body.clone(),
+        });
+    }
+
+    fn finish(&mut self, request: RequestId, answer: Answer) {
+        let Some(&key) = self.by_id.get(&request) else { return };
+        let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
+        r.answered = true;
+        match answer {
+            Answer::Refused { .. } => self.counters.refused += 1,
+            _ => self.counters.failed += 1,
+        }
+        self.commands.push_back(Command::Answer { origin: r.call.origin.clone(), answer });
+        self.drop_finished(key);
+    }
+}
--- /dev/null
+++ b/src/counters.rs
@@ -0,0 +1,69 @@
+//! Counters of what is taken in, sent and answered; printed on request and at exit.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::ending::Ending;
+
+/// What has happened since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Counters {
+    /// Calls handed to the module.
+    pub taken: u64,
+    /// Calls answered with a worker's body.
+    pub served: u64,
+    /// Calls refused.
+    pub refused: u64,
+    /// Calls failed.
+    pub failed: u64,
+    /// Calls whose caller left first.
+    pub left: u64,
+    /// Calls that the core had to answer because the module had not by their time.
+    pub overdue: u64,
+    /// Attempts sent.
+    pub sent: u64,
+    /// Orders to load.
+    pub orders: u64,
+    /// Questions what stands.
+    pub asks: u64,
+    /// Probes.
+    pub probes: u64,
+    /// Client connections accepted.
+    pub accepted: u64,
+    /// Requests turned away before they reached the module.
+    pub bad_requests: u64,
+    /// Worker connections opened.
+    pub connects: u64,
+    /// Worker answers that matched nothing open.
+    pub unmatched: u64,
+    /// Worker answers or board events that could not be read.
+    pub unreadable: u64,
+    /// Webhook calls refused for their signature, time or identity.
+    pub webhooks_refused: u64,
+    /// Webhook calls taken.
+    pub webhooks_taken: u64,
+    /// Callbacks that a portal confirmed.
+    pub callbacks_delivered: u64,
+    /// Callbacks given up that no portal can have seen.
+    pub callbacks_undelivered: u64,
+    /// Callbacks of which it is not known whether the portal got them.
+    pub callbacks_unknown: u64,
+    /// How attempts ended.
+    pub endings: BTreeMap<&'static str, u64>,
+}
+
+impl Counters {
+    /// Counts the end of an attempt.
+    pub fn ended(&mut self, ending: Ending) {
+        *self.endings.entry(ending.name()).or_default() += 1;
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match serde_json::to_string(self) {
+            Ok(text) => f.write_str(&text),
+            Err(_) => Err(fmt::Error),
+        }
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,4 @@
+//! The fronts: bytes into the core's calls, and its answers into bytes. Neither decides anything.
+
+pub mod http;
+pub mod platform;
--- /dev/null
+++ b/src/front/platform.rs
@@ -0,0 +1,119 @@
+//! The platform's front: one call a POST, its fields in headers.
+
+use std::rc::Rc;
+
+use super::http::{self, fatal, plain, Bad, Request};
+use crate::api::{ClassId, FunctionId, Micros, TenantId};
+use crate::config::Names;
+use crate::core::{Answer, Call};
+
+/// The longest time that a caller may ask for, in milliseconds.
+const LONGEST_MS: f64 = 600_000.0;
+
+/// What a client asks.
+#[derive(Debug)]
+pub enum Ask {
+    /// Whether the gateway is there.
+    Ping,
+    /// A call, without its origin.
+    Call(Call<()>),
+}
+
+/// A request off a client's connection.
+#[derive(Debug)]
+pub struct Taken {
+    /// What it asks, or why it is turned away.
+    pub ask: Result<Ask, Bad>,
+    /// Bytes that it takes up.
+    pub size: usize,
+    /// Whether the connection stays.
+    pub keep: bool,
+}
+
+/// Sixteen lower-case hex digits, as all identities on this wire are written.
+pub fn hex16(text: &str) -> Option<u64> {
+    let fits = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    fits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
+
+fn number(text: &str) -> Option<f64> {
+    text.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0)
+}
+
+/// Reads the next request; `None` while it is not whole.
+pub fn take(bytes: &[u8], names: &Names, now: Micros) -> Result<Option<Taken>, Bad> {
+    let Some(r) = http::request(bytes)? else { return Ok(None) };
+    Ok(Some(Taken { size: r.size, keep: r.keep, ask: ask(&r, names, now) }))
+}
+
+fn ask(r: &Request<'_>, names: &Names, now: Micros) -> Result<Ask, Bad> {
+    if r.path == "/ping" {
+        return if r.method == "GET" { Ok(Ask::Ping) } else { Err(plain(405, "ping is a GET")) };
+    }
+    let key = r.path.strip_prefix("/call/").and_then(|p| p.strip_suffix("/trigger"));
+    let key = key.ok_or(plain(404, "no such path"))?;
+    if r.method != "POST" {
+        return Err(plain(405, "a call is a POST"));
+    }
+    let function = FunctionId(hex16(key).ok_or(plain(404, "a function is 16 hex digits"))?);
+    let class = r.header("X-Class").and_then(|c| Names::place(&names.classes, c));
+    let tenant = match r.header("X-Org") {
+        Some(org) => Names::place(&names.tenants, org),
+        None => names.tenants.is_empty().then_some(0),
+    };
+    let id = r.header("X-Correlation-Id").filter(|id| hex16(id).is_some());
+    let wait = r.header("X-Deadline-Ms").and_then(number).filter(|ms| *ms > 0.0 && *ms <= LONGEST_MS);
+    let work = r.header("X-Estimate-Ms").map(|w| number(w).ok_or(plain(400, "bad X-Estimate-Ms")));
+    let mut call = Call {
+        origin: (),
+        id: id.ok_or(plain(400, "bad X-Correlation-Id"))?.into(),
+        class: ClassId(class.ok_or(plain(400, "unknown class"))? as u8),
+        tenant: TenantId(tenant.ok_or(plain(400, "unknown tenant"))? as u32),
+        function,
+        expires: now + (wait.ok_or(plain(400, "bad X-Deadline-Ms"))? * 1e3) as Micros,
+        work: work.transpose()?.map(|ms| (ms * 1e3) as Micros),
+        memory_mb: 0.0,
+        lanes: 1,
+        load_time: None,
+        body: Rc::from(r.body),
+    };
+    extras(r.header("X-Extras").unwrap_or_default(), &mut call)?;
+    Ok(Ask::Call(call))
+}
+
+/// Reads `name:value;name:value`; names that mean nothing are passed over.
+pub fn extras<O>(text: &str, call: &mut Call<O>) -> Result<(), Bad> {
+    for part in text.split(';').filter(|p| !p.trim().is_empty()) {
+        let (name, value) = part.split_once(':').ok_or(plain(400, "bad X-Extras"))?;
+        let value = number(value.trim()).ok_or(plain(400, "bad X-Extras"))?;
+        match name.trim() {
+            "memory_mb" => call.memory_mb = value,
+            "lanes" => call.lanes = (value as u32).max(1),
+            "load_ms" => call.load_time = Some((value * 1e3) as Micros).filter(|t| *t > 0),
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+/// The bytes of a final answer. A refusal says when to come back, in whole seconds as HTTP has it.
+pub fn answer(answer: &Answer, keep: bool) -> Vec<u8> {
+    match answer {
+        Answer::Served(body) => http::response(200, "Content-Type: application/octet-stream\r\n", body, keep),
+        Answer::Refused { retry_after } => {
+            let wait = format!("Retry-After: {}\r\n", retry_after.div_ceil(1_000_000));
+            http::response(503, &wait, b"", keep)
+        }
+        Answer::Failed => http::response(504, "", b"", keep),
+    }
+}
+
+/// The bytes for a request that is turned away before it reaches the module.
+pub fn turn_away(bad: &Bad, keep: bool) -> Vec<u8> {
+    http::response(bad.status, "Content-Type: text/plain\r\n", bad.why.as_bytes(), keep && !bad.fatal)
+}
+
+/// What a connection that is idle within a request for too long is told.
+pub fn too_slow() -> Bad {
+    fatal(408, "request took too long")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,19 @@
 #![doc = include_str!("../README.md")]
 
 pub mod api;
+pub mod board;
 pub mod brain;
+pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod core;
+pub mod counters;
+pub mod ending;
+pub mod front;
+pub mod net;
+pub mod node;
+pub mod settings;
+pub mod worker;
 
 pub use api::{Action, Event, Outcome, Settings};
 pub use brain::Brain;
--- /dev/null
+++ b/src/net.rs
@@ -0,0 +1,340 @@
+//! Connections: one buffer each, that grows as it needs and is compacted in place, and a queue of frames that
+//! leave whole or not at all.
+
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::rc::Rc;
+
+use calloop::RegistrationToken;
+
+use crate::api::Micros;
+use crate::ending::Ending;
+
+/// Bytes that a buffer starts with.
+const FIRST: usize = 2048;
+/// An empty buffer larger than this is given back.
+const KEPT: usize = 64 * 1024;
+
+/// Bytes read and not yet understood.
+#[derive(Debug, Default)]
+pub struct Buffer {
+    data: Vec<u8>,
+    start: usize,
+    end: usize,
+}
+
+/// How a read went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fill {
+    /// Some bytes came; there may be more.
+    Some,
+    /// Nothing more for now.
+    Dry,
+    /// The buffer holds as much as it may.
+    Full,
+    /// The peer's side has ended.
+    End,
+}
+
+impl Buffer {
+    /// What has come and was not consumed.
+    pub fn bytes(&self) -> &[u8] {
+        &self.data[self.start..self.end]
+    }
+
+    /// Drops the first `n` bytes.
+    pub fn consume(&mut self, n: usize) {
+        self.start = (self.start + n).min(self.end);
+        if self.start == self.end {
+            (self.start, self.end) = (0, 0);
+            if self.data.len() > KEPT {
+                self.data = Vec::new();
+            }
+        }
+    }
+
+    /// Reads once; holds no more than `limit` bytes.
+    pub fn fill(&mut self, from: &mut impl Read, limit: usize) -> io::Result<Fill> {
+        let held = self.end - self.start;
+        if held >= limit {
+            return Ok(Fill::Full);
+        }
+        if self.end == self.data.len() {
+            if self.start > 0 {
+                self.data.copy_within(self.start..self.end, 0);
+                (self.start, self.end) = (0, held);
+            }
+            if self.end == self.data.len() {
+                let size = (self.data.len() * 2).clamp(FIRST, limit.max(FIRST));
+                self.data.resize(size, 0);
+            }
+        }
+        loop {
+            match from.read(&mut self.data[self.end..]) {
+                Ok(0) => return Ok(Fill::End),
+                Ok(n) => {
+                    self.end += n;
+                    return Ok(Fill::Some);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Fill::Dry),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Takes bytes as if they had been read; for recorded exchanges.
+    pub fn feed(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            if !matches!(self.fill(&mut bytes, usize::MAX >> 1), Ok(Fill::Some)) {
+                return;
+            }
+        }
+    }
+}
+
+/// A frame on its way out.
+#[derive(Debug)]
+struct Frame {
+    tag: u64,
+    bytes: Vec<u8>,
+    sent: usize,
+}
+
+/// Frames that wait to be written.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    frames: VecDeque<Frame>,
+    bytes: usize,
+}
+
+/// A tag for frames that are never taken back.
+pub const KEPT_FRAME: u64 = 0;
+
+impl Outbox {
+    /// Queues a frame.
+    pub fn push(&mut self, tag: u64, bytes: Vec<u8>) {
+        self.bytes += bytes.len();
+        self.frames.push_back(Frame { tag, bytes, sent: 0 });
+    }
+
+    /// Takes a frame back whole, if not one byte of it has left. Guards against half a frame: one that has
+    /// begun to leave stays and is written to its end.
+    pub fn withdraw(&mut self, tag: u64) -> bool {
+        let Some(at) = self.frames.iter().position(|f| f.tag == tag && f.sent == 0) else { return false };
+        if let Some(frame) = self.frames.remove(at) {
+            self.bytes -= frame.bytes.len();
+        }
+        true
+    }
+
+    /// Whether a frame still waits with none of its bytes gone.
+    pub fn untouched(&self, tag: u64) -> bool {
+        self.frames.iter().any(|f| f.tag == tag && f.sent == 0)
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.frames.is_empty()
+    }
+
+    /// Bytes that wait.
+    pub fn len(&self) -> usize {
+        self.bytes
+    }
+
+    /// Writes what the peer takes; `false` if something is left. Frames that wait go out together.
+    pub fn flush(&mut self, to: &mut impl Write) -> io::Result<bool> {
+        while !self.frames.is_empty() {
+            let slices: Vec<io::IoSlice<'_>> =
+                self.frames.iter().take(64).map(|f| io::IoSlice::new(&f.bytes[f.sent..])).collect();
+            match to.write_vectored(&slices) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(mut n) => {
+                    while let Some(f) = self.frames.front_mut().filter(|_| n > 0) {
+                        let part = n.min(f.bytes.len() - f.sent);
+                        (f.sent, n, self.bytes) = (f.sent + part, n - part, self.bytes - part);
+                        if f.sent == f.bytes.len() {
+                            self.frames.pop_front();
+                        }
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(true)
+    }
+
+    /// The bytes that wait, as they would leave; for recorded exchanges.
+    pub fn drain(&mut self) -> Vec<u8> {
+        let mut out = Vec::new();
+        // A Vec takes everything; there is no error to handle.
+        let _ = self.flush(&mut out);
+        out
+    }
+}
+
+/// A stream that the event loop and its connection share.
+#[derive(Clone, Debug)]
+pub struct Stream(pub Rc<TcpStream>);
+
+impl AsFd for Stream {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.0.as_fd()
+    }
+}
+
+/// One connection.
+#[derive(Debug)]
+pub struct Conn {
+    stream: Stream,
+    /// Its registration with the event loop.
+    pub token: RegistrationToken,
+    /// What has come.
+    pub input: Buffer,
+    /// What waits to go.
+    pub out: Outbox,
+    /// Whether the connection has come up.
+    pub up: bool,
+    /// Whether reading stopped before the socket was dry.
+    pub more: bool,
+    /// Whether the peer has ended its side.
+    pub ended: bool,
+    /// Whether it closes once everything has been written.
+    pub closing: bool,
+    /// When it is given up, if that stands hung among the deadlines.
+    pub deadline: Option<Micros>,
+}
+
+impl Conn {
+    /// Wraps a stream that is non-blocking and registered.
+    pub fn new(stream: Stream, token: RegistrationToken, up: bool) -> Conn {
+        Conn {
+            stream,
+            token,
+            input: Buffer::default(),
+            out: Outbox::default(),
+            up,
+            more: false,
+            ended: false,
+            closing: false,
+            deadline: None,
+        }
+    }
+
+    /// After a non-blocking connect: whether it has come up, still tries, or was refused.
+    pub fn check_connect(&mut self) -> Result<bool, Ending> {
+        if self.up {
+            return Ok(true);
+        }
+        match self.stream.0.take_error() {
+            Ok(None) => match self.stream.0.peer_addr() {
+                Ok(_) => {
+                    self.up = true;
+                    Ok(true)
+                }
+                Err(_) => Ok(false),
+            },
+            Ok(Some(_)) | Err(_) => Err(Ending::Refused),
+        }
+    }
+
+    /// Reads until the socket is dry, the buffer holds `limit`, or the peer has ended.
+    pub fn read(&mut self, limit: usize) -> Result<(), Ending> {
+        self.more = true;
+        loop {
+            match self.input.fill(&mut &*self.stream.0, limit) {
+                Ok(Fill::Some) => {}
+                Ok(Fill::Dry) => {
+                    self.more = false;
+                    return Ok(());
+                }
+                Ok(Fill::Full) => return Ok(()),
+                Ok(Fill::End) => {
+                    (self.more, self.ended) = (false, true);
+                    return Ok(());
+                }
+                Err(_) => return Err(Ending::Reset),
+            }
+        }
+    }
+
+    /// Writes what the peer takes.
+    pub fn flush(&mut self) -> Result<bool, Ending> {
+        if !self.up {
+            return Ok(self.out.is_empty());
+        }
+        self.out.flush(&mut &*self.stream.0).map_err(|_| Ending::Reset)
+    }
+}
+
+/// Begins to connect without waiting for it. The standard library has no such call, and rustix, which calloop
+/// stands on, makes the socket.
+pub fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
+    let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let socket = socket_with(family, SocketType::STREAM, flags, None)?;
+    match connect(&socket, &to) {
+        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
+        Err(e) => return Err(e.into()),
+    }
+    let stream = TcpStream::from(socket);
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A peer that takes so many bytes and then blocks.
+    struct Narrow(usize, Vec<u8>);
+    impl Write for Narrow {
+        fn write(&mut self, b: &[u8]) -> io::Result<usize> {
+            if self.0 == 0 {
+                return Err(io::ErrorKind::WouldBlock.into());
+            }
+            let n = b.len().min(self.0);
+            self.0 -= n;
+            self.1.extend(&b[..n]);
+            Ok(n)
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn a_frame_is_taken_back_whole_or_written_whole() {
+        let (mut out, mut peer) = (Outbox::default(), Narrow(3, Vec::new()));
+        out.push(1, b"first".to_vec());
+        out.push(2, b"second".to_vec());
+        assert!(!out.flush(&mut peer).unwrap());
+        assert!(!out.withdraw(1), "three bytes of it have left");
+        assert!(out.untouched(2) && out.withdraw(2) && !out.untouched(2));
+        peer.0 = 100;
+        assert!(out.flush(&mut peer).unwrap());
+        assert_eq!((peer.1.as_slice(), out.len()), (&b"first"[..], 0));
+    }
+
+    #[test]
+    fn a_buffer_grows_to_its_limit_and_is_compacted_in_place() {
+        let mut b = Buffer::default();
+        let source = vec![7u8; 10_000];
+        let mut from = &source[..];
+        while b.fill(&mut from, 5_000).unwrap() == Fill::Some {}
+        assert_eq!(b.bytes().len(), 5_000);
+        b.consume(4_000);
+        while b.fill(&mut from, 5_000).unwrap() == Fill::Some {}
+        assert_eq!(
+            (b.bytes().len(), b.data.len()),
+            (5_000, 5_000),
+            "room was made by moving, not by growing"
+        );
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,136 @@
+//! The settings as facts: one `path=value` each, whether they came as lines or as nested JSON.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+use crate::api::*;
+
+/// Values by path.
+pub type Facts = BTreeMap<String, String>;
+
+/// The values of a load report, in the order in which they come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Field {
+    /// Requests waiting.
+    Queue,
+    /// Requests held.
+    Inflight,
+    /// Share of the processors at work.
+    Busy,
+    /// Share of memory that cannot be freed.
+    Pinned,
+    /// Loads under way.
+    Loads,
+    /// Anything else.
+    Other,
+}
+
+fn micros(ms: f64) -> Micros {
+    (ms * 1000.0).round().max(0.0) as Micros
+}
+
+/// Facts from lines of `path=value`; a line without a value is passed over.
+pub fn lines(text: &str) -> Facts {
+    text.lines().filter_map(|l| l.split_once('=')).map(|(k, v)| (k.into(), v.into())).collect()
+}
+
+/// Facts from nested JSON: a list of simple values is joined by commas, a list of objects is counted.
+pub fn nested(value: &Value) -> Facts {
+    let mut facts = Facts::new();
+    flatten(String::new(), value, &mut facts);
+    facts
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
+
+fn flatten(path: String, value: &Value, facts: &mut Facts) {
+    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(map) => map.iter().for_each(|(name, v)| flatten(under(name), v, facts)),
+        Value::Array(list) if list.iter().any(Value::is_object) => {
+            facts.insert(under("count"), list.len().to_string());
+            list.iter().enumerate().for_each(|(i, v)| flatten(under(&i.to_string()), v, facts));
+        }
+        Value::Array(list) => {
+            facts.insert(path, list.iter().map(plain).collect::<Vec<_>>().join(","));
+        }
+        simple => {
+            facts.insert(path, plain(simple));
+        }
+    }
+}
+
+/// Reads the settings from facts, and the names of a load report's values in their order.
+pub fn from_facts(facts: &Facts) -> (Settings, Vec<Field>) {
+    let get = |key: &str| facts.get(key).map(String::as_str);
+    let number = |key: &str| get(key).and_then(|v| v.trim().parse::<f64>().ok()).filter(|v| v.is_finite());
+    let time = |key: &str| micros(number(key).unwrap_or(0.0));
+    let yes = |key: &str| get(key).is_some_and(|v| v.eq_ignore_ascii_case("true"));
+    let count = |key: &str| number(key).unwrap_or(0.0).clamp(0.0, 4096.0) as usize;
+    let class = |i: usize| {
+        let key = |k: &str| format!("services.{i}.{k}");
+        Class {
+            aim: time(&key("aimMs")),
+            deadline: time(&key("hardLimitMs")),
+            worth: number(&key("worth")).unwrap_or(1.0),
+            late_worth: number(&key("lateWorth")).unwrap_or(0.0),
+            effect: match get(&key("repeat")) {
+                Some("read_like") => Effect::Safe,
+                Some("idempotency_key") => Effect::Keyed {
+                    window: time(&key("dedupWindowMs")),
+                    group: match get(&key("group")) {
+                        Some("all") => Group::All,
+                        Some("zone") => Group::Zone,
+                        _ => Group::Cell,
+                    },
+                },
+                _ => Effect::Unsafe,
+            },
+        }
+    };
+    let fields = get("report.fields").unwrap_or("").split(',').map(|name| match name.trim() {
+        "q" => Field::Queue,
+        "rif" => Field::Inflight,
+        "busy" => Field::Busy,
+        "x0" => Field::Pinned,
+        "x1" => Field::Loads,
+        _ => Field::Other,
+    });
+    let window = time("familyInfo.loadWindowMs");
+    let settings = Settings {
+        instances: count("groupSize").max(1) as u32,
+        zone: ZoneId(count("zone") as u8),
+        tick: time("tickMs"),
+        classes: (0..count("services.count")).map(class).collect(),
+        tenants: (0..count("orgs.count"))
+            .map(|i| Tenant { quota_per_s: number(&format!("orgs.{i}.quotaPerS")).unwrap_or(0.0) })
+            .collect(),
+        over_share_worth: number("overShareWorth").unwrap_or(1.0),
+        answer_grace: time("obligations.graceToAnswerMs"),
+        drain_grace: time("obligations.drainGraceMs"),
+        cold_from: number("obligations.coldFrom").unwrap_or(1.0),
+        cold_time: time("obligations.coldMs"),
+        fall_multiple: number("obligations.fallMultiple").unwrap_or(0.0),
+        fall_window: time("obligations.fallMs"),
+        keep: time("familyInfo.keepMs"),
+        may_load: yes("familyInfo.mayLoad"),
+        ration: (window > 0).then(|| LoadRation {
+            window,
+            free: number("familyInfo.loadsAnyway").unwrap_or(0.0),
+            ratio: number("familyInfo.loadRatio").unwrap_or(0.0),
+        }),
+        order_limit: time("familyInfo.orderLimitMs"),
+        on_miss: if get("familyInfo.onMiss") == Some("miss") { OnMiss::Answers } else { OnMiss::Loads },
+        tells_warm: yes("familyInfo.marksCold"),
+        max_attempts: number("caps.mostTries").unwrap_or(1.0).max(1.0) as u32,
+        may_cancel: yes("caps.cancel"),
+        may_probe: yes("caps.probes"),
+        reports_inline: get("report.via") == Some("inline"),
+        max_retry_after: if yes("caps.retryAfter") { time("caps.maxRetryAfterMs") } else { 0 },
+        must_subscribe: get("registryMode") == Some("on_request"),
+    };
+    (settings, fields.collect())
+}
