Add the second front: signed webhooks, callbacks, tenants and the administration API

Off unless serve is given an operator's file. A signed call is verified, checked against a bounded replay store and run on the same core with its tenant and an absolute deadline; its one answer leaves as one signed callback, resent only as brain::allowed and never_ran permit for its class. JWT-SVIDs open the administration API on its own listener.

--- a/src/api.rs
+++ b/src/api.rs
@@ -347,6 +347,13 @@
         /// The worker's report, where one came along.
         report: Option<Report>,
     },
+    /// A tenant's share has been set by an operator.
+    Share {
+        /// The tenant.
+        tenant: TenantId,
+        /// Calls a second over all instances; 0 where none is stated.
+        quota_per_s: f64,
+    },
     /// A timer set by [`Action::Wake`] is due.
     Wake {
         /// The token given with it.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -267,6 +267,7 @@
                 self.on_loaded(now, (w, f), outcome, n)
             }
             Event::Probed { .. } => {}
+            Event::Share { tenant, quota_per_s } => self.on_share(now, tenant, quota_per_s),
             Event::Wake { .. } => self.on_round(now, out),
         }
         self.release(now, out);
@@ -284,6 +285,14 @@
         }
     }
 
+    /// An operator's tenants come and go while it runs; a bucket begins full, as at the start.
+    fn on_share(&mut self, now: Micros, tenant: TenantId, quota_per_s: f64) {
+        let (place, rate) = (tenant.0 as usize, quota_per_s / f64::from(self.settings.instances.max(1)));
+        let missing = (place + 1).saturating_sub(self.buckets.len());
+        self.buckets.extend(std::iter::repeat_n((0.0, 0.0, now), missing));
+        self.buckets[place] = (rate, SLACK.max(rate), now);
+    }
+
     fn on_members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>) {
         if kind == ListKind::Failed {
             self.subscribed = 0;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,7 +7,7 @@
 use calloop::EventLoop;
 
 use crate::clock::Clock;
-use crate::config::{Config, ConfigError};
+use crate::config::{Config, ConfigError, Operator};
 use crate::node::Node;
 
 /// A gateway for functions loaded on demand
@@ -16,10 +16,17 @@
 pub enum Command {
     /// Run the gateway in the foreground; RELAY_CONFIG, RELAY_NAME and RELAY_LISTEN tell it what it is
     #[bpaf(command)]
-    Serve,
+    Serve {
+        /// An operator's file: signed webhooks, tenants and the administration API
+        #[bpaf(long, argument("FILE"))]
+        operator: Option<PathBuf>,
+    },
     /// Read a configuration and say whether it can be used
     #[bpaf(command("check-config"))]
     CheckConfig {
+        /// An operator's file to check as well
+        #[bpaf(long, argument("FILE"))]
+        operator: Option<PathBuf>,
         /// The gateway's JSON; RELAY_CONFIG if absent
         #[bpaf(positional("FILE"))]
         file: Option<PathBuf>,
@@ -32,8 +39,8 @@
 /// Runs the command that the arguments name.
 pub fn main() -> ExitCode {
     let result = match command().run() {
-        Command::Serve => serve(),
-        Command::CheckConfig { file } => check(file).map_err(Into::into),
+        Command::Serve { operator } => serve(operator),
+        Command::CheckConfig { operator, file } => check(operator, file).map_err(Into::into),
         Command::Version => {
             println!("molelug {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -48,19 +55,27 @@
     }
 }
 
-fn serve() -> Result<(), Box<dyn std::error::Error>> {
+fn serve(operator: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
     let config = Config::from_env()?;
     let name = config.name.clone();
+    let operator = operator.map_or_else(|| Ok(Operator::default()), |path| Operator::read(&path))?;
     let mut events = EventLoop::try_new()?;
-    let mut node = Node::new(config, events.handle(), Clock::system())?;
+    let mut node = Node::new(config, operator, events.handle(), Clock::system())?;
     node.heed_signals()?;
-    eprintln!("molelug: {name} listens on {}", node.address()?);
+    let listeners = [
+        ("listens", node.address()),
+        ("takes webhooks", node.webhook_address()),
+        ("is administered", node.admin_address()),
+    ];
+    for (what, at) in listeners.iter().filter_map(|(what, at)| at.map(|at| (what, at))) {
+        eprintln!("molelug: {name} {what} on {at}");
+    }
     node.run(&mut events)?;
     eprintln!("counters {}", node.counters());
     Ok(())
 }
 
-fn check(file: Option<PathBuf>) -> Result<(), ConfigError> {
+fn check(operator: Option<PathBuf>, file: Option<PathBuf>) -> Result<(), ConfigError> {
     let config = match file {
         Some(path) => Config::read(&path, None, None)?,
         None => Config::from_env()?,
@@ -73,5 +88,14 @@
         config.names.tenants.len(),
         config.known.len()
     );
+    if let Some(path) = operator {
+        let operator = Operator::read(&path)?;
+        println!(
+            "webhooks {}, administration {}, {} tenants",
+            operator.webhooks.as_ref().map_or("off".into(), |w| w.listen.to_string()),
+            operator.admin.as_ref().map_or("off".into(), |a| a.listen.to_string()),
+            operator.tenants.len()
+        );
+    }
     Ok(())
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,6 @@
 //! What a gateway is told: RELAY_* and the JSON that they point to.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -9,7 +10,9 @@
 
 use crate::api::{Micros, Settings};
 use crate::board::Notice;
+use crate::identity::{self, Role};
 use crate::settings;
+use crate::tenants::{Registry, Spec};
 
 /// Why a configuration cannot be used.
 #[derive(Debug)]
@@ -208,3 +211,146 @@
         other => Err(ConfigError::Value("seed", other.to_string())),
     }
 }
+
+/// An operator's file: what is on besides the platform's front.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// Signed webhooks.
+    pub webhooks: Option<Webhooks>,
+    /// The administration API.
+    pub admin: Option<Admin>,
+    /// The tenants at the start.
+    #[serde(default)]
+    pub tenants: Vec<Spec>,
+}
+
+/// The webhooks' settings.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Webhooks {
+    /// Where calls come in.
+    pub listen: SocketAddr,
+    /// How far a time stamp may be off.
+    #[serde(default = "default_tolerance")]
+    pub tolerance_s: u64,
+    /// Identities remembered against replays.
+    #[serde(default = "default_replays")]
+    pub replay_entries: usize,
+    /// Calls and callbacks that may be under way at once.
+    #[serde(default = "default_pending")]
+    pub pending: usize,
+    /// How long a callback is tried.
+    #[serde(default = "default_window")]
+    pub callback_window_ms: u64,
+    /// How long a portal may take over one attempt.
+    #[serde(default = "default_answer")]
+    pub callback_answer_ms: u64,
+}
+
+fn default_tolerance() -> u64 {
+    300
+}
+
+fn default_replays() -> usize {
+    65_536
+}
+
+fn default_pending() -> usize {
+    256
+}
+
+fn default_window() -> u64 {
+    60_000
+}
+
+fn default_answer() -> u64 {
+    5_000
+}
+
+/// The administration API's settings.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Admin {
+    /// Its own loopback listener.
+    pub listen: SocketAddr,
+    /// The SPIFFE trust domain of its callers.
+    pub trust_domain: String,
+    /// What their tokens are for.
+    pub audience: String,
+    /// The trust domain's bundle, a JWKS file.
+    pub bundle: PathBuf,
+    /// How often the bundle is read anew.
+    #[serde(default = "default_refresh")]
+    pub refresh_s: u64,
+    /// Who may do what; whoever is not named may do nothing.
+    #[serde(default)]
+    pub callers: Vec<Caller>,
+}
+
+fn default_refresh() -> u64 {
+    60
+}
+
+/// One caller of the administration API.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Caller {
+    /// Its SPIFFE ID.
+    pub spiffe_id: String,
+    /// Its role.
+    pub role: Role,
+}
+
+impl Admin {
+    /// Roles by SPIFFE ID.
+    pub fn roles(&self) -> BTreeMap<String, Role> {
+        self.callers.iter().map(|c| (c.spiffe_id.clone(), c.role)).collect()
+    }
+}
+
+impl Operator {
+    /// Reads an operator's file; a relative path in it is taken from the file's folder.
+    pub fn read(path: &Path) -> Result<Operator, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Read(path.into(), e))?;
+        let mut operator = Operator::parse(&text).map_err(|e| match e {
+            ConfigError::Parse(_, e) => ConfigError::Parse(path.into(), e),
+            e => e,
+        })?;
+        if let (Some(admin), Some(folder)) = (&mut operator.admin, path.parent()) {
+            admin.bundle = folder.join(&admin.bundle);
+        }
+        Ok(operator)
+    }
+
+    /// Reads the text itself, and checks all that can be checked without the machine.
+    pub fn parse(text: &str) -> Result<Operator, ConfigError> {
+        // The error of a file that may hold secrets is told without the line it is about.
+        let operator: Operator = toml::from_str(text)
+            .map_err(|e| ConfigError::Parse(PathBuf::from("operator's file"), e.message().to_owned()))?;
+        if let Some(admin) = &operator.admin {
+            if !admin.listen.ip().is_loopback() {
+                return Err(ConfigError::Value("admin.listen", admin.listen.to_string()));
+            }
+            for caller in &admin.callers {
+                identity::check_id(&caller.spiffe_id, &admin.trust_domain)
+                    .map_err(|e| ConfigError::Value("admin.callers", e.to_string()))?;
+            }
+        }
+        operator.registry(&[])?;
+        Ok(operator)
+    }
+
+    /// The tenants as a registry in which the platform's keep their numbers.
+    pub fn registry(&self, platform: &[(String, f64)]) -> Result<Registry, ConfigError> {
+        let mut registry = Registry::new(platform);
+        for spec in &self.tenants {
+            let new = registry.put(&spec.name, spec);
+            let new = new.map_err(|e| ConfigError::Value("tenants", format!("{}: {e}", spec.name)))?;
+            if !new {
+                return Err(ConfigError::Value("tenants", format!("{} comes twice", spec.name)));
+            }
+        }
+        Ok(registry)
+    }
+}
--- a/src/core.rs
+++ b/src/core.rs
@@ -33,7 +33,16 @@
     Order(u64),
     Probe(u64),
     /// Something of the core's user; handed back as it came.
-    Outside(u64),
+    Outside(Token),
+}
+
+/// A deadline of the core's user: what kind of thing, and which.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Token {
+    /// What kind.
+    pub kind: u8,
+    /// Which.
+    pub number: u64,
 }
 
 /// A call as a front hands it in.
@@ -249,17 +258,17 @@
     }
 
     /// Hangs a deadline of the core's user among the others.
-    pub fn hang(&mut self, at: Micros, token: u64) {
+    pub fn hang(&mut self, at: Micros, token: Token) {
         self.deadlines.insert((at, Due::Outside(token)));
     }
 
     /// Takes a deadline of the core's user away.
-    pub fn unhang(&mut self, at: Micros, token: u64) {
+    pub fn unhang(&mut self, at: Micros, token: Token) {
         self.deadlines.remove(&(at, Due::Outside(token)));
     }
 
     /// Does what has fallen due; appends the user's own deadlines that have.
-    pub fn tick(&mut self, now: Micros, outside: &mut Vec<u64>) {
+    pub fn tick(&mut self, now: Micros, outside: &mut Vec<Token>) {
         while let Some(&(at, due)) = self.deadlines.first().filter(|(t, _)| *t <= now) {
             self.deadlines.remove(&(at, due));
             match due {
@@ -285,6 +294,11 @@
         self.feed(now, Event::Members { kind, members });
     }
 
+    /// Sets a tenant's share, calls a second over all gateways; 0 states none.
+    pub fn share(&mut self, now: Micros, tenant: TenantId, quota_per_s: f64) {
+        self.feed(now, Event::Share { tenant, quota_per_s });
+    }
+
     /// Takes a call; from here on it is owed one answer.
     pub fn call(&mut self, now: Micros, call: Call<O>) -> RequestKey {
         self.next_id = self.next_id.wrapping_add(1);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod http;
 pub mod platform;
+pub mod webhook;
--- /dev/null
+++ b/src/front/webhook/inbound.rs
@@ -0,0 +1,176 @@
+//! A signed webhook becomes a call.
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+
+use super::replay::{Replays, Seen};
+use super::signature;
+use crate::api::*;
+use crate::config::Names;
+use crate::core::Call;
+use crate::front::http::{plain, Bad, Request};
+use crate::front::platform::hex16;
+use crate::tenants::Registry;
+
+/// The longest identity that is taken.
+const LONGEST_ID: usize = 128;
+
+/// What a call's body says. Whatever else it holds is passed over; above all, no address is taken from it.
+#[derive(Debug, Deserialize)]
+struct Event {
+    #[serde(rename = "type")]
+    kind: String,
+    data: Data,
+}
+
+#[derive(Debug, Deserialize)]
+struct Data {
+    class: String,
+    function: String,
+    deadline_ms: Option<f64>,
+    estimate_ms: Option<f64>,
+    #[serde(default)]
+    memory_mb: f64,
+    #[serde(default)]
+    lanes: u32,
+    load_ms: Option<f64>,
+    /// The worker's input, in base64.
+    #[serde(default)]
+    payload: String,
+}
+
+/// The type of event that asks for a call.
+pub const REQUESTED: &str = "call.requested";
+
+/// What is known of an accepted call until its callback.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The tenant's name.
+    pub tenant: String,
+    /// The identity that the caller gave it.
+    pub webhook_id: String,
+    /// The class's name.
+    pub class: String,
+    /// What repeating a call of its class does.
+    pub effect: Effect,
+    /// The function.
+    pub function: FunctionId,
+}
+
+/// The rules for calls from outside.
+#[derive(Debug)]
+pub struct Inbound {
+    /// How far a time stamp may be off, in seconds.
+    pub tolerance_s: u64,
+    /// When this process started: what was signed before may have been taken by the process before it.
+    pub started: Micros,
+    /// What was taken.
+    pub replays: Replays,
+    /// Makes identities for workers that no other gateway or start makes.
+    pub seed: u64,
+    /// The classes, as the module knows them.
+    pub classes: Vec<Class>,
+}
+
+impl Inbound {
+    /// Checks a request and makes a call of it. The order matters: what is not signed learns nothing and takes
+    /// no room in the replay store.
+    pub fn take(
+        &mut self,
+        r: &Request<'_>,
+        tenants: &Registry,
+        names: &Names,
+        now: Micros,
+    ) -> Result<Call<Job>, Bad> {
+        let name = r.path.strip_prefix("/webhooks/").ok_or(plain(404, "no such path"))?;
+        if r.method != "POST" {
+            return Err(plain(405, "a webhook is a POST"));
+        }
+        let refused = plain(401, "signature refused");
+        let tenant = tenants.get(name).ok_or(refused)?;
+        let id =
+            r.header("webhook-id").filter(|id| !id.is_empty() && id.len() <= LONGEST_ID).ok_or(refused)?;
+        let stamp = r.header("webhook-timestamp").filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
+        let stamp: u64 = stamp.and_then(|t| t.parse().ok()).ok_or(refused)?;
+        let given = r.header("webhook-signature").ok_or(refused)?;
+        if !signature::verify(tenant.secrets(now), id, stamp, r.body, given) {
+            return Err(refused);
+        }
+        let seconds = now / 1_000_000;
+        // A start forgets what was taken before it, so nothing signed before it is taken now.
+        if stamp.abs_diff(seconds) > self.tolerance_s || stamp < self.started / 1_000_000 {
+            return Err(plain(401, "time stamp refused"));
+        }
+        let call = self.call(r.body, name, tenant.id, id, names, now)?;
+        if tenant.portal.is_none() {
+            return Err(plain(422, "the tenant has no portal for the answer"));
+        }
+        let until = (stamp + self.tolerance_s + 1) * 1_000_000;
+        match self.replays.take(name, id, now, until) {
+            Seen::New => Ok(call),
+            Seen::Before => Err(plain(409, "already taken")),
+            Seen::Full => Err(plain(503, "too many calls remembered")),
+        }
+    }
+
+    fn call(
+        &self,
+        body: &[u8],
+        tenant: &str,
+        number: TenantId,
+        webhook_id: &str,
+        names: &Names,
+        now: Micros,
+    ) -> Result<Call<Job>, Bad> {
+        let event: Event =
+            serde_json::from_slice(body).map_err(|_| plain(400, "body is not a call event"))?;
+        if event.kind != REQUESTED {
+            return Err(plain(422, "unknown type of event"));
+        }
+        let d = event.data;
+        let place = Names::place(&names.classes, &d.class).ok_or(plain(422, "unknown class"))?;
+        let class = self.classes.get(place).ok_or(plain(422, "unknown class"))?;
+        let function = FunctionId(hex16(&d.function).ok_or(plain(422, "a function is 16 hex digits"))?);
+        let sane = |ms: &f64| ms.is_finite() && *ms > 0.0 && *ms <= 600_000.0;
+        if ![d.deadline_ms, d.estimate_ms, d.load_ms].iter().flatten().all(sane)
+            || d.memory_mb.is_nan()
+            || d.memory_mb < 0.0
+        {
+            return Err(plain(422, "a figure is out of bounds"));
+        }
+        let micros = |ms: f64| (ms * 1e3) as Micros;
+        let payload = BASE64_STANDARD.decode(&d.payload).map_err(|_| plain(422, "payload is not base64"))?;
+        let wait = d.deadline_ms.map_or(class.deadline, micros).min(class.deadline);
+        let job = Job {
+            tenant: tenant.to_owned(),
+            webhook_id: webhook_id.to_owned(),
+            class: d.class,
+            effect: class.effect,
+            function,
+        };
+        Ok(Call {
+            origin: job,
+            id: self.identity(tenant, webhook_id).into(),
+            class: ClassId(place as u8),
+            tenant: number,
+            function,
+            expires: now + wait,
+            work: d.estimate_ms.map(micros),
+            memory_mb: d.memory_mb,
+            lanes: d.lanes.max(1),
+            load_time: d.load_ms.map(micros),
+            body: payload.into(),
+        })
+    }
+
+    /// The identity that workers are told: 16 hex digits that follow from the call's own.
+    fn identity(&self, tenant: &str, webhook_id: &str) -> String {
+        let mut hash = Sha256::new();
+        hash.update(self.seed.to_le_bytes());
+        hash.update((tenant.len() as u64).to_le_bytes());
+        hash.update(tenant);
+        hash.update(webhook_id);
+        hash.finalize().iter().take(8).map(|b| format!("{b:02x}")).collect()
+    }
+}
--- /dev/null
+++ b/src/identity.rs
@@ -0,0 +1,158 @@
+//! SPIFFE identities: JWT-SVIDs checked against a trust domain's bundle, and the role that each caller has.
+//!
+//! Signatures are jsonwebtoken's; the times are checked here, against the caller's clock.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use jsonwebtoken::jwk::{JwkSet, PublicKeyUse};
+use jsonwebtoken::{Algorithm, DecodingKey, Validation};
+use serde::Deserialize;
+
+use crate::api::Micros;
+
+/// The algorithms that the JWT-SVID specification allows.
+const ALGORITHMS: [Algorithm; 8] = [
+    Algorithm::RS256,
+    Algorithm::RS384,
+    Algorithm::RS512,
+    Algorithm::ES256,
+    Algorithm::ES384,
+    Algorithm::PS256,
+    Algorithm::PS384,
+    Algorithm::PS512,
+];
+/// The longest SPIFFE ID, in bytes.
+const LONGEST_ID: usize = 2048;
+
+/// Why a caller is not let in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum IdentityError {
+    /// The bundle cannot be read.
+    Bundle(String),
+    /// A SPIFFE ID is malformed or of another trust domain.
+    Id(String),
+    /// The token is not a JWT-SVID: its form, algorithm or key.
+    Token(&'static str),
+    /// Its signature, audience or a claim does not hold.
+    Claims(String),
+    /// It has expired, or is not valid yet.
+    Time,
+}
+
+impl fmt::Display for IdentityError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            IdentityError::Bundle(e) => write!(f, "the trust bundle cannot be used: {e}"),
+            IdentityError::Id(id) => write!(f, "'{id}' is not a SPIFFE ID of the trust domain"),
+            IdentityError::Token(what) => write!(f, "not a JWT-SVID: {what}"),
+            IdentityError::Claims(e) => write!(f, "the JWT-SVID does not hold: {e}"),
+            IdentityError::Time => write!(f, "the JWT-SVID is not valid at this time"),
+        }
+    }
+}
+
+impl std::error::Error for IdentityError {}
+
+/// Checks that a text is a SPIFFE ID with a path, of this trust domain.
+pub fn check_id(id: &str, trust_domain: &str) -> Result<(), IdentityError> {
+    let bad = || IdentityError::Id(id.chars().take(80).collect());
+    let rest = id.strip_prefix("spiffe://").filter(|_| id.len() <= LONGEST_ID).ok_or_else(bad)?;
+    let (domain, path) = rest.split_once('/').ok_or_else(bad)?;
+    let segment = |s: &str| {
+        !s.is_empty()
+            && s != "."
+            && s != ".."
+            && s.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'.' | b'_'))
+    };
+    (domain == trust_domain && path.split('/').all(segment)).then_some(()).ok_or_else(bad)
+}
+
+/// What a caller may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Read tenants and counters.
+    Viewer,
+    /// Change tenants and rotate secrets too.
+    Operator,
+}
+
+#[derive(Deserialize)]
+struct Claims {
+    sub: String,
+    exp: f64,
+    nbf: Option<f64>,
+}
+
+/// A trust domain's keys, and who has which role. Whoever is not named has none.
+#[derive(Debug)]
+pub struct Gate {
+    trust_domain: String,
+    audience: String,
+    keys: BTreeMap<String, DecodingKey>,
+    roles: BTreeMap<String, Role>,
+}
+
+impl Gate {
+    /// A gate without keys: it lets nobody in.
+    pub fn new(
+        trust_domain: &str,
+        audience: &str,
+        roles: BTreeMap<String, Role>,
+    ) -> Result<Gate, IdentityError> {
+        roles.keys().try_for_each(|id| check_id(id, trust_domain))?;
+        Ok(Gate {
+            trust_domain: trust_domain.into(),
+            audience: audience.into(),
+            keys: BTreeMap::new(),
+            roles,
+        })
+    }
+
+    /// Takes a bundle's keys for JWT-SVIDs over. On an error those held stay.
+    pub fn load(&mut self, bundle: &str) -> Result<usize, IdentityError> {
+        let fail = |e: &dyn fmt::Display| IdentityError::Bundle(e.to_string());
+        let set: JwkSet = serde_json::from_str(bundle).map_err(|e| fail(&e))?;
+        let mut keys = BTreeMap::new();
+        for jwk in &set.keys {
+            // A bundle holds keys for X.509 too; only those marked for JWT-SVIDs count.
+            if jwk.common.public_key_use != Some(PublicKeyUse::Other("jwt-svid".into())) {
+                continue;
+            }
+            let id = jwk.common.key_id.clone().ok_or_else(|| fail(&"a JWT-SVID key without kid"))?;
+            keys.insert(id, DecodingKey::from_jwk(jwk).map_err(|e| fail(&e))?);
+        }
+        self.keys = keys;
+        Ok(self.keys.len())
+    }
+
+    /// Who presents a token, and the caller's role if it has one.
+    pub fn check(&self, token: &str, now: Micros) -> Result<(String, Option<Role>), IdentityError> {
+        let header =
+            jsonwebtoken::decode_header(token).map_err(|_| IdentityError::Token("no readable header"))?;
+        if !ALGORITHMS.contains(&header.alg) {
+            return Err(IdentityError::Token("algorithm not allowed"));
+        }
+        if header.typ.as_deref().is_some_and(|t| t != "JWT" && t != "JOSE") {
+            return Err(IdentityError::Token("type not allowed"));
+        }
+        let key = header.kid.as_ref().and_then(|kid| self.keys.get(kid));
+        let key = key.ok_or(IdentityError::Token("key not in the bundle"))?;
+        let mut rules = Validation::new(header.alg);
+        rules.set_audience(&[&self.audience]);
+        rules.set_required_spec_claims(&["exp", "sub", "aud"]);
+        rules.validate_exp = false;
+        let claims = jsonwebtoken::decode::<Claims>(token, key, &rules);
+        let claims = claims.map_err(|e| IdentityError::Claims(e.to_string()))?.claims;
+        let seconds = now as f64 / 1e6;
+        // Written so that a value that is no number lets nobody in.
+        let valid = seconds < claims.exp && claims.nbf.is_none_or(|nbf| nbf <= seconds);
+        if !valid {
+            return Err(IdentityError::Time);
+        }
+        check_id(&claims.sub, &self.trust_domain)?;
+        let role = self.roles.get(&claims.sub).copied();
+        Ok((claims.sub, role))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 #![doc = include_str!("../README.md")]
 
+pub mod admin;
 pub mod api;
 pub mod board;
 pub mod brain;
@@ -10,9 +11,11 @@
 pub mod counters;
 pub mod ending;
 pub mod front;
+pub mod identity;
 pub mod net;
 pub mod node;
 pub mod settings;
+pub mod tenants;
 pub mod worker;
 
 pub use api::{Action, Event, Outcome, Settings};
--- a/src/net.rs
+++ b/src/net.rs
@@ -263,6 +263,12 @@
         }
     }
 
+    /// Reads on if reading had stopped at the limit; tells whether anything new came.
+    pub fn refill(&mut self, limit: usize) -> bool {
+        let held = self.input.bytes().len();
+        self.more && self.read(limit).is_ok() && self.input.bytes().len() > held
+    }
+
     /// Writes what the peer takes.
     pub fn flush(&mut self) -> Result<bool, Ending> {
         if !self.up {
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,23 +17,30 @@
 use crate::api::*;
 use crate::board::{self, Feed, Notice, Roster};
 use crate::clock::Clock;
-use crate::config::Config;
-use crate::core::{Answer, AttemptKey, Command, Core, OrderKey, ProbeKey, RequestKey};
+use crate::config::{Config, Operator};
+use crate::core::{Answer, AttemptKey, Command, Core, OrderKey, ProbeKey, RequestKey, Token};
 use crate::ending::{Ending, Left};
 use crate::front::http::READ_LIMIT;
 use crate::front::platform::{self, Ask};
 use crate::net::{self, Conn, Stream};
+use crate::tenants::Registry;
 use crate::worker::{self, Done, Go, Link, Open};
 
+mod second;
+use second::{AdminSide, CallbackKey, Hooks, JobKey};
+
 new_key_type! {
     /// The slot of a connection.
     pub struct ConnKey;
 }
 
-/// Deadlines of the node's own; the numbers of connections are all larger.
-const BOARD_AGAIN: u64 = 0;
-const DRAIN_OVER: u64 = 1;
-const ACCEPT_AGAIN: u64 = 2;
+/// Kinds of deadlines that the node hangs into the core's order.
+const CONN: u8 = 0;
+const CALLBACK: u8 = 1;
+const BOARD_AGAIN: Token = Token { kind: 2, number: 0 };
+const DRAIN_OVER: Token = Token { kind: 2, number: 1 };
+const ACCEPT_AGAIN: Token = Token { kind: 2, number: 2 };
+const BUNDLE_AGAIN: Token = Token { kind: 2, number: 3 };
 
 /// A client's connection without an open request is closed after this; clients themselves close after 4 s.
 const CLIENT_IDLE: Micros = 15_000_000;
@@ -55,6 +62,10 @@
     Listen(SocketAddr, io::Error),
     /// The event loop failed.
     Loop(calloop::Error),
+    /// The operator's file cannot be used.
+    Operator(crate::config::ConfigError),
+    /// The administration API's callers cannot be used.
+    Identity(crate::identity::IdentityError),
 }
 
 impl fmt::Display for NodeError {
@@ -62,6 +73,8 @@
         match self {
             NodeError::Listen(at, e) => write!(f, "cannot listen on {at}: {e}"),
             NodeError::Loop(e) => write!(f, "the event loop failed: {e}"),
+            NodeError::Operator(e) => write!(f, "{e}"),
+            NodeError::Identity(e) => write!(f, "{e}"),
         }
     }
 }
@@ -78,17 +91,28 @@
 #[derive(Clone, Copy, Debug)]
 enum Origin {
     Client(ConnKey),
+    Webhook(JobKey),
+}
+
+/// What a listener and its connections speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Platform,
+    Webhook,
+    Admin,
 }
 
 #[derive(Debug)]
 enum Role {
-    Client { open: Option<RequestKey>, keep: bool },
+    Client { kind: Kind, open: Option<RequestKey>, keep: bool },
     Worker(Link),
     Board(Feed),
+    Portal(CallbackKey),
 }
 
 #[derive(Debug)]
 struct Listener {
+    kind: Kind,
     socket: Rc<TcpListener>,
     token: RegistrationToken,
 }
@@ -114,10 +138,16 @@
     attempts: SecondaryMap<AttemptKey, ConnKey>,
     orders: SecondaryMap<OrderKey, ConnKey>,
     probes: SecondaryMap<ProbeKey, ConnKey>,
-    listener: Option<Listener>,
+    listeners: Vec<Listener>,
     accept: bool,
     clients: usize,
     most_clients: usize,
+    /// Clients that are not the platform's.
+    others: usize,
+    most_others: usize,
+    tenants: Registry,
+    hooks: Option<Hooks>,
+    admin: Option<AdminSide>,
     last_rev: u64,
     gap_at: Option<u64>,
     ready: Vec<ConnKey>,
@@ -132,6 +162,7 @@
     /// Listens and takes over what is known; serves once [`Node::run`] is called.
     pub fn new(
         config: Config,
+        operator: Operator,
         handle: LoopHandle<'static, Node>,
         mut clock: Clock,
     ) -> Result<Node, NodeError> {
@@ -149,19 +180,12 @@
         }
         let listed = members.into_values().filter(|m| m.status != Status::Gone).collect();
         core.members(now, ListKind::Cached, listed);
-        let fail = |e| NodeError::Listen(config.listen, e);
-        let socket = TcpListener::bind(config.listen).map_err(fail)?;
-        socket.set_nonblocking(true).map_err(fail)?;
-        let socket = Rc::new(socket);
-        let source = Generic::new(Fd(socket.clone()), Interest::READ, Mode::Edge);
-        let note = |_, _: &mut _, node: &mut Node| {
-            node.accept = true;
-            Ok(PostAction::Continue)
-        };
-        let token = handle.insert_source(source, note).map_err(|e| NodeError::Loop(e.error))?;
         let most_clients = (config.limits.sockets * 3 / 5).max(8);
         core.hang(now, BOARD_AGAIN);
-        Ok(Node {
+        let most_others =
+            if operator.webhooks.is_some() || operator.admin.is_some() { most_clients / 4 } else { 0 };
+        let listen = config.listen;
+        let mut node = Node {
             handle,
             clock,
             config,
@@ -172,10 +196,15 @@
             attempts: SecondaryMap::new(),
             orders: SecondaryMap::new(),
             probes: SecondaryMap::new(),
-            listener: Some(Listener { socket, token }),
+            listeners: Vec::new(),
             accept: true,
             clients: 0,
             most_clients,
+            others: 0,
+            most_others,
+            tenants: Registry::default(),
+            hooks: None,
+            admin: None,
             last_rev,
             gap_at: None,
             ready: Vec::new(),
@@ -184,12 +213,44 @@
             signals: Vec::new(),
             draining: false,
             stop: false,
-        })
+        };
+        node.listen(Kind::Platform, listen)?;
+        node.set_up(now, operator)?;
+        Ok(node)
+    }
+
+    fn listen(&mut self, kind: Kind, address: SocketAddr) -> Result<(), NodeError> {
+        let fail = |e| NodeError::Listen(address, e);
+        let socket = TcpListener::bind(address).map_err(fail)?;
+        socket.set_nonblocking(true).map_err(fail)?;
+        let socket = Rc::new(socket);
+        let source = Generic::new(Fd(socket.clone()), Interest::READ, Mode::Edge);
+        let note = |_, _: &mut _, node: &mut Node| {
+            node.accept = true;
+            Ok(PostAction::Continue)
+        };
+        let token = self.handle.insert_source(source, note).map_err(|e| NodeError::Loop(e.error))?;
+        self.listeners.push(Listener { kind, socket, token });
+        Ok(())
+    }
+
+    fn address_of(&self, kind: Kind) -> Option<SocketAddr> {
+        self.listeners.iter().find(|l| l.kind == kind).and_then(|l| l.socket.local_addr().ok())
     }
 
     /// Where clients connect.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.as_ref().map_or(Err(io::ErrorKind::NotConnected.into()), |l| l.socket.local_addr())
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.address_of(Kind::Platform)
+    }
+
+    /// Where signed webhooks come in, if they are on.
+    pub fn webhook_address(&self) -> Option<SocketAddr> {
+        self.address_of(Kind::Webhook)
+    }
+
+    /// Where the administration API listens, if it is on.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.address_of(Kind::Admin)
     }
 
     /// Has SIGTERM and SIGINT end the gateway in order and SIGUSR1 print the counters.
@@ -210,7 +271,10 @@
                 break;
             }
             let now = self.clock.now();
-            let wait = self.core.next_deadline().map(|t| Duration::from_micros(t.saturating_sub(now)));
+            let wait = match self.core.next_deadline() {
+                _ if !self.ready.is_empty() || self.accept => Some(Duration::ZERO),
+                next => next.map(|t| Duration::from_micros(t.saturating_sub(now))),
+            };
             events.dispatch(wait, self)?;
         }
         Ok(())
@@ -237,7 +301,8 @@
             self.accept_all();
         }
         self.pump();
-        if self.draining && self.listener.is_none() && self.clients == 0 {
+        let hooks = self.hooks.as_ref().is_none_or(Hooks::is_idle);
+        if self.draining && self.listeners.is_empty() && self.clients == 0 && hooks {
             self.stop = true;
         }
     }
@@ -251,7 +316,9 @@
                 BOARD_AGAIN => self.open_board(now),
                 DRAIN_OVER => self.stop_accepting(),
                 ACCEPT_AGAIN => self.accept = true,
-                conn => self.on_deadline(now, ConnKey::from(KeyData::from_ffi(conn))),
+                BUNDLE_AGAIN => self.load_bundle(now),
+                Token { kind: CALLBACK, number } => self.deliver(now, KeyData::from_ffi(number).into()),
+                Token { number, .. } => self.on_deadline(now, KeyData::from_ffi(number).into()),
             }
         }
     }
@@ -274,7 +341,7 @@
 
     fn set_deadline(&mut self, key: ConnKey, at: Option<Micros>) {
         let Some((conn, _)) = self.conns.get_mut(key) else { return };
-        let token = key.data().as_ffi();
+        let token = Token { kind: CONN, number: key.data().as_ffi() };
         if let Some(old) = conn.deadline.take() {
             self.core.unhang(old, token);
         }
@@ -291,9 +358,10 @@
         self.handle.remove(conn.token);
         let now = self.clock.now();
         match role {
-            Role::Client { open, .. } => {
+            Role::Client { kind, open, .. } => {
                 self.clients -= 1;
-                self.accept |= self.listener.is_some();
+                self.others -= usize::from(kind != Kind::Platform);
+                self.accept |= !self.listeners.is_empty();
                 if let Some(request) = open {
                     self.core.caller_gone(now, request);
                 }
@@ -307,6 +375,11 @@
                 }
             }
             Role::Board(_) => self.core.hang(now + BOARD_PAUSE, BOARD_AGAIN),
+            Role::Portal(callback) => {
+                let left =
+                    if conn.out.untouched(second::CALLBACK_FRAME) { Left::Nothing } else { Left::Some };
+                self.delivered(now, callback, ending, left);
+            }
         }
     }
 
@@ -320,7 +393,7 @@
             Err(ending) => return self.close(key, ending),
         }
         let limit = match role {
-            Role::Client { .. } => READ_LIMIT,
+            Role::Client { .. } | Role::Portal(_) => READ_LIMIT,
             Role::Worker(_) => worker::READ_LIMIT,
             Role::Board(_) => board::READ_LIMIT,
         };
@@ -328,6 +401,7 @@
         if !was_up {
             let next = match role {
                 Role::Worker(_) => now + self.config.conn_idle * 4 / 5,
+                Role::Portal(_) => conn.deadline.unwrap_or(now),
                 _ => now + BOARD_SILENT,
             };
             self.set_deadline(key, Some(next));
@@ -345,7 +419,13 @@
     fn on_input(&mut self, key: ConnKey, now: Micros) {
         let Some((conn, role)) = self.conns.get_mut(key) else { return };
         match role {
-            Role::Client { .. } => self.on_client(key, now),
+            Role::Client { kind: Kind::Platform, .. } => self.on_client(key, now),
+            Role::Client { .. } => self.on_second(key, now),
+            Role::Portal(_) => {
+                if let Some(ending) = crate::front::webhook::callback::portal_answer(conn.input.bytes()) {
+                    self.close(key, ending);
+                }
+            }
             Role::Worker(link) => {
                 let mut done = Vec::new();
                 let result = link.input(now, &mut conn.input, &mut done);
@@ -402,7 +482,7 @@
                 let next = if link.open() == 0 { link.heard + idle } else { now + idle };
                 self.set_deadline(key, Some(next));
             }
-            Role::Board(_) => {
+            Role::Board(_) | Role::Portal(_) => {
                 let ending = if conn.up { Ending::TimedOut } else { Ending::NeverUp };
                 self.close(key, ending)
             }
@@ -412,23 +492,37 @@
     // ---- Clients ----
 
     fn accept_all(&mut self) {
-        while let Some(listener) = &self.listener {
-            // What is not accepted waits in the machine's queue until a connection has ended.
-            if self.clients >= self.most_clients {
-                break;
+        self.accept = false;
+        for at in 0..self.listeners.len() {
+            self.accept_from(at);
+        }
+    }
+
+    fn accept_from(&mut self, at: usize) {
+        while let Some(listener) = self.listeners.get(at) {
+            let kind = listener.kind;
+            // What is not accepted waits in the machine's queue until a connection has ended. The platform's
+            // clients keep their room whatever comes to the other listeners.
+            let room = match kind {
+                Kind::Platform => self.clients - self.others < self.most_clients - self.most_others,
+                _ => self.others < self.most_others,
+            };
+            if !room {
+                return;
             }
             match listener.socket.accept() {
                 Ok((stream, _)) => {
                     let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
-                    let role = Role::Client { open: None, keep: true };
+                    let role = Role::Client { kind, open: None, keep: true };
                     let Ok(key) = ready.and_then(|()| self.add(stream, true, role)) else { continue };
                     self.clients += 1;
+                    self.others += usize::from(kind != Kind::Platform);
                     self.core.counters.accepted += 1;
                     let now = self.clock.now();
                     self.set_deadline(key, Some(now + CLIENT_IDLE));
                     self.on_ready(key);
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => {
@@ -436,27 +530,28 @@
                     // after a pause, or this would be a busy loop.
                     let at = self.clock.now() + ACCEPT_PAUSE;
                     self.core.hang(at, ACCEPT_AGAIN);
-                    break;
+                    return;
                 }
             }
         }
-        self.accept = false;
     }
 
     fn on_client(&mut self, key: ConnKey, now: Micros) {
         loop {
-            let Some((conn, Role::Client { open, keep })) = self.conns.get_mut(key) else { return };
+            let Some((conn, Role::Client { open, keep, .. })) = self.conns.get_mut(key) else { return };
             if open.is_some() || conn.closing {
                 return;
             }
             let taken = match platform::take(conn.input.bytes(), &self.config.names, now) {
                 Ok(Some(taken)) => taken,
                 Ok(None) => {
-                    if conn.more && !conn.ended {
-                        // The buffer was full while a request was open.
-                        if conn.read(READ_LIMIT).is_ok() && !conn.input.bytes().is_empty() && !conn.more {
-                            continue;
-                        }
+                    // The buffer was full while a request was open: what waits in the socket raises no
+                    // event any more.
+                    if conn.refill(READ_LIMIT) {
+                        continue;
+                    }
+                    if conn.ended {
+                        self.ready.push(key);
                     }
                     return;
                 }
@@ -471,7 +566,7 @@
                 }
             };
             conn.input.consume(taken.size);
-            let stays = taken.keep && self.listener.is_some();
+            let stays = taken.keep && !self.listeners.is_empty();
             *keep = stays;
             match taken.ask {
                 Ok(Ask::Call(_)) if self.core.open() >= self.config.most_held => {
@@ -506,8 +601,8 @@
 
     fn answer_client(&mut self, key: ConnKey, answer: &Answer) {
         let now = self.clock.now();
-        let accepting = self.listener.is_some();
-        let Some((conn, Role::Client { open, keep })) = self.conns.get_mut(key) else { return };
+        let accepting = !self.listeners.is_empty();
+        let Some((conn, Role::Client { open, keep, .. })) = self.conns.get_mut(key) else { return };
         *open = None;
         let stays = *keep && accepting;
         conn.out.push(net::KEPT_FRAME, platform::answer(answer, stays));
@@ -561,6 +656,7 @@
     fn perform(&mut self, now: Micros, command: Command<Origin>) {
         match command {
             Command::Answer { origin: Origin::Client(key), answer } => self.answer_client(key, &answer),
+            Command::Answer { origin: Origin::Webhook(job), answer } => self.call_back(now, job, &answer),
             Command::Go { attempt, worker, id, class, function, expires, body } => {
                 let key = match self.link(now, worker, &id) {
                     Ok(key) => key,
@@ -754,7 +850,7 @@
 
     fn stop_accepting(&mut self) {
         self.accept_all();
-        if let Some(listener) = self.listener.take() {
+        for listener in std::mem::take(&mut self.listeners) {
             self.handle.remove(listener.token);
         }
         let idle = |(_, (conn, role)): &(ConnKey, &(Conn, Role))| {
