--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -133,6 +133,7 @@
         500 => "Internal Server Error",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
+        504 => "Gateway Timeout",
         _ => "Status",
     }
 }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -104,7 +104,7 @@
             let wait = format!("Retry-After: {}\r\n", retry_after.div_ceil(1_000_000));
             http::response(503, &wait, b"", keep)
         }
-        Answer::Failed => http::response(504, "", b"", keep),
+        Answer::Failed => http::response(502, "", b"", keep),
     }
 }
 
--- a/src/net.rs
+++ b/src/net.rs
@@ -206,6 +206,9 @@
     pub ended: bool,
     /// Whether it closes once everything has been written.
     pub closing: bool,
+    /// Whether, closing, it first reads on until the peer ends. Guards the last answer: a socket closed with
+    /// bytes unread is reset, and the reset can overtake the answer.
+    pub linger: bool,
     /// When it is given up, if that stands hung among the deadlines.
     pub deadline: Option<Micros>,
 }
@@ -222,6 +225,7 @@
             more: false,
             ended: false,
             closing: false,
+            linger: false,
             deadline: None,
         }
     }
@@ -269,6 +273,22 @@
         self.more && self.read(limit).is_ok() && self.input.bytes().len() > held
     }
 
+    /// Ends this side and drops what still comes; tells whether the peer has ended too.
+    pub fn hang_up(&mut self) -> bool {
+        // A peer that is gone already makes this fail; the read below then says so.
+        let _ = self.stream.0.shutdown(std::net::Shutdown::Write);
+        loop {
+            let n = self.input.bytes().len();
+            self.input.consume(n);
+            if self.read(KEPT).is_err() || self.ended {
+                return true;
+            }
+            if !self.more {
+                return false;
+            }
+        }
+    }
+
     /// Writes what the peer takes.
     pub fn flush(&mut self) -> Result<bool, Ending> {
         if !self.up {
--- a/src/node.rs
+++ b/src/node.rs
@@ -46,6 +46,8 @@
 const CLIENT_IDLE: Micros = 15_000_000;
 /// How long connections are accepted after SIGTERM: they keep coming for 0.4 s, requests for 0.2 s more.
 const DRAIN: Micros = 900_000;
+/// How long a connection that was turned away may still send.
+const LINGER: Micros = 1_000_000;
 /// The board sends a comment every second; silent for this long it is asked anew.
 const BOARD_SILENT: Micros = 4_000_000;
 const BOARD_PAUSE: Micros = 200_000;
@@ -558,11 +560,9 @@
                 Err(bad) => {
                     self.core.counters.bad_requests += 1;
                     conn.out.push(net::KEPT_FRAME, platform::turn_away(&bad, false));
-                    conn.closing = true;
-                    let size = conn.input.bytes().len();
-                    conn.input.consume(size);
+                    (conn.closing, conn.linger) = (true, true);
                     self.dirty.push(key);
-                    return;
+                    return self.set_deadline(key, Some(now + LINGER));
                 }
             };
             conn.input.consume(taken.size);
@@ -626,7 +626,9 @@
             } else if let Some(key) = self.dirty.pop() {
                 let Some((conn, _)) = self.conns.get_mut(key) else { continue };
                 match conn.flush() {
-                    Ok(true) if conn.closing => self.close(key, Ending::Closed),
+                    Ok(true) if conn.closing && (!conn.linger || conn.hang_up()) => {
+                        self.close(key, Ending::Closed)
+                    }
                     Ok(_) => {}
                     Err(ending) => self.close(key, ending),
                 }
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -4,7 +4,7 @@
 
 use slotmap::{new_key_type, Key, SlotMap};
 
-use super::{ConnKey, Kind, Node, NodeError, Origin, Role, BUNDLE_AGAIN, CALLBACK, CLIENT_IDLE};
+use super::{ConnKey, Kind, Node, NodeError, Origin, Role, BUNDLE_AGAIN, CALLBACK, CLIENT_IDLE, LINGER};
 use crate::admin;
 use crate::api::Micros;
 use crate::config::Operator;
@@ -117,7 +117,7 @@
             let accepting = !self.listeners.is_empty();
             // The request borrows the connection's buffer, which is put back once it is answered.
             let mut input = std::mem::take(&mut conn.input);
-            let (size, bytes, stays) = match http::request(input.bytes()) {
+            let (size, bytes, stays, malformed) = match http::request(input.bytes()) {
                 Ok(None) => {
                     conn.input = input;
                     if conn.refill(http::READ_LIMIT) {
@@ -132,20 +132,20 @@
                         Kind::Admin => self.administer(&r, stays, now),
                         _ => self.take_webhook(&r, stays, now),
                     };
-                    (r.size, bytes, stays)
+                    (r.size, bytes, stays, false)
                 }
                 Err(bad) => {
                     self.core.counters.bad_requests += 1;
-                    (input.bytes().len(), refuse(&bad, false), false)
+                    (0, refuse(&bad, false), false, true)
                 }
             };
             input.consume(size);
             let Some((conn, _)) = self.conns.get_mut(key) else { return };
             conn.input = input;
             conn.out.push(KEPT_FRAME, bytes);
-            conn.closing = !stays;
+            (conn.closing, conn.linger) = (!stays, malformed);
             self.dirty.push(key);
-            self.set_deadline(key, Some(now + CLIENT_IDLE));
+            self.set_deadline(key, Some(now + if malformed { LINGER } else { CLIENT_IDLE }));
         }
     }
 
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,360 @@
+//! A gateway as a process of its own on loopback, and stand-ins for what it talks to.
+#![allow(dead_code, missing_docs)]
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{mpsc, Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+/// Nothing waits longer than this; no verdict depends on it but that of a gateway that hangs.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+static NEXT: AtomicUsize = AtomicUsize::new(0);
+
+pub fn settings(deadline_ms: f64) -> Value {
+    let class = |name: &str, repeat: &str| {
+        json!({ "name": name, "repeat": repeat, "aimMs": deadline_ms / 2.0, "hardLimitMs": deadline_ms,
+                "worth": 1.0, "lateWorth": 0.3, "group": "all", "dedupWindowMs": 5000.0 })
+    };
+    json!({
+        "groupSize": 1, "me": 0, "zone": 0, "tickMs": 4.0, "dcs": ["north", "south"],
+        "services": [class("disponibilidad", "read_like"), class("confirmar-traslado", "non_idempotent")],
+        "orgs": [{ "name": "franq-bajio", "quotaPerS": 0.0, "fraction": 1.0 }],
+        "caps": { "mostTries": 3, "cancel": true, "connectTimeoutMs": 250.0, "connIdleMs": 30000.0,
+                  "streamsPerConn": 100, "mostHeld": 20000, "maxRetryAfterMs": 500.0 },
+        "familyInfo": { "onMiss": "miss", "mayLoad": true, "keepMs": 8000.0, "orderLimitMs": 10000.0,
+                        "marksCold": true },
+        "obligations": { "graceToAnswerMs": 16.0, "drainGraceMs": 1000.0 },
+        "report": { "via": "inline", "fields": ["rif", "x1", "x0"] },
+    })
+}
+
+pub fn endpoint(name: &str, address: SocketAddr, status: &str) -> Value {
+    json!({ "name": name, "address": address.to_string(), "zone": "north", "type": "std", "group": 0,
+            "status": status, "weight": 4, "since_ms": 0 })
+}
+
+pub struct Gateway {
+    child: Child,
+    lines: mpsc::Receiver<String>,
+    folder: PathBuf,
+    pub platform: SocketAddr,
+    pub webhooks: Option<SocketAddr>,
+    pub admin: Option<SocketAddr>,
+}
+
+impl Gateway {
+    /// Starts the built program on ports of the machine's choice.
+    pub fn start(
+        settings: &Value,
+        workers: &[Value],
+        board: Option<SocketAddr>,
+        operator: Option<&str>,
+    ) -> Gateway {
+        Gateway::start_with(settings, workers, board, operator, 1024)
+    }
+
+    /// The same with a limit of descriptors.
+    pub fn start_with(
+        settings: &Value,
+        workers: &[Value],
+        board: Option<SocketAddr>,
+        operator: Option<&str>,
+        sockets: usize,
+    ) -> Gateway {
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let known = json!({ "rev": 1, "notices": [
+            { "rev": 1, "pool": { "index": 1, "snapshot": true, "endpoints": workers } } ] });
+        let config = json!({ "name": "g0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "known": known,
+            "limits": { "cores": 1.0, "memory_mb": 192, "sockets": sockets },
+            "board": board.map_or(String::new(), |b| b.to_string()), "settings": settings });
+        std::fs::write(folder.join("config.json"), config.to_string()).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_molelug"));
+        command.arg("serve").env("RELAY_CONFIG", folder.join("config.json")).env("RELAY_NAME", "g0");
+        command.env("RELAY_LISTEN", "127.0.0.1:0").stderr(Stdio::piped()).stdin(Stdio::null());
+        if let Some(text) = operator {
+            std::fs::write(folder.join("operator.toml"), text).expect("a file");
+            command.arg("--operator").arg(folder.join("operator.toml"));
+        }
+        let mut child = command.spawn().expect("it starts");
+        let (tell, lines) = mpsc::channel();
+        let errors = BufReader::new(child.stderr.take().expect("its log"));
+        std::thread::spawn(move || errors.lines().map_while(Result::ok).all(|l| tell.send(l).is_ok()));
+        let mut g =
+            Gateway { child, lines, folder, platform: ([0, 0, 0, 0], 0).into(), webhooks: None, admin: None };
+        g.platform = g.listener("listens on ");
+        if operator.is_some_and(|t| t.contains("[webhooks]")) {
+            g.webhooks = Some(g.listener("takes webhooks on "));
+        }
+        if operator.is_some_and(|t| t.contains("[admin]")) {
+            g.admin = Some(g.listener("is administered on "));
+        }
+        g
+    }
+
+    fn listener(&mut self, what: &str) -> SocketAddr {
+        let line = self.line(what);
+        line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+    }
+
+    /// The next line of its log that holds this.
+    pub fn line(&mut self, what: &str) -> String {
+        loop {
+            let line =
+                self.lines.recv_timeout(PATIENCE).unwrap_or_else(|e| panic!("no '{what}' in its log: {e}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, signal).expect("it lives");
+    }
+
+    /// SIGTERM, and the counters that it prints at its end.
+    pub fn stop(self) -> Value {
+        self.signal(rustix::process::Signal::TERM);
+        self.end()
+    }
+
+    /// The counters that it prints at its end, after SIGTERM.
+    pub fn end(mut self) -> Value {
+        let line = self.line("counters ");
+        let status = self.child.wait().expect("it ends");
+        assert!(status.success(), "it ends with {status}, not 0");
+        serde_json::from_str(line.split_once("counters ").expect("counters").1).expect("JSON")
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until a condition holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "never: {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Reads until `whole` tells the length of a first message; returns it.
+pub fn read_message(
+    stream: &mut TcpStream,
+    held: &mut Vec<u8>,
+    whole: impl Fn(&[u8]) -> Option<usize>,
+) -> Option<Vec<u8>> {
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    loop {
+        if let Some(n) = whole(held) {
+            return Some(held.drain(..n).collect());
+        }
+        let mut chunk = [0; 4096];
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return None,
+            Ok(n) => held.extend(&chunk[..n]),
+        }
+    }
+}
+
+/// The length of a whole HTTP message with Content-Length.
+pub fn http_length(bytes: &[u8]) -> Option<usize> {
+    let head = bytes.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+    let text = String::from_utf8_lossy(&bytes[..head]).to_ascii_lowercase();
+    let length =
+        text.lines().find_map(|l| l.strip_prefix("content-length:")?.trim().parse().ok()).unwrap_or(0);
+    (bytes.len() >= head + length).then_some(head + length)
+}
+
+/// The length of a whole RESP array.
+pub fn resp_length(bytes: &[u8]) -> Option<usize> {
+    molelug::worker::parse(bytes).expect("RESP").map(|(_, n)| n)
+}
+
+/// One HTTP exchange on a connection of its own: status and body.
+pub fn http(to: SocketAddr, head: &str, body: &[u8]) -> (u16, Vec<u8>) {
+    let mut s = TcpStream::connect(to).expect("it listens");
+    let text = format!("{head}\r\nHost: t\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len());
+    s.write_all(text.as_bytes()).and_then(|()| s.write_all(body)).expect("it reads");
+    let answer = read_message(&mut s, &mut Vec::new(), http_length).expect("it answers");
+    let head = String::from_utf8_lossy(&answer).into_owned();
+    let at = head.find("\r\n\r\n").expect("a head") + 4;
+    (head[9..12].parse().expect("a status"), answer[at..].to_vec())
+}
+
+/// What a stand-in worker does with a request that has come whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Does {
+    Answer,
+    /// Keeps the connection open and says nothing.
+    Silent,
+    /// Resets every connection and takes no new ones.
+    Die,
+}
+
+/// A stand-in worker that holds every function and records what it was sent.
+#[derive(Clone)]
+pub struct Worker {
+    pub address: SocketAddr,
+    pub gos: Arc<Mutex<Vec<(String, String)>>>,
+    does: Arc<Mutex<Does>>,
+    dead: Arc<AtomicBool>,
+}
+
+impl Worker {
+    pub fn start() -> Worker {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let w = Worker {
+            address,
+            gos: Arc::default(),
+            does: Arc::new(Mutex::new(Does::Answer)),
+            dead: Arc::default(),
+        };
+        let me = w.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if me.dead.load(Ordering::SeqCst) {
+                    return;
+                }
+                let me = me.clone();
+                std::thread::spawn(move || me.serve(stream));
+            }
+        });
+        w
+    }
+
+    pub fn set(&self, does: Does) {
+        *self.does.lock().unwrap() = does;
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let mut held = Vec::new();
+        while let Some(message) = read_message(&mut stream, &mut held, resp_length) {
+            let (words, _) = molelug::worker::parse(&message).unwrap().unwrap();
+            let words: Vec<String> = words.iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect();
+            let answer: Vec<&[u8]> = match words[0].as_str() {
+                "go" => {
+                    self.gos.lock().unwrap().push((words[1].clone(), words[2].clone()));
+                    match *self.does.lock().unwrap() {
+                        Does::Answer => vec![words[1].as_bytes(), b"200", b"remark=w", b"done"],
+                        Does::Silent => continue,
+                        Does::Die => {
+                            self.dead.store(true, Ordering::SeqCst);
+                            let _ = stream.shutdown(Shutdown::Both);
+                            // Wakes the listener, which then closes.
+                            let _ = TcpStream::connect(self.address);
+                            return;
+                        }
+                    }
+                }
+                "stage" => vec![words[1].as_bytes(), b"200", b"copies=1"],
+                _ => continue,
+            };
+            if stream.write_all(&molelug::worker::array(&answer)).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// One delivery as a portal saw it.
+#[derive(Clone, Debug)]
+pub struct Delivery {
+    pub id: String,
+    pub signed: bool,
+    pub call: String,
+    pub outcome: String,
+}
+
+/// A stand-in portal.
+#[derive(Clone)]
+pub struct Portal {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Delivery>>>,
+    /// Deliveries that are read whole and then not answered: the connection just ends.
+    pub drops: Arc<AtomicUsize>,
+}
+
+impl Portal {
+    pub fn start(key: &'static [u8]) -> Portal {
+        Portal::on(TcpListener::bind("127.0.0.1:0").expect("a port"), key)
+    }
+
+    pub fn on(listener: TcpListener, key: &'static [u8]) -> Portal {
+        let address = listener.local_addr().expect("an address");
+        let portal = Portal { address, seen: Arc::default(), drops: Arc::default() };
+        let me = portal.clone();
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let me = me.clone();
+                std::thread::spawn(move || {
+                    let Some(m) = read_message(&mut stream, &mut Vec::new(), http_length) else { return };
+                    me.seen.lock().unwrap().push(delivery(&m, key));
+                    let drop =
+                        me.drops.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1));
+                    if drop.is_err() {
+                        let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+                    }
+                });
+            }
+        });
+        portal
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.lock().unwrap().len()
+    }
+
+    /// Deliveries by the call that they answer.
+    pub fn by_call(&self) -> BTreeMap<String, Vec<Delivery>> {
+        let mut map: BTreeMap<String, Vec<Delivery>> = BTreeMap::new();
+        for d in self.seen.lock().unwrap().iter() {
+            map.entry(d.call.clone()).or_default().push(d.clone());
+        }
+        map
+    }
+}
+
+/// A signature as the specification words it, made apart from the program's own code.
+pub fn signature(key: &[u8], id: &str, timestamp: &str, body: &[u8]) -> String {
+    use base64::prelude::{Engine, BASE64_STANDARD};
+    use hmac::{KeyInit, Mac};
+    let mut mac = hmac::Hmac::<sha2::Sha256>::new_from_slice(key).expect("a key");
+    mac.update(&[id.as_bytes(), b".", timestamp.as_bytes(), b".", body].concat());
+    format!("v1,{}", BASE64_STANDARD.encode(mac.finalize().into_bytes()))
+}
+
+fn delivery(message: &[u8], key: &[u8]) -> Delivery {
+    let at = message.windows(4).position(|w| w == b"\r\n\r\n").expect("a head") + 4;
+    let head = String::from_utf8_lossy(&message[..at]).into_owned();
+    let header = |name: &str| {
+        let line = head.lines().find(|l| l.to_ascii_lowercase().starts_with(&format!("{name}:")));
+        line.and_then(|l| l.split_once(':')).map_or(String::new(), |(_, v)| v.trim().to_owned())
+    };
+    let body: Value = serde_json::from_slice(&message[at..]).expect("JSON");
+    let text = |v: &Value| v.as_str().unwrap_or_default().to_owned();
+    let (id, stamp) = (header("webhook-id"), header("webhook-timestamp"));
+    let good = signature(key, &id, &stamp, &message[at..]);
+    Delivery {
+        signed: header("webhook-signature").split(' ').any(|s| s == good),
+        call: text(&body["data"]["call"]),
+        outcome: text(&body["data"]["outcome"]),
+        id,
+    }
+}
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,81 @@
+//! What a gateway does at its limits and at its end.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+
+use common::*;
+use rustix::process::Signal;
+use serde_json::json;
+
+fn ask(id: u64) -> String {
+    format!(
+        "POST /call/00000000000000aa/trigger HTTP/1.1\r\nHost: t\r\nX-Class: disponibilidad\r\n\
+         X-Org: franq-bajio\r\nX-Correlation-Id: {id:016x}\r\nX-Deadline-Ms: 2400\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+fn answer(stream: &mut TcpStream) -> Option<String> {
+    let whole = read_message(stream, &mut Vec::new(), http_length)?;
+    Some(String::from_utf8_lossy(&whole).into_owned())
+}
+
+/// Guards a planned restart: requests and connections keep coming after SIGTERM, and all are answered.
+#[test]
+fn after_sigterm_all_that_comes_is_answered_and_the_end_is_clean() {
+    let worker = Worker::start();
+    worker.set(Does::Silent);
+    let g =
+        Gateway::start(&settings(2500.0), &[endpoint("s-00000001", worker.address, "SERVING")], None, None);
+    let mut before = TcpStream::connect(g.platform).unwrap();
+    before.write_all(ask(1).as_bytes()).unwrap();
+    until("it is out", || worker.gos.lock().unwrap().len() == 1);
+    worker.set(Does::Answer);
+    g.signal(Signal::TERM);
+    let mut after = TcpStream::connect(g.platform).expect("it still listens");
+    for id in 2..4 {
+        after.write_all(ask(id).as_bytes()).unwrap();
+        assert!(answer(&mut after).expect("an answer").starts_with("HTTP/1.1 200"));
+    }
+    // The first one is never answered by its worker: its time ends, and its answer still comes.
+    let last = answer(&mut before).expect("an answer");
+    assert!(!last.starts_with("HTTP/1.1 200") && last.contains("Connection: close"), "{last}");
+    let counters = g.end();
+    assert_eq!(
+        (&counters["taken"], &counters["served"], &counters["left"]),
+        (&json!(3), &json!(2), &json!(0))
+    );
+}
+
+/// Guards the descriptors: beyond its room a gateway leaves connections in the machine's queue, and takes them
+/// once others have ended.
+#[test]
+fn clients_beyond_the_room_wait_and_are_served_later() {
+    let g = Gateway::start_with(&settings(2500.0), &[], None, None, 40);
+    let mut clients: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(g.platform).unwrap()).collect();
+    for c in &mut clients {
+        c.write_all(b"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n").unwrap();
+    }
+    for mut c in clients {
+        assert!(answer(&mut c).expect("an answer").starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(g.stop()["accepted"], 60);
+}
+
+/// Guards the second answer: a refusal comes at once when the module gives up, and says when to come back.
+#[test]
+fn what_the_module_gives_up_is_refused_at_once_with_advice() {
+    // No worker at all: the module holds the call until its time is nearly out, and then refuses it.
+    let g = Gateway::start(&settings(2500.0), &[], None, None);
+    let mut c = TcpStream::connect(g.platform).unwrap();
+    c.write_all(ask(1).replace("2400", "300").as_bytes()).unwrap();
+    let text = answer(&mut c).expect("an answer");
+    assert!(text.starts_with("HTTP/1.1 503") && text.contains("Retry-After: "), "{text}");
+    let counters = g.stop();
+    assert_eq!(
+        (&counters["refused"], &counters["overdue"]),
+        (&json!(1), &json!(0)),
+        "by the module, not the core"
+    );
+}
--- /dev/null
+++ b/tests/webhooks.rs
@@ -0,0 +1,158 @@
+//! The second front's whole path on loopback: signed calls in, workers that die and fall silent, a portal that
+//! counts what it gets.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::Ordering;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use common::*;
+use serde_json::json;
+
+const KEY: &[u8] = b"a test key of thirty-two bytes..";
+const OTHER: &[u8] = b"another key of thirty-two bytes.";
+
+fn operator(portal: SocketAddr) -> String {
+    format!(
+        "[webhooks]\nlisten = \"127.0.0.1:0\"\ncallback_window_ms = 20000\ncallback_answer_ms = 10000\n\
+         [[tenants]]\nname = \"clinic\"\nshare_per_s = 0.0\nportal = \"http://{portal}/in\"\n\
+         secrets = [\"whsec_{}\"]\n",
+        BASE64_STANDARD.encode(KEY)
+    )
+}
+
+fn now_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs()
+}
+
+fn event(class: &str, function: u64) -> Vec<u8> {
+    let data = json!({ "class": class, "function": format!("{function:016x}"), "lanes": 4,
+                       "payload": BASE64_STANDARD.encode("trip") });
+    json!({ "type": "call.requested", "data": data }).to_string().into_bytes()
+}
+
+/// Sends a call; returns the status.
+fn call(g: &Gateway, key: &[u8], id: &str, stamp: u64, body: &[u8]) -> u16 {
+    let signed = signature(key, id, &stamp.to_string(), body);
+    let head = format!(
+        "POST /webhooks/clinic HTTP/1.1\r\nwebhook-id: {id}\r\nwebhook-timestamp: {stamp}\r\n\
+         webhook-signature: v1,bm90IHRoaXM= {signed}"
+    );
+    http(g.webhooks.expect("webhooks are on"), &head, body).0
+}
+
+fn endpoints(workers: &[Worker]) -> Vec<serde_json::Value> {
+    workers
+        .iter()
+        .enumerate()
+        .map(|(i, w)| endpoint(&format!("s-0000000{i}"), w.address, "SERVING"))
+        .collect()
+}
+
+#[test]
+fn one_callback_each_while_workers_die_and_fall_silent() {
+    let workers: Vec<Worker> = (0..5).map(|_| Worker::start()).collect();
+    let portal = Portal::start(KEY);
+    let g = Gateway::start(&settings(900.0), &endpoints(&workers), None, Some(&operator(portal.address)));
+    let mut sent = BTreeMap::new();
+    for i in 0..90u64 {
+        match i {
+            20 => workers[0].set(Does::Die),
+            30 => workers[1].set(Does::Silent),
+            40 => workers[2].set(Does::Die),
+            70 => workers[1].set(Does::Answer),
+            _ => {}
+        }
+        let class = if i % 2 == 0 { "confirmar-traslado" } else { "disponibilidad" };
+        let id = format!("call-{i}");
+        assert_eq!(call(&g, KEY, &id, now_s(), &event(class, i % 12)), 202);
+        sent.insert(id, class);
+    }
+    until("every call has its callback", || portal.by_call().len() == sent.len());
+    let counters = g.stop();
+    let seen = portal.by_call();
+    assert!(seen.keys().eq(sent.keys()), "no callback for what was not called");
+    for (id, deliveries) in &seen {
+        assert_eq!(deliveries.len(), 1, "{id}: {deliveries:?}");
+        assert!(deliveries[0].signed, "{id}");
+    }
+    let ids: BTreeSet<_> = seen.values().flatten().map(|d| d.id.clone()).collect();
+    assert_eq!(ids.len(), sent.len(), "each callback has an identity of its own");
+    // No booking reached a worker twice, whatever became of the first.
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for (id, fields) in workers.iter().flat_map(|w| w.gos.lock().unwrap().clone()) {
+        *runs.entry(id).or_default() += usize::from(fields.contains("confirmar-traslado"));
+    }
+    assert!(runs.values().all(|n| *n <= 1), "{runs:?}");
+    assert!(workers[1].gos.lock().unwrap().len() > 1 && counters["served"].as_u64() > Some(60), "{counters}");
+    assert_eq!(counters["callbacks_delivered"], 90, "{counters}");
+    assert_eq!((&counters["taken"], &counters["overdue"]), (&json!(90), &json!(0)), "{counters}");
+}
+
+#[test]
+fn a_callback_cut_off_mid_delivery_follows_its_class() {
+    let workers = [Worker::start()];
+    let portal = Portal::start(KEY);
+    let g = Gateway::start(&settings(900.0), &endpoints(&workers), None, Some(&operator(portal.address)));
+    portal.drops.store(1, Ordering::SeqCst);
+    assert_eq!(call(&g, KEY, "booking", now_s(), &event("confirmar-traslado", 1)), 202);
+    until("the portal has seen it", || portal.count() == 1);
+    until("and dropped it", || portal.drops.load(Ordering::SeqCst) == 0);
+    portal.drops.store(1, Ordering::SeqCst);
+    assert_eq!(call(&g, KEY, "question", now_s(), &event("disponibilidad", 1)), 202);
+    until("the question is sent again", || portal.count() == 3);
+    let counters = g.stop();
+    let seen = portal.by_call();
+    assert_eq!(seen["booking"].len(), 1, "a booking's callback is never sent twice");
+    assert_eq!(seen["question"].len(), 2);
+    assert_eq!(seen["question"][0].id, seen["question"][1].id, "by which the portal can tell");
+    assert_eq!((&counters["callbacks_unknown"], &counters["callbacks_delivered"]), (&json!(1), &json!(1)));
+}
+
+#[test]
+fn a_portal_that_was_down_gets_its_one_callback_later() {
+    let workers = [Worker::start()];
+    // A port that was just in use and now refuses connections.
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    let g = Gateway::start(&settings(900.0), &endpoints(&workers), None, Some(&operator(address)));
+    assert_eq!(call(&g, KEY, "booking", now_s(), &event("confirmar-traslado", 1)), 202);
+    until("it has run", || workers[0].gos.lock().unwrap().len() == 1);
+    let portal = Portal::on(TcpListener::bind(address).expect("the port is still free"), KEY);
+    until("the callback comes", || portal.count() == 1);
+    let counters = g.stop();
+    assert_eq!((portal.count(), &counters["callbacks_delivered"]), (1, &json!(1)));
+    assert_eq!(portal.by_call()["booking"][0].outcome, "served");
+}
+
+#[test]
+fn what_is_forged_stale_or_replayed_never_reaches_the_module() {
+    let workers = [Worker::start()];
+    let portal = Portal::start(KEY);
+    let g = Gateway::start(&settings(900.0), &endpoints(&workers), None, Some(&operator(portal.address)));
+    let body = event("confirmar-traslado", 1);
+    assert_eq!(call(&g, OTHER, "a", now_s(), &body), 401, "forged");
+    assert_eq!(call(&g, KEY, "a", now_s() - 301, &body), 401, "stale");
+    assert_eq!(call(&g, KEY, "a", now_s() + 400, &body), 401, "from the future");
+    assert_eq!(call(&g, KEY, "a", now_s(), b"{\"type\":\"call.requested\"}"), 400);
+    assert_eq!(call(&g, KEY, "a", now_s(), &event("none", 1)), 422);
+    let at = now_s();
+    assert_eq!(call(&g, KEY, "a", at, &body), 202);
+    assert_eq!(call(&g, KEY, "a", at, &body), 409, "replayed");
+    assert_eq!(call(&g, KEY, "a", at + 1, &body), 409, "signed anew, the same call");
+    let to = g.webhooks.unwrap();
+    let (id, stamp) = ("b", now_s().to_string());
+    let signed = signature(KEY, id, &stamp, &body);
+    let unsigned = format!("POST /webhooks/clinic HTTP/1.1\r\nwebhook-id: b\r\nwebhook-timestamp: {stamp}");
+    assert_eq!(http(to, &unsigned, &body).0, 401);
+    let elsewhere = unsigned.replace("clinic", "nobody") + &format!("\r\nwebhook-signature: {signed}");
+    assert_eq!(http(to, &elsewhere, &body).0, 401, "another tenant's path");
+    until("the callback comes", || portal.count() == 1);
+    let counters = g.stop();
+    assert_eq!((&counters["taken"], &counters["webhooks_taken"]), (&json!(1), &json!(1)), "{counters}");
+    assert_eq!((workers[0].gos.lock().unwrap().len(), portal.count()), (1, 1));
+}
