--- a/src/node.rs
+++ b/src/node.rs
@@ -46,6 +46,9 @@
 const CLIENT_IDLE: Micros = 15_000_000;
 /// How long connections are accepted after SIGTERM: they keep coming for 0.4 s, requests for 0.2 s more.
 const DRAIN: Micros = 900_000;
+/// Answers larger than this are counted against what may wait for slow clients in all.
+const LARGE: usize = 64 << 10;
+const MOST_WAITING: usize = 48 << 20;
 /// How long a connection that was turned away may still send.
 const LINGER: Micros = 1_000_000;
 /// The board sends a comment every second; silent for this long it is asked anew.
@@ -602,6 +605,13 @@
     fn answer_client(&mut self, key: ConnKey, answer: &Answer) {
         let now = self.clock.now();
         let accepting = !self.listeners.is_empty();
+        if let Answer::Served(body) = answer {
+            // Guards memory against clients that ask for much and read nothing.
+            let waiting = || self.conns.values().map(|(c, _)| c.out.len()).sum::<usize>();
+            if body.len() > LARGE && waiting() > MOST_WAITING {
+                return self.close(key, Ending::Overflow);
+            }
+        }
         let Some((conn, Role::Client { open, keep, .. })) = self.conns.get_mut(key) else { return };
         *open = None;
         let stays = *keep && accepting;
