--- a/src/board.rs
+++ b/src/board.rs
@@ -144,12 +144,15 @@
         id
     }
 
-    /// Takes a notice over; returns what the module is told.
-    pub fn apply(&mut self, notice: &Notice) -> Vec<Member> {
+    /// Takes a notice over; returns what the module is told, and the workers that have another address now.
+    pub fn apply(&mut self, notice: &Notice) -> (Vec<Member>, Vec<WorkerId>) {
+        let mut moved = Vec::new();
         let mut members = Vec::with_capacity(notice.endpoints.len());
         for e in &notice.endpoints {
             let worker = self.number(&e.name);
-            self.addresses.insert(worker, e.address);
+            if self.addresses.insert(worker, e.address).is_some_and(|old| old != e.address) {
+                moved.push(worker);
+            }
             members.push(Member {
                 worker,
                 zone: e.zone,
@@ -159,7 +162,7 @@
                 started: e.started,
             });
         }
-        members
+        (members, moved)
     }
 }
 
--- a/src/identity.rs
+++ b/src/identity.rs
@@ -137,14 +137,25 @@
         if header.typ.as_deref().is_some_and(|t| t != "JWT" && t != "JOSE") {
             return Err(IdentityError::Token("type not allowed"));
         }
-        let key = header.kid.as_ref().and_then(|kid| self.keys.get(kid));
-        let key = key.ok_or(IdentityError::Token("key not in the bundle"))?;
+        // The specification leaves `kid` optional; without it any of the bundle's keys may be the one.
+        let fits = |kid: &&String| header.kid.as_ref().is_none_or(|k| k == *kid);
+        let keys: Vec<&DecodingKey> = self.keys.iter().filter(|(kid, _)| fits(kid)).map(|(_, k)| k).collect();
+        if keys.is_empty() {
+            return Err(IdentityError::Token("key not in the bundle"));
+        }
         let mut rules = Validation::new(header.alg);
         rules.set_audience(&[&self.audience]);
         rules.set_required_spec_claims(&["exp", "sub", "aud"]);
         rules.validate_exp = false;
-        let claims = jsonwebtoken::decode::<Claims>(token, key, &rules);
-        let claims = claims.map_err(|e| IdentityError::Claims(e.to_string()))?.claims;
+        let mut claims = Err(IdentityError::Token("no key"));
+        for key in keys {
+            let read = jsonwebtoken::decode::<Claims>(token, key, &rules);
+            claims = read.map(|t| t.claims).map_err(|e| IdentityError::Claims(e.to_string()));
+            if claims.is_ok() {
+                break;
+            }
+        }
+        let claims = claims?;
         let seconds = now as f64 / 1e6;
         // Written so that a value that is no number lets nobody in.
         let valid = seconds < claims.exp && claims.nbf.is_none_or(|nbf| nbf <= seconds);
--- a/src/node.rs
+++ b/src/node.rs
@@ -57,6 +57,8 @@
 const ACCEPT_PAUSE: Micros = 50_000;
 /// Bytes that may wait on a worker's connection before new requests take another.
 const BACKLOG: usize = 1 << 20;
+/// A worker's connection on which something is given up after so long a silence takes nothing new.
+const SILENT: Micros = 1_000_000;
 /// Connections to one worker at once.
 const MOST_LINKS: usize = 6;
 
@@ -180,7 +182,7 @@
             if notice.snapshot {
                 members.clear();
             }
-            members.extend(roster.apply(notice).into_iter().map(|m| (m.worker, m)));
+            members.extend(roster.apply(notice).0.into_iter().map(|m| (m.worker, m)));
             last_rev = last_rev.max(notice.rev);
         }
         let listed = members.into_values().filter(|m| m.status != Status::Gone).collect();
@@ -377,6 +379,9 @@
                 self.done.extend(done);
                 if let Some(keys) = self.links.get_mut(&link.worker) {
                     keys.retain(|k| *k != key);
+                    if keys.is_empty() {
+                        self.links.remove(&link.worker);
+                    }
                 }
             }
             Role::Board(_) => self.core.hang(now + BOARD_PAUSE, BOARD_AGAIN),
@@ -414,10 +419,15 @@
         self.dirty.push(key);
         // What came before the end still counts.
         self.on_input(key, now);
+        let Some((conn, role)) = self.conns.get(key) else { return };
         match read {
             Err(ending) => self.close(key, ending),
-            Ok(()) if self.conns.get(key).is_some_and(|(c, _)| c.ended) => self.close(key, Ending::Closed),
-            Ok(()) => {}
+            Ok(()) if conn.ended => self.close(key, Ending::Closed),
+            // Clients' buffers are read on when their request has been answered.
+            Ok(()) if !conn.more || matches!(role, Role::Client { .. }) => {}
+            // Something longer than the buffer may be: it would never come whole, and nothing behind it.
+            Ok(()) if conn.input.bytes().len() >= limit => self.close(key, Ending::Malformed),
+            Ok(()) => self.ready.push(key),
         }
     }
 
@@ -734,7 +744,7 @@
     fn give_up(&mut self, now: Micros, key: ConnKey, what: Open) -> Left {
         let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return Left::Some };
         let left = link.give_up(&mut conn.out, what, now, now + 10_000_000);
-        if left == Left::Some && now > link.heard + 1_000_000 {
+        if left == Left::Some && now > link.heard.max(link.busy) + SILENT {
             link.suspect = true;
         }
         if link.suspect && link.open() == 0 {
@@ -752,8 +762,11 @@
             Some((conn, Role::Worker(link))) => link.takes(id, streams) && conn.out.len() < BACKLOG,
             _ => false,
         };
-        if let Some(key) = keys.iter().find(fits) {
-            return Ok(*key);
+        if let Some(key) = keys.iter().copied().find(|key| fits(&key)) {
+            if let Some((_, Role::Worker(link))) = self.conns.get_mut(key) {
+                link.busy = if link.open() == 0 { now } else { link.busy };
+            }
+            return Ok(key);
         }
         if keys.len() >= MOST_LINKS || self.conns.len() >= self.config.limits.sockets.saturating_sub(24) {
             return Err(Ending::Overflow);
@@ -812,10 +825,13 @@
             }
         }
         (self.last_rev, self.gap_at) = (notice.rev, None);
-        let members = self.roster.apply(&notice);
+        let (members, moved) = self.roster.apply(&notice);
         for m in &members {
             self.on_member(m);
         }
+        for worker in moved {
+            self.retire(worker, None);
+        }
         if notice.snapshot {
             let listed = |w: &WorkerId| members.iter().any(|m| m.worker == *w);
             let gone: Vec<WorkerId> = self.links.keys().filter(|w| !listed(w)).copied().collect();
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -158,6 +158,8 @@
     pub opened: Micros,
     /// When anything last came on it.
     pub heard: Micros,
+    /// When something last went out with nothing else open.
+    pub busy: Micros,
     /// Whether nothing new goes on it: it kept silent for too long, or its worker has gone.
     pub suspect: bool,
     open: BTreeMap<Rc<str>, (Open, u64)>,
@@ -189,6 +191,7 @@
             worker,
             opened: now,
             heard: now,
+            busy: now,
             suspect: false,
             open: BTreeMap::new(),
             given_up: VecDeque::new(),
