--- a/src/core.rs
+++ b/src/core.rs
@@ -52,31 +52,17 @@
     pub origin: O,
     /// The identity that workers are told.
     pub id: Rc<str>,
-    /// Its class.
-    pub class: ClassId,
-    /// Its tenant.
-    pub tenant: TenantId,
-    /// The function called.
-    pub function: FunctionId,
-    /// When the caller stops waiting.
-    pub expires: Micros,
-    /// A rough hint at the work.
-    pub work: Option<Micros>,
-    /// Memory of a loaded copy, in MB.
-    pub memory_mb: f64,
-    /// Requests that a copy runs at once.
-    pub lanes: u32,
-    /// The usual time of a load.
-    pub load_time: Option<Micros>,
     /// What the worker gets.
     pub body: Rc<[u8]>,
+    /// What the module is told; the core numbers the request.
+    pub arrival: Arrival,
 }
 
 impl<O> Call<O> {
     /// The same call with another origin.
     pub fn with<P>(self, origin: P) -> Call<P> {
-        let Call { id, class, tenant, function, expires, work, memory_mb, lanes, load_time, body, .. } = self;
-        Call { origin, id, class, tenant, function, expires, work, memory_mb, lanes, load_time, body }
+        let Call { id, body, arrival, .. } = self;
+        Call { origin, id, body, arrival }
     }
 }
 
@@ -300,24 +286,15 @@
     }
 
     /// Takes a call; from here on it is owed one answer.
-    pub fn call(&mut self, now: Micros, call: Call<O>) -> RequestKey {
+    pub fn call(&mut self, now: Micros, mut call: Call<O>) -> RequestKey {
         self.next_id = self.next_id.wrapping_add(1);
         while self.by_id.contains_key(&RequestId(self.next_id)) {
             self.next_id = self.next_id.wrapping_add(1);
         }
         let brain_id = RequestId(self.next_id);
-        let arrival = Arrival {
-            request: brain_id,
-            class: call.class,
-            tenant: call.tenant,
-            function: call.function,
-            expires: call.expires,
-            work: call.work,
-            memory_mb: call.memory_mb,
-            lanes: call.lanes,
-            load_time: call.load_time,
-        };
-        let expires = call.expires;
+        call.arrival.request = brain_id;
+        let arrival = call.arrival.clone();
+        let expires = call.arrival.expires;
         let key = self.requests.insert(Request {
             brain_id,
             call,
@@ -395,7 +372,7 @@
     fn overdue(&mut self, key: RequestKey) {
         let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
         r.answered = true;
-        let safe = self.safe.get(r.call.class.0 as usize).copied().unwrap_or(false);
+        let safe = self.safe.get(r.call.arrival.class.0 as usize).copied().unwrap_or(false);
         let answer = if (safe || !r.may_have_run) && r.out.is_none() {
             self.counters.refused += 1;
             Answer::Refused { retry_after: 0 }
@@ -413,7 +390,7 @@
         if self.requests.get(key).is_some_and(done) {
             if let Some(r) = self.requests.remove(key) {
                 self.by_id.remove(&r.brain_id);
-                let at = r.call.expires + self.grace;
+                let at = r.call.arrival.expires + self.grace;
                 self.deadlines.remove(&(at, Due::Request(key.data().as_ffi())));
             }
         }
@@ -478,7 +455,7 @@
     fn send(&mut self, now: Micros, request: RequestId, worker: WorkerId, within: Option<Micros>) {
         let Some(&key) = self.by_id.get(&request) else { return };
         let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered && r.out.is_none()) else { return };
-        let expires = within.map_or(r.call.expires, |w| r.call.expires.min(now + w));
+        let expires = within.map_or(r.call.arrival.expires, |w| r.call.arrival.expires.min(now + w));
         let number = r.attempts;
         r.attempts = r.attempts.saturating_add(1);
         let attempt = self.attempts.insert(Attempt { request: key, worker, number, sent: now, expires });
@@ -489,8 +466,8 @@
             attempt,
             worker,
             id: r.call.id.clone(),
-            class: r.call.class,
-            function: r.call.function,
+            class: r.call.arrival.class,
+            function: r.call.arrival.function,
             expires,
             body: r.call.body.clone(),
         });
@@ -544,9 +521,8 @@
     }
 
     fn call(origin: u32, now: Micros) -> Call<u32> {
-        Call {
-            origin,
-            id: format!("{origin:016x}").into(),
+        let arrival = Arrival {
+            request: RequestId(0),
             class: ClassId((origin % 2) as u8),
             tenant: TenantId(0),
             function: FunctionId(u64::from(origin % 5)),
@@ -555,8 +531,8 @@
             memory_mb: 1.0,
             lanes: 2,
             load_time: None,
-            body: Rc::from(&b""[..]),
-        }
+        };
+        Call { origin, id: format!("{origin:016x}").into(), body: Rc::from(&b""[..]), arrival }
     }
 
     /// Workers that answer, miss, fail, say nothing, or whose connections end, in a fixed pseudo-random order:
@@ -580,7 +556,7 @@
             now += 2_000;
             if step < 4_000 && step % 4 == 0 {
                 let c = call(step, now);
-                due.insert(step, c.expires);
+                due.insert(step, c.arrival.expires);
                 core.call(now, c);
             }
             core.tick(now, &mut Vec::new());
@@ -636,7 +612,7 @@
     fn the_module_giving_up_is_an_answer_at_once() {
         let mut core: Core<u32> = Core::new(settings(), 3, 0);
         core.members(1, ListKind::Full, vec![member(1)]);
-        core.call(10, Call { expires: 10 + SECOND, ..call(1, 10) });
+        core.call(10, call(1, 10));
         let Some(Command::Go { attempt, .. }) = core.command() else { panic!("it is sent") };
         // A booking that may have run is failed in the very turn, not towards its deadline.
         core.ended(20, attempt, Ending::Reset, Left::Some, Back::default());
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use super::http::{self, fatal, plain, Bad, Request};
-use crate::api::{ClassId, FunctionId, Micros, TenantId};
+use crate::api::{Arrival, ClassId, FunctionId, Micros, RequestId, TenantId};
 use crate::config::Names;
 use crate::core::{Answer, Call};
 
@@ -64,9 +64,9 @@
     let id = r.header("X-Correlation-Id").filter(|id| hex16(id).is_some());
     let wait = r.header("X-Deadline-Ms").and_then(number).filter(|ms| *ms > 0.0 && *ms <= LONGEST_MS);
     let work = r.header("X-Estimate-Ms").map(|w| number(w).ok_or(plain(400, "bad X-Estimate-Ms")));
-    let mut call = Call {
-        origin: (),
-        id: id.ok_or(plain(400, "bad X-Correlation-Id"))?.into(),
+    let id = id.ok_or(plain(400, "bad X-Correlation-Id"))?;
+    let mut arrival = Arrival {
+        request: RequestId(0),
         class: ClassId(class.ok_or(plain(400, "unknown class"))? as u8),
         tenant: TenantId(tenant.ok_or(plain(400, "unknown tenant"))? as u32),
         function,
@@ -75,21 +75,20 @@
         memory_mb: 0.0,
         lanes: 1,
         load_time: None,
-        body: Rc::from(r.body),
     };
-    extras(r.header("X-Extras").unwrap_or_default(), &mut call)?;
-    Ok(Ask::Call(call))
+    extras(r.header("X-Extras").unwrap_or_default(), &mut arrival)?;
+    Ok(Ask::Call(Call { origin: (), id: id.into(), body: Rc::from(r.body), arrival }))
 }
 
 /// Reads `name:value;name:value`; names that mean nothing are passed over.
-pub fn extras<O>(text: &str, call: &mut Call<O>) -> Result<(), Bad> {
+fn extras(text: &str, arrival: &mut Arrival) -> Result<(), Bad> {
     for part in text.split(';').filter(|p| !p.trim().is_empty()) {
         let (name, value) = part.split_once(':').ok_or(plain(400, "bad X-Extras"))?;
         let value = number(value.trim()).ok_or(plain(400, "bad X-Extras"))?;
         match name.trim() {
-            "memory_mb" => call.memory_mb = value,
-            "lanes" => call.lanes = (value as u32).max(1),
-            "load_ms" => call.load_time = Some((value * 1e3) as Micros).filter(|t| *t > 0),
+            "memory_mb" => arrival.memory_mb = value,
+            "lanes" => arrival.lanes = (value as u32).max(1),
+            "load_ms" => arrival.load_time = Some((value * 1e3) as Micros).filter(|t| *t > 0),
             _ => {}
         }
     }
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -149,9 +149,8 @@
             effect: class.effect,
             function,
         };
-        Ok(Call {
-            origin: job,
-            id: self.identity(tenant, webhook_id).into(),
+        let arrival = Arrival {
+            request: RequestId(0),
             class: ClassId(place as u8),
             tenant: number,
             function,
@@ -160,8 +159,9 @@
             memory_mb: d.memory_mb,
             lanes: d.lanes.max(1),
             load_time: d.load_ms.map(micros),
-            body: payload.into(),
-        })
+        };
+        let id = self.identity(tenant, webhook_id).into();
+        Ok(Call { origin: job, id, body: payload.into(), arrival })
     }
 
     /// The identity that workers are told: 16 hex digits that follow from the call's own.
--- /dev/null
+++ b/src/node/commands.rs
@@ -0,0 +1,154 @@
+//! The core's commands carried out on worker connections, and their endings reported.
+
+use super::*;
+
+impl Node {
+    /// Carries out commands and reports endings until there is nothing left; then writes.
+    pub(super) fn pump(&mut self) {
+        loop {
+            let now = self.clock.now();
+            if let Some(done) = self.done.pop_front() {
+                self.report(now, done);
+            } else if let Some(command) = self.core.command() {
+                self.perform(now, command);
+            } else if let Some(key) = self.dirty.pop() {
+                let Some((conn, _)) = self.conns.get_mut(key) else { continue };
+                match conn.flush() {
+                    Ok(true) if conn.closing && (!conn.linger || conn.hang_up()) => {
+                        self.close(key, Ending::Closed)
+                    }
+                    Ok(_) => {}
+                    Err(ending) => self.close(key, ending),
+                }
+            } else {
+                return;
+            }
+        }
+    }
+
+    pub(super) fn report(&mut self, now: Micros, done: Done) {
+        match done.what {
+            Open::Attempt(key) => {
+                self.attempts.remove(key);
+                self.core.ended(now, key, done.ending, done.left, done.back);
+            }
+            Open::Order(key) => {
+                self.orders.remove(key);
+                self.core.order_ended(now, key, done.ending, done.left, done.copies);
+            }
+            Open::Probe(key) => {
+                self.probes.remove(key);
+                self.core.probe_ended(now, key, done.ending, done.back.report);
+            }
+        }
+    }
+
+    pub(super) fn perform(&mut self, now: Micros, command: Command<Origin>) {
+        match command {
+            Command::Answer { origin: Origin::Client(key), answer } => self.answer_client(key, &answer),
+            Command::Answer { origin: Origin::Webhook(job), answer } => self.call_back(now, job, &answer),
+            Command::Go { attempt, worker, id, class, function, expires, body } => {
+                let key = match self.link(now, worker, &id) {
+                    Ok(key) => key,
+                    Err(ending) => {
+                        return self.done.push_back(Done::plain(
+                            Open::Attempt(attempt),
+                            ending,
+                            Left::Nothing,
+                        ))
+                    }
+                };
+                let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
+                let class = self.config.names.classes.get(class.0 as usize).map_or("", String::as_str);
+                let wait_ms = expires.saturating_sub(now) / 1000;
+                link.go(&mut conn.out, Go { attempt, id, class, function, wait_ms, body: &body });
+                self.attempts.insert(attempt, key);
+                self.dirty.push(key);
+            }
+            Command::Halt { attempt, why } => {
+                let left = self.attempts.get(attempt).copied();
+                let left = left.map_or(Left::Some, |key| self.give_up(now, key, Open::Attempt(attempt)));
+                self.done.push_back(Done::plain(Open::Attempt(attempt), why, left));
+            }
+            Command::Stage { order, worker, function, copies } => match self.link(now, worker, "") {
+                Ok(key) => {
+                    let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
+                    link.stage(&mut conn.out, order, function, copies);
+                    self.orders.insert(order, key);
+                    self.dirty.push(key);
+                }
+                Err(ending) => {
+                    self.done.push_back(Done::plain(Open::Order(order), ending, Left::Nothing));
+                }
+            },
+            Command::Forget { order } => {
+                let left = self.orders.get(order).copied();
+                let left = left.map_or(Left::Some, |key| self.give_up(now, key, Open::Order(order)));
+                self.done.push_back(Done::plain(Open::Order(order), Ending::TimedOut, left));
+            }
+            Command::Purge { worker, function } => {
+                if let Ok(key) = self.link(now, worker, "") {
+                    let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
+                    link.purge(&mut conn.out, function);
+                    self.dirty.push(key);
+                }
+            }
+            Command::Probe { probe, worker } => match self.link(now, worker, "") {
+                Ok(key) => {
+                    let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
+                    link.probe(&mut conn.out, probe);
+                    self.probes.insert(probe, key);
+                    self.dirty.push(key);
+                }
+                Err(ending) => {
+                    self.done.push_back(Done::plain(Open::Probe(probe), ending, Left::Nothing));
+                }
+            },
+        }
+    }
+
+    /// Gives up what is open on a connection. One that has said nothing since takes nothing new: its machine
+    /// may have vanished, and then only a new connection shows whether it is back.
+    pub(super) fn give_up(&mut self, now: Micros, key: ConnKey, what: Open) -> Left {
+        let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return Left::Some };
+        let left = link.give_up(&mut conn.out, what, now, now + 10_000_000);
+        if left == Left::Some && now > link.heard.max(link.busy) + SILENT {
+            link.suspect = true;
+        }
+        if link.suspect && link.open() == 0 {
+            self.set_deadline(key, Some(now + 100_000));
+        }
+        self.dirty.push(key);
+        left
+    }
+
+    /// A connection to a worker that takes this, opened if need be.
+    pub(super) fn link(&mut self, now: Micros, worker: WorkerId, id: &str) -> Result<ConnKey, Ending> {
+        let streams = self.config.streams;
+        let keys = self.links.entry(worker).or_default();
+        let fits = |key: &&ConnKey| match self.conns.get(**key) {
+            Some((conn, Role::Worker(link))) => link.takes(id, streams) && conn.out.len() < BACKLOG,
+            _ => false,
+        };
+        if let Some(key) = keys.iter().copied().find(|key| fits(&key)) {
+            if let Some((_, Role::Worker(link))) = self.conns.get_mut(key) {
+                link.busy = if link.open() == 0 { now } else { link.busy };
+            }
+            return Ok(key);
+        }
+        if keys.len() >= MOST_LINKS || self.conns.len() >= self.config.limits.sockets.saturating_sub(24) {
+            return Err(Ending::Overflow);
+        }
+        let address = *self.roster.addresses.get(&worker).ok_or(Ending::NeverUp)?;
+        let stream = net::connect(address).map_err(|e| match e.kind() {
+            io::ErrorKind::ConnectionRefused => Ending::Refused,
+            _ => Ending::NeverUp,
+        })?;
+        let role = Role::Worker(Link::new(worker, now));
+        let key = self.add(stream, false, role).map_err(|_| Ending::NeverUp)?;
+        self.core.counters.connects += 1;
+        self.links.entry(worker).or_default().push(key);
+        self.set_deadline(key, Some(now + self.config.connect_limit));
+        Ok(key)
+    }
+}
--- /dev/null
+++ b/src/node/listing.rs
@@ -0,0 +1,85 @@
+//! The notice board's connection and what its events change.
+
+use super::*;
+
+impl Node {
+    pub(super) fn open_board(&mut self, now: Micros) {
+        let Some(address) = self.config.board else { return };
+        if self.conns.values().any(|(_, role)| matches!(role, Role::Board(_))) {
+            return;
+        }
+        let opened = net::connect(address).and_then(|s| self.add(s, false, Role::Board(Feed::default())));
+        match opened {
+            Ok(key) => {
+                if let Some((conn, _)) = self.conns.get_mut(key) {
+                    conn.out.push(net::KEPT_FRAME, Feed::request(address, self.last_rev));
+                }
+                self.set_deadline(key, Some(now + 1_000_000));
+            }
+            Err(_) => self.core.hang(now + BOARD_PAUSE, BOARD_AGAIN),
+        }
+    }
+
+    /// Takes one event; `false` if the board is to be asked anew for what was missed.
+    pub(super) fn on_event(&mut self, now: Micros, event: &board::Sse) -> bool {
+        let notice = match Notice::parse(&event.data, &self.config.names) {
+            Ok(notice) => notice,
+            Err(e) => {
+                // The list held stays as it is; the next event goes on from there.
+                self.core.counters.unreadable += 1;
+                eprintln!("molelug: event {:?} is passed over: {e}", event.id);
+                self.last_rev = self.last_rev.max(event.id.unwrap_or(0));
+                return true;
+            }
+        };
+        if !notice.snapshot {
+            if notice.rev <= self.last_rev {
+                return true;
+            }
+            if notice.rev > self.last_rev + 1 && self.gap_at != Some(self.last_rev) {
+                self.gap_at = Some(self.last_rev);
+                return false;
+            }
+        }
+        (self.last_rev, self.gap_at) = (notice.rev, None);
+        let (members, moved) = self.roster.apply(&notice);
+        for m in &members {
+            self.on_member(m);
+        }
+        for worker in moved {
+            self.retire(worker, None);
+        }
+        if notice.snapshot {
+            let listed = |w: &WorkerId| members.iter().any(|m| m.worker == *w);
+            let gone: Vec<WorkerId> = self.links.keys().filter(|w| !listed(w)).copied().collect();
+            gone.into_iter().for_each(|w| self.retire(w, None));
+        }
+        let kind = if notice.snapshot { ListKind::Full } else { ListKind::Delta };
+        let told = members.into_iter().filter(|m| !notice.snapshot || m.status != Status::Gone).collect();
+        self.core.members(now, kind, told);
+        true
+    }
+
+    pub(super) fn on_member(&mut self, m: &Member) {
+        match (m.status, m.started) {
+            (Status::Ready, Some(started)) => self.retire(m.worker, Some(started)),
+            (Status::Ready, None) => {}
+            (Status::Draining | Status::Gone, _) => self.retire(m.worker, None),
+        }
+    }
+
+    /// Nothing more goes out on a worker's connections opened before a time (or on any): what is queued is
+    /// taken back, what is out may still be answered.
+    pub(super) fn retire(&mut self, worker: WorkerId, before: Option<Micros>) {
+        let mut done = Vec::new();
+        for key in self.links.get(&worker).cloned().unwrap_or_default() {
+            let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { continue };
+            if before.is_some_and(|t| link.opened >= t) {
+                continue;
+            }
+            link.withdraw_unsent(&mut conn.out, &mut done);
+            link.suspect = true;
+        }
+        self.done.extend(done);
+    }
+}
