Keep a callback from a new holder of a tenant's name, and bound memory further

Read through the second front: a tenant removed and made anew under the same name would have got the callbacks of the one before it (second.rs, deliver, which looked the name up), and a callback that could not be signed stayed open for ever. Tenants now carry a serial, and what cannot be signed is given up and counted. Identities with a full stop are refused: the signature joins its parts with one.

Limits: with all buffers full at once connections could have held about 250 MB; smaller bounds on links, backlog and payloads bring that under 160 MB. New test: a gateway under ulimit -n 40 that was told 1,024 answers 60 clients in turn.

--- a/src/front/webhook/callback.rs
+++ b/src/front/webhook/callback.rs
@@ -16,7 +16,7 @@
 use crate::tenants::Tenant;
 
 /// A payload larger than this is not passed on: callbacks wait in memory.
-const LONGEST_PAYLOAD: usize = 256 * 1024;
+const LONGEST_PAYLOAD: usize = 64 * 1024;
 /// The first pause before a callback is sent again; it doubles up to the last.
 const FIRST_PAUSE: Micros = 250_000;
 const LAST_PAUSE: Micros = 8_000_000;
@@ -39,6 +39,8 @@
 pub struct Callback {
     /// The tenant's name.
     pub tenant: String,
+    /// Which of that name.
+    pub serial: u64,
     /// Its own identity, the same with every attempt.
     pub id: String,
     /// When it is given up.
@@ -90,6 +92,7 @@
         let body = json!({ "type": "call.completed", "timestamp": timestamp(now), "data": data });
         Callback {
             tenant: job.tenant.clone(),
+            serial: job.serial,
             id: format!("msg_{call_id}"),
             expires,
             effect: job.effect,
@@ -100,9 +103,10 @@
         }
     }
 
-    /// The bytes of an attempt, signed for this moment.
+    /// The bytes of an attempt, signed for this moment; none without a portal or a secret.
     pub fn attempt(&mut self, tenant: &Tenant, now: Micros) -> Option<Vec<u8>> {
         let portal = tenant.portal.as_ref()?;
+        tenant.secrets(now).next()?;
         (self.tries, self.sent) = (self.tries + 1, now);
         let stamp = now / 1_000_000;
         let signed = signature::sign(tenant.secrets(now), &self.id, stamp, &self.body);
@@ -175,6 +179,7 @@
     fn callback(effect: Effect) -> Callback {
         let job = Job {
             tenant: "t".into(),
+            serial: 1,
             webhook_id: "m".into(),
             class: "c".into(),
             effect,
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -11,7 +11,7 @@
 use crate::core::Call;
 use crate::front::http::{plain, Bad, Request};
 use crate::front::platform::hex16;
-use crate::tenants::Registry;
+use crate::tenants::{Registry, Tenant};
 
 /// The longest identity that is taken.
 const LONGEST_ID: usize = 128;
@@ -48,6 +48,8 @@
 pub struct Job {
     /// The tenant's name.
     pub tenant: String,
+    /// Which of that name.
+    pub serial: u64,
     /// The identity that the caller gave it.
     pub webhook_id: String,
     /// The class's name.
@@ -89,8 +91,11 @@
         }
         let refused = plain(401, "signature refused");
         let tenant = tenants.get(name).ok_or(refused)?;
-        let id =
-            r.header("webhook-id").filter(|id| !id.is_empty() && id.len() <= LONGEST_ID).ok_or(refused)?;
+        // A full stop separates what is signed; within an identity it would let one signature fit two readings.
+        let id = r
+            .header("webhook-id")
+            .filter(|id| !id.is_empty() && id.len() <= LONGEST_ID && !id.contains('.'))
+            .ok_or(refused)?;
         let stamp = r.header("webhook-timestamp").filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
         let stamp: u64 = stamp.and_then(|t| t.parse().ok()).ok_or(refused)?;
         let given = r.header("webhook-signature").ok_or(refused)?;
@@ -102,7 +107,7 @@
         if stamp.abs_diff(seconds) > self.tolerance_s || stamp < self.started / 1_000_000 {
             return Err(plain(401, "time stamp refused"));
         }
-        let call = self.call(r.body, name, tenant.id, id, names, now)?;
+        let call = self.call(r.body, (name, tenant), id, names, now)?;
         if tenant.portal.is_none() {
             return Err(plain(422, "the tenant has no portal for the answer"));
         }
@@ -117,8 +122,7 @@
     fn call(
         &self,
         body: &[u8],
-        tenant: &str,
-        number: TenantId,
+        (name, tenant): (&str, &Tenant),
         webhook_id: &str,
         names: &Names,
         now: Micros,
@@ -143,7 +147,8 @@
         let payload = BASE64_STANDARD.decode(&d.payload).map_err(|_| plain(422, "payload is not base64"))?;
         let wait = d.deadline_ms.map_or(class.deadline, micros).min(class.deadline);
         let job = Job {
-            tenant: tenant.to_owned(),
+            tenant: name.to_owned(),
+            serial: tenant.serial,
             webhook_id: webhook_id.to_owned(),
             class: d.class,
             effect: class.effect,
@@ -152,7 +157,7 @@
         let arrival = Arrival {
             request: RequestId(0),
             class: ClassId(place as u8),
-            tenant: number,
+            tenant: tenant.id,
             function,
             expires: now + wait,
             work: d.estimate_ms.map(micros),
@@ -160,7 +165,7 @@
             lanes: d.lanes.max(1),
             load_time: d.load_ms.map(micros),
         };
-        let id = self.identity(tenant, webhook_id).into();
+        let id = self.identity(name, webhook_id).into();
         Ok(Call { origin: job, id, body: payload.into(), arrival })
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -50,7 +50,7 @@
 /// How long connections are accepted after SIGTERM: they keep coming for 0.4 s, requests for 0.2 s more.
 const DRAIN: Micros = 900_000;
 /// Answers larger than this are counted against what may wait for slow clients in all.
-const LARGE: usize = 64 << 10;
+const LARGE: usize = 16 << 10;
 const MOST_WAITING: usize = 48 << 20;
 /// How long a connection that was turned away may still send.
 const LINGER: Micros = 1_000_000;
@@ -59,11 +59,11 @@
 const BOARD_PAUSE: Micros = 200_000;
 const ACCEPT_PAUSE: Micros = 50_000;
 /// Bytes that may wait on a worker's connection before new requests take another.
-const BACKLOG: usize = 1 << 20;
+const BACKLOG: usize = 256 << 10;
 /// A worker's connection on which something is given up after so long a silence takes nothing new.
 const SILENT: Micros = 1_000_000;
 /// Connections to one worker at once.
-const MOST_LINKS: usize = 6;
+const MOST_LINKS: usize = 4;
 
 /// Why the gateway cannot start or go on.
 #[derive(Debug)]
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -194,7 +194,7 @@
     pub(super) fn deliver(&mut self, now: Micros, key: CallbackKey) {
         let Some(hooks) = &mut self.hooks else { return };
         let Some(callback) = hooks.callbacks.get_mut(key) else { return };
-        let tenant = self.tenants.get(&callback.tenant).filter(|t| t.portal.is_some());
+        let tenant = self.tenants.same(&callback.tenant, callback.serial);
         let Some(tenant) = tenant.filter(|_| now < callback.expires) else {
             let next = callback.given_up();
             return self.settle(key, next);
@@ -205,7 +205,10 @@
         }
         let deadline = (now + hooks.answer_limit).min(callback.expires);
         let address = tenant.portal.as_ref().map(|p| p.address);
-        let (Some(address), Some(bytes)) = (address, callback.attempt(tenant, now)) else { return };
+        let (Some(address), Some(bytes)) = (address, callback.attempt(tenant, now)) else {
+            let next = callback.given_up();
+            return self.settle(key, next);
+        };
         hooks.portals += 1;
         let opened = net::connect(address).and_then(|s| self.add(s, false, Role::Portal(key)));
         match opened {
--- a/src/tenants.rs
+++ b/src/tenants.rs
@@ -123,6 +123,8 @@
 /// One tenant.
 #[derive(Clone, Debug)]
 pub struct Tenant {
+    /// Tells it from one of the same name before or after it.
+    pub serial: u64,
     /// Its number in the module.
     pub id: TenantId,
     /// Its share, calls a second.
@@ -156,6 +158,7 @@
     reserved: BTreeMap<String, (TenantId, f64)>,
     free: Vec<TenantId>,
     next: u32,
+    serials: u64,
 }
 
 impl Registry {
@@ -172,6 +175,12 @@
         self.tenants.get(name)
     }
 
+    /// A tenant, if it is still the very one. Guards an answer against going to another's portal when a tenant
+    /// is removed and its name given anew.
+    pub fn same(&self, name: &str, serial: u64) -> Option<&Tenant> {
+        self.get(name).filter(|t| t.serial == serial)
+    }
+
     /// Creates a tenant or changes what is given of it; tells whether it is new.
     pub fn put(&mut self, name: &str, spec: &Spec) -> Result<bool, TenantError> {
         let fits = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_');
@@ -197,7 +206,9 @@
                 self.next += 1;
                 (TenantId(self.next - 1), 0.0)
             });
-            let tenant = Tenant { id, share_per_s, portal: None, secrets: Vec::new() };
+            self.serials += 1;
+            let serial = self.serials;
+            let tenant = Tenant { serial, id, share_per_s, portal: None, secrets: Vec::new() };
             self.tenants.insert(name.to_owned(), tenant);
         }
         let Some(t) = self.tenants.get_mut(name) else { return Err(TenantError::Unknown) };
@@ -288,7 +299,10 @@
         let shown = format!("{:?} {}", r.get("other"), serde_json::to_string(&r.views(0)).unwrap());
         assert!(!shown.contains("whsec") && !shown.contains("97"), "{shown}");
         assert_eq!(r.remove("org"), Ok((TenantId(0), 5.0)), "the platform's share stands again");
+        let serial = r.get("other").unwrap().serial;
         assert_eq!(r.remove("other"), Ok((TenantId(1), 0.0)));
+        assert_eq!(r.put("other", &spec()), Ok(true));
+        assert!(r.get("other").is_some() && r.same("other", serial).is_none(), "the name is another's now");
     }
 
     #[test]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,16 +57,16 @@
         board: Option<SocketAddr>,
         operator: Option<&str>,
     ) -> Gateway {
-        Gateway::start_with(settings, workers, board, operator, 1024)
+        Gateway::start_with(settings, workers, board, operator, (1024, 1024))
     }
 
-    /// The same with a limit of descriptors.
+    /// The same with limits of descriptors: the one it is told, and the one that the machine sets.
     pub fn start_with(
         settings: &Value,
         workers: &[Value],
         board: Option<SocketAddr>,
         operator: Option<&str>,
-        sockets: usize,
+        (sockets, files): (usize, usize),
     ) -> Gateway {
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{n}", std::process::id()));
@@ -77,8 +77,10 @@
             "limits": { "cores": 1.0, "memory_mb": 192, "sockets": sockets },
             "board": board.map_or(String::new(), |b| b.to_string()), "settings": settings });
         std::fs::write(folder.join("config.json"), config.to_string()).expect("a file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_molelug"));
-        command.arg("serve").env("RELAY_CONFIG", folder.join("config.json")).env("RELAY_NAME", "g0");
+        let mut command = Command::new("/bin/sh");
+        let line = format!("ulimit -n {files} && exec \"$0\" \"$@\"");
+        command.args(["-c", line.as_str(), env!("CARGO_BIN_EXE_molelug"), "serve"]);
+        command.env("RELAY_CONFIG", folder.join("config.json")).env("RELAY_NAME", "g0");
         command.env("RELAY_LISTEN", "127.0.0.1:0").stderr(Stdio::piped()).stdin(Stdio::null());
         if let Some(text) = operator {
             std::fs::write(folder.join("operator.toml"), text).expect("a file");
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -48,11 +48,9 @@
     );
 }
 
-/// Guards the descriptors: beyond its room a gateway leaves connections in the machine's queue, and takes them
-/// once others have ended.
-#[test]
-fn clients_beyond_the_room_wait_and_are_served_later() {
-    let g = Gateway::start_with(&settings(2500.0), &[], None, None, 40);
+/// More clients than there is room for, each with a question; all are answered, as those before them end.
+fn all_are_served_in_turn(limits: (usize, usize)) {
+    let g = Gateway::start_with(&settings(2500.0), &[], None, None, limits);
     let mut clients: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(g.platform).unwrap()).collect();
     for c in &mut clients {
         c.write_all(b"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n").unwrap();
@@ -63,6 +61,19 @@
     assert_eq!(g.stop()["accepted"], 60);
 }
 
+/// Guards the descriptors: beyond its room a gateway leaves connections in the machine's queue, and takes them
+/// once others have ended.
+#[test]
+fn clients_beyond_the_room_wait_and_are_served_later() {
+    all_are_served_in_turn((40, 1024));
+}
+
+/// Guards against EMFILE, which leaves the connection in the queue and raises no further event.
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    all_are_served_in_turn((1024, 40));
+}
+
 /// Guards the second answer: a refusal comes at once when the module gives up, and says when to come back.
 #[test]
 fn what_the_module_gives_up_is_refused_at_once_with_advice() {
