Keep the tenants in a state file, so that administration outlives a restart

Changes made through the administration API were lost with the process. An operator may name a state file: it is written whole, for its owner alone, before the change is answered; a change that cannot be written is not made. Once the file is there it tells the tenants. Tested over a restart and with a path that cannot be written.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -54,6 +54,7 @@
     let status = match e {
         TenantError::Unknown => 404,
         TenantError::TooMany => 409,
+        TenantError::State => 500,
         _ => 422,
     };
     let why = match e {
@@ -63,6 +64,7 @@
         TenantError::Share => "bad share_per_s",
         TenantError::Portal => "bad portal",
         TenantError::Secret => "bad secret",
+        TenantError::State => "bad state",
     };
     plain(status, why)
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -220,7 +220,9 @@
     pub webhooks: Option<Webhooks>,
     /// The administration API.
     pub admin: Option<Admin>,
-    /// The tenants at the start.
+    /// Where tenants are kept over restarts. Once it is there, it and not this file tells the tenants.
+    pub state: Option<PathBuf>,
+    /// The tenants at the first start.
     #[serde(default)]
     pub tenants: Vec<Spec>,
 }
@@ -317,8 +319,11 @@
             ConfigError::Parse(_, e) => ConfigError::Parse(path.into(), e),
             e => e,
         })?;
-        if let (Some(admin), Some(folder)) = (&mut operator.admin, path.parent()) {
-            admin.bundle = folder.join(&admin.bundle);
+        if let Some(folder) = path.parent() {
+            operator.state = operator.state.map(|state| folder.join(state));
+            if let Some(admin) = &mut operator.admin {
+                admin.bundle = folder.join(&admin.bundle);
+            }
         }
         Ok(operator)
     }
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -1,13 +1,16 @@
 //! The second front's side of the gateway: signed webhooks, their callbacks, and the administration API.
 
-use std::path::PathBuf;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
 
 use slotmap::{new_key_type, Key, SlotMap};
 
 use super::{ConnKey, Kind, Node, NodeError, Origin, Role, BUNDLE_AGAIN, CALLBACK, CLIENT_IDLE, LINGER};
 use crate::admin;
 use crate::api::Micros;
-use crate::config::Operator;
+use crate::config::{ConfigError, Operator};
 use crate::core::{Answer, Token};
 use crate::ending::{Ending, Left};
 use crate::front::http::{self, plain, Bad};
@@ -16,6 +19,7 @@
 use crate::front::webhook::replay::Replays;
 use crate::identity::Gate;
 use crate::net::{self, KEPT_FRAME};
+use crate::tenants::TenantError;
 
 new_key_type! {
     /// The slot of a call that came as a webhook.
@@ -65,6 +69,13 @@
         let shares = self.config.settings.tenants.iter().map(|t| t.quota_per_s);
         let platform: Vec<_> = self.config.names.tenants.iter().cloned().zip(shares).collect();
         self.tenants = operator.registry(&platform).map_err(NodeError::Operator)?;
+        self.state = operator.state;
+        if let Some(path) = self.state.as_ref().filter(|p| p.exists()) {
+            let text = std::fs::read_to_string(path);
+            let text = text.map_err(|e| NodeError::Operator(ConfigError::Read(path.clone(), e)))?;
+            let bad = |e: TenantError| NodeError::Operator(ConfigError::Parse(path.clone(), e.to_string()));
+            self.tenants.restore(&text).map_err(bad)?;
+        }
         for (tenant, per_s) in self.tenants.shares() {
             self.core.share(now, tenant, per_s);
         }
@@ -151,7 +162,17 @@
 
     fn administer(&mut self, r: &http::Request<'_>, stays: bool, now: Micros) -> Vec<u8> {
         let Some(side) = &self.admin else { return refuse(&plain(404, "off"), stays) };
-        let handled = admin::handle(r, &side.gate, &mut self.tenants, &self.core.counters, now);
+        let before =
+            self.state.as_ref().filter(|_| r.method != "GET").map(|path| (path, self.tenants.clone()));
+        let mut handled = admin::handle(r, &side.gate, &mut self.tenants, &self.core.counters, now);
+        if let (Some((path, before)), true) = (before, handled.is_ok()) {
+            // A change that would be forgotten is not made.
+            if let Err(e) = keep(path, &self.tenants.state()) {
+                eprintln!("molelug: {} cannot be written: {e}", path.display());
+                self.tenants = before;
+                handled = Err(plain(500, "the change could not be kept"));
+            }
+        }
         if let Some(share) = handled.as_ref().ok().and_then(|h| h.share) {
             self.core.share(now, share.tenant, share.per_s);
         }
@@ -250,6 +271,15 @@
     }
 }
 
+/// Writes a file for its owner alone, whole or not at all.
+fn keep(path: &Path, text: &str) -> std::io::Result<()> {
+    let fresh = path.with_extension("new");
+    let mut file = OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(&fresh)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()?;
+    std::fs::rename(&fresh, path)
+}
+
 fn refuse(bad: &Bad, stays: bool) -> Vec<u8> {
     let extra = if bad.status == 503 {
         "Content-Type: text/plain\r\nRetry-After: 1\r\n"
--- a/src/tenants.rs
+++ b/src/tenants.rs
@@ -29,6 +29,8 @@
     Unknown,
     /// There are as many as there may be.
     TooMany,
+    /// The state file's text cannot be read.
+    State,
 }
 
 impl fmt::Display for TenantError {
@@ -40,6 +42,7 @@
             TenantError::Secret => "a secret is whsec_ and the base64 of 24 to 64 bytes",
             TenantError::Unknown => "no such tenant",
             TenantError::TooMany => "too many tenants or secrets",
+            TenantError::State => "the tenants' state cannot be read",
         })
     }
 }
@@ -68,6 +71,10 @@
         Ok(Secret { key, until: None })
     }
 
+    fn text(&self) -> String {
+        format!("whsec_{}", BASE64_STANDARD.encode(&self.key))
+    }
+
     /// The key's bytes.
     pub fn key(&self) -> &[u8] {
         &self.key
@@ -141,6 +148,16 @@
     }
 }
 
+/// A tenant as the state file keeps it, secrets and all.
+#[derive(Deserialize, Serialize)]
+struct Kept {
+    name: String,
+    share_per_s: f64,
+    portal: Option<String>,
+    /// Each with the time until which it counts.
+    secrets: Vec<(String, Option<Micros>)>,
+}
+
 /// What may be shown of a tenant.
 #[derive(Debug, Serialize)]
 pub struct View<'a> {
@@ -151,7 +168,7 @@
 }
 
 /// All tenants, by name.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Registry {
     tenants: BTreeMap<String, Tenant>,
     /// Numbers and shares of the platform's own tenants, which stay theirs.
@@ -258,6 +275,43 @@
         self.tenants.values().map(|t| (t.id, t.share_per_s)).collect()
     }
 
+    /// All tenants as text for the state file. It holds the secrets: it is written for its owner alone.
+    pub fn state(&self) -> String {
+        let kept = |(name, t): (&String, &Tenant)| Kept {
+            name: name.clone(),
+            share_per_s: t.share_per_s,
+            portal: t.portal.as_ref().map(Portal::to_string),
+            secrets: t.secrets.iter().map(|s| (s.text(), s.until)).collect(),
+        };
+        let list: Vec<Kept> = self.tenants.iter().map(kept).collect();
+        // Strings and numbers only: there is nothing that could not be written.
+        serde_json::to_string(&list).unwrap_or_default()
+    }
+
+    /// Takes the tenants of a state file in place of its own. On an error nothing changes.
+    pub fn restore(&mut self, text: &str) -> Result<(), TenantError> {
+        let list: Vec<Kept> = serde_json::from_str(text).map_err(|_| TenantError::State)?;
+        let mut fresh = Registry { tenants: BTreeMap::new(), ..self.clone() };
+        fresh
+            .free
+            .extend(self.tenants.iter().filter(|(n, _)| !self.reserved.contains_key(*n)).map(|(_, t)| t.id));
+        for kept in list {
+            let spec = Spec {
+                name: String::new(),
+                share_per_s: Some(kept.share_per_s),
+                portal: kept.portal,
+                secrets: vec![],
+            };
+            fresh.put(&kept.name, &spec)?;
+            let secrets =
+                kept.secrets.iter().map(|(text, until)| Ok(Secret { until: *until, ..Secret::parse(text)? }));
+            let secrets = secrets.collect::<Result<Vec<_>, TenantError>>()?;
+            fresh.tenants.entry(kept.name).and_modify(|t| t.secrets = secrets);
+        }
+        *self = fresh;
+        Ok(())
+    }
+
     /// What may be shown of one tenant.
     pub fn view<'a>(&'a self, name: &'a str, now: Micros) -> Option<View<'a>> {
         let t = self.tenants.get(name)?;
@@ -305,6 +359,24 @@
         assert!(r.get("other").is_some() && r.same("other", serial).is_none(), "the name is another's now");
     }
 
+    #[test]
+    fn what_is_kept_comes_back_with_secrets_and_their_times() {
+        let mut r = Registry::new(&[("org".into(), 5.0)]);
+        r.put("gone", &spec()).unwrap();
+        r.remove("gone").unwrap();
+        r.put("other", &spec()).unwrap();
+        r.rotate("other", B, 10, 20).unwrap();
+        let mut back = Registry::new(&[("org".into(), 5.0)]);
+        back.put("first", &spec()).unwrap();
+        back.restore(&r.state()).unwrap();
+        assert!(back.get("first").is_none(), "the state is all there is");
+        let t = back.get("other").unwrap();
+        assert_eq!((t.secrets(19).count(), t.secrets(20).count(), t.share_per_s), (2, 1, 9.0));
+        assert_eq!((back.state(), t.id), (r.state(), TenantId(1)));
+        assert_eq!(back.restore("[{}]"), Err(TenantError::State));
+        assert!(back.get("other").is_some());
+    }
+
     #[test]
     fn what_cannot_be_used_changes_nothing() {
         let mut r = Registry::new(&[]);
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -119,32 +119,32 @@
     let key = b"the key of a tenant made later..";
     let portal = Portal::start(key);
     let operator = format!(
-        "[webhooks]\nlisten = \"127.0.0.1:0\"\n[admin]\nlisten = \"127.0.0.1:0\"\ntrust_domain = \"aurora.example\"\n\
+        "state = {:?}\n[webhooks]\nlisten = \"127.0.0.1:0\"\n[admin]\nlisten = \"127.0.0.1:0\"\ntrust_domain = \"aurora.example\"\n\
          audience = \"molelug\"\nbundle = {:?}\n[[admin.callers]]\nspiffe_id = \"{VIEWER}\"\nrole = \"viewer\"\n\
          [[admin.callers]]\nspiffe_id = \"{OPERATOR}\"\nrole = \"operator\"\n",
+        folder.join("tenants.json").display().to_string(),
         path.display().to_string()
     );
     let workers = [endpoint("s-00000001", worker.address, "SERVING")];
-    let g = Gateway::start(&settings(900.0), &workers, None, Some(&operator));
-    let at = g.admin.unwrap();
+    let mut g = Gateway::start(&settings(900.0), &workers, None, Some(&operator));
     let far = u64::from(u32::MAX);
-    let ask = |who: &str, line: &str, body: &str| {
+    let ask = |g: &Gateway, who: &str, line: &str, body: &str| {
         let t = token("k1", 7, &claims(who, json!("molelug"), far));
         let (status, answer) =
-            http(at, &format!("{line} HTTP/1.1\r\nAuthorization: Bearer {t}"), body.as_bytes());
+            http(g.admin.unwrap(), &format!("{line} HTTP/1.1\r\nAuthorization: Bearer {t}"), body.as_bytes());
         (status, String::from_utf8(answer).unwrap())
     };
     let secret = format!("whsec_{}", BASE64_STANDARD.encode(key));
     let spec = json!({ "share_per_s": 5.0, "portal": format!("http://{}/in", portal.address) }).to_string();
-    assert_eq!(http(at, "GET /v1/tenants HTTP/1.1", b"").0, 401);
-    assert_eq!(ask("spiffe://aurora.example/x", "GET /v1/counters", "").0, 403, "no role, no entry");
-    assert_eq!(ask(VIEWER, "PUT /v1/tenants/clinic", &spec).0, 403);
-    assert_eq!(ask(OPERATOR, "PUT /v1/tenants/clinic", &spec).0, 201);
-    assert_eq!(ask(OPERATOR, "PUT /v1/tenants/clinic", "{\"portal\":\"ftp://x\"}").0, 422);
-    assert_eq!(ask(OPERATOR, "PUT /v1/tenants/clinic", "[]").0, 400);
+    assert_eq!(http(g.admin.unwrap(), "GET /v1/tenants HTTP/1.1", b"").0, 401);
+    assert_eq!(ask(&g, "spiffe://aurora.example/x", "GET /v1/counters", "").0, 403, "no role, no entry");
+    assert_eq!(ask(&g, VIEWER, "PUT /v1/tenants/clinic", &spec).0, 403);
+    assert_eq!(ask(&g, OPERATOR, "PUT /v1/tenants/clinic", &spec).0, 201);
+    assert_eq!(ask(&g, OPERATOR, "PUT /v1/tenants/clinic", "{\"portal\":\"ftp://x\"}").0, 422);
+    assert_eq!(ask(&g, OPERATOR, "PUT /v1/tenants/clinic", "[]").0, 400);
     let rotation = json!({ "secret": secret }).to_string();
-    assert_eq!(ask(OPERATOR, "POST /v1/tenants/none/secrets", &rotation).0, 404);
-    let (status, shown) = ask(OPERATOR, "POST /v1/tenants/clinic/secrets", &rotation);
+    assert_eq!(ask(&g, OPERATOR, "POST /v1/tenants/none/secrets", &rotation).0, 404);
+    let (status, shown) = ask(&g, OPERATOR, "POST /v1/tenants/clinic/secrets", &rotation);
     assert!(status == 200 && !shown.contains(&secret[6..]), "{shown}");
     // The tenant works at once, with the secret just given.
     let data = json!({ "class": "disponibilidad", "function": "0000000000000001" });
@@ -159,14 +159,25 @@
     assert_eq!(http(g.webhooks.unwrap(), &head, &body).0, 202);
     until("its callback comes", || portal.count() == 1);
     assert!(portal.by_call()["m1"][0].signed);
-    let (status, shown) = ask(VIEWER, "GET /v1/tenants", "");
+    let (status, shown) = ask(&g, VIEWER, "GET /v1/tenants", "");
     let list: Value = serde_json::from_str(&shown).unwrap();
     assert_eq!((status, &list[0]["name"], &list[0]["secrets"]), (200, &json!("clinic"), &json!(1)));
-    let (_, counters) = ask(VIEWER, "GET /v1/counters", "");
+    let (_, counters) = ask(&g, VIEWER, "GET /v1/counters", "");
     assert!(counters.contains("\"webhooks_taken\":1"), "{counters}");
-    assert_eq!(ask(OPERATOR, "DELETE /v1/tenants/clinic", "").0, 204);
+    // Over a restart the tenant and its secret stay.
+    assert_eq!(g.stop()["callbacks_delivered"], 1);
+    g = Gateway::start(&settings(900.0), &workers, None, Some(&operator));
+    assert!(ask(&g, VIEWER, "GET /v1/tenants/clinic", "").1.contains("\"secrets\":1"));
+    let mode = std::fs::metadata(folder.join("tenants.json")).unwrap().permissions();
+    assert_eq!(std::os::unix::fs::PermissionsExt::mode(&mode) & 0o777, 0o600);
+    assert_eq!(ask(&g, OPERATOR, "DELETE /v1/tenants/clinic", "").0, 204);
     assert_eq!(http(g.webhooks.unwrap(), &head, &body).0, 401, "gone with its secrets");
-    assert_eq!(ask(VIEWER, "GET /v1/nothing", "").0, 404);
-    assert_eq!(ask(OPERATOR, "PATCH /v1/tenants", "").0, 405);
+    // What cannot be kept is not done.
+    std::fs::remove_file(folder.join("tenants.json")).unwrap();
+    std::fs::create_dir(folder.join("tenants.json")).unwrap();
+    assert_eq!(ask(&g, OPERATOR, "PUT /v1/tenants/clinic", &spec).0, 500);
+    assert_eq!(ask(&g, VIEWER, "GET /v1/tenants/clinic", "").0, 404);
+    assert_eq!(ask(&g, VIEWER, "GET /v1/nothing", "").0, 404);
+    assert_eq!(ask(&g, OPERATOR, "PATCH /v1/tenants", "").0, 405);
     std::fs::remove_dir_all(&folder).unwrap();
 }
