Hold back a client that asks and never reads

Beyond 64 KiB unread its input now waits until the queue has gone. Tested with a client that writes until it is blocked and then reads every answer.

--- a/src/net.rs
+++ b/src/net.rs
@@ -14,6 +14,8 @@
 
 /// Bytes that a buffer starts with.
 const FIRST: usize = 2048;
+/// Bytes that may wait for a client before no further request of its is taken.
+const UNREAD: usize = 64 * 1024;
 /// An empty buffer larger than this is given back.
 const KEPT: usize = 64 * 1024;
 
@@ -204,6 +206,8 @@
     pub more: bool,
     /// Whether the peer has ended its side.
     pub ended: bool,
+    /// Whether its input waits until what it is owed has been written.
+    pub paused: bool,
     /// Whether it closes once everything has been written.
     pub closing: bool,
     /// Whether, closing, it first reads on until the peer ends. Guards the last answer: a socket closed with
@@ -224,6 +228,7 @@
             up,
             more: false,
             ended: false,
+            paused: false,
             closing: false,
             linger: false,
             deadline: None,
@@ -267,6 +272,13 @@
         }
     }
 
+    /// Whether so much waits to be written that no further request is taken for now. Guards memory against a
+    /// client that sends and never reads.
+    pub fn hold_back(&mut self) -> bool {
+        self.paused = self.out.len() > UNREAD;
+        self.paused
+    }
+
     /// Reads on if reading had stopped at the limit; tells whether anything new came.
     pub fn refill(&mut self, limit: usize) -> bool {
         let held = self.input.bytes().len();
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -17,6 +17,10 @@
                     Ok(true) if conn.closing && (!conn.linger || conn.hang_up()) => {
                         self.close(key, Ending::Closed)
                     }
+                    Ok(true) if conn.paused => {
+                        conn.paused = false;
+                        self.ready.push(key);
+                    }
                     Ok(_) => {}
                     Err(ending) => self.close(key, ending),
                 }
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -121,7 +121,7 @@
     pub(super) fn on_second(&mut self, key: ConnKey, now: Micros) {
         loop {
             let Some((conn, Role::Client { kind, keep, .. })) = self.conns.get_mut(key) else { return };
-            if conn.closing {
+            if conn.closing || conn.hold_back() {
                 return;
             }
             let kind = *kind;
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -74,6 +74,29 @@
     all_are_served_in_turn((1024, 40));
 }
 
+/// Guards memory: a client that asks and never reads is not read from any further, and served once it reads.
+#[test]
+fn a_client_that_never_reads_is_held_back() {
+    let g = Gateway::start(&settings(2500.0), &[], None, None);
+    let mut c = TcpStream::connect(g.platform).unwrap();
+    let ping = b"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n";
+    let pings = ping.repeat(2_000);
+    c.set_write_timeout(Some(std::time::Duration::from_millis(700))).unwrap();
+    let mut written = 0;
+    while written < 64 << 20 {
+        match c.write(&pings[written % ping.len()..]) {
+            Ok(n) => written += n,
+            Err(_) => break,
+        }
+    }
+    assert!(written < 64 << 20, "it stops reading long before this");
+    let mut held = Vec::new();
+    for _ in 0..written / ping.len() {
+        let whole = read_message(&mut c, &mut held, http_length).expect("every question is answered");
+        assert!(whole.starts_with(b"HTTP/1.1 200"));
+    }
+}
+
 /// Guards the second answer: a refusal comes at once when the module gives up, and says when to come back.
 #[test]
 fn what_the_module_gives_up_is_refused_at_once_with_advice() {
