Keep the replay store in a file, so that a restart takes no call twice

A booking taken before a restart could be sent again after it by its sender, signed anew, and would have run twice. An operator may name a replay file; identities are written before the 202, and one that cannot be written is refused. Without a file, time stamps of the very second of the start are refused too, as they may be of either process. The new test found that a rewrite of the file at the moment of a call lost that call's own line.

--- a/src/config.rs
+++ b/src/config.rs
@@ -239,6 +239,8 @@
     /// Identities remembered against replays.
     #[serde(default = "default_replays")]
     pub replay_entries: usize,
+    /// Where they are kept over restarts.
+    pub replay_file: Option<PathBuf>,
     /// Calls and callbacks that may be under way at once.
     #[serde(default = "default_pending")]
     pub pending: usize,
@@ -321,6 +323,9 @@
         })?;
         if let Some(folder) = path.parent() {
             operator.state = operator.state.map(|state| folder.join(state));
+            if let Some(w) = &mut operator.webhooks {
+                w.replay_file = w.replay_file.take().map(|file| folder.join(file));
+            }
             if let Some(admin) = &mut operator.admin {
                 admin.bundle = folder.join(&admin.bundle);
             }
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -65,8 +65,9 @@
 pub struct Inbound {
     /// How far a time stamp may be off, in seconds.
     pub tolerance_s: u64,
-    /// When this process started: what was signed before may have been taken by the process before it.
-    pub started: Micros,
+    /// When this process started, if it forgot what was taken before: that may have been taken by the process
+    /// before it.
+    pub started: Option<Micros>,
     /// What was taken.
     pub replays: Replays,
     /// Makes identities for workers that no other gateway or start makes.
@@ -103,10 +104,14 @@
             return Err(refused);
         }
         let seconds = now / 1_000_000;
-        // A start forgets what was taken before it, so nothing signed before it is taken now.
-        if stamp.abs_diff(seconds) > self.tolerance_s || stamp < self.started / 1_000_000 {
+        let started = self.started.map(|t| t / 1_000_000);
+        if stamp.abs_diff(seconds) > self.tolerance_s || started.is_some_and(|s| stamp < s) {
             return Err(plain(401, "time stamp refused"));
         }
+        // Time stamps are whole seconds: this one may be of either process.
+        if started == Some(stamp) {
+            return Err(plain(503, "just started"));
+        }
         let call = self.call(r.body, (name, tenant), id, names, now)?;
         if tenant.portal.is_none() {
             return Err(plain(422, "the tenant has no portal for the answer"));
--- a/src/front/webhook/replay.rs
+++ b/src/front/webhook/replay.rs
@@ -1,6 +1,9 @@
 //! The store of identities seen: bounded, and closed rather than forgetful when it is full.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
 
 use sha2::{Digest, Sha256};
 
@@ -8,6 +11,32 @@
 
 type Mark = [u8; 32];
 
+/// A file is written anew once it holds so many times more lines than the store holds marks, and no fewer.
+const SLACK: usize = 2;
+const FEWEST: usize = 4096;
+
+/// Where the store is kept: a line for each identity, `UNTIL MARK`. It survives the process.
+#[derive(Debug)]
+struct Kept {
+    path: PathBuf,
+    file: File,
+    lines: usize,
+}
+
+fn line(until: Micros, mark: &Mark) -> String {
+    let hex: String = mark.iter().map(|b| format!("{b:02x}")).collect();
+    format!("{until} {hex}\n")
+}
+
+fn parse(line: &str) -> Option<(Micros, Mark)> {
+    let (until, hex) = line.split_once(' ').filter(|(_, h)| h.len() == 64 && h.is_ascii())?;
+    let mut mark = Mark::default();
+    for (i, byte) in mark.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).ok()?;
+    }
+    Some((until.parse().ok()?, mark))
+}
+
 /// What an identity is to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
@@ -15,7 +44,7 @@
     New,
     /// It was taken before.
     Before,
-    /// There is no room to remember it.
+    /// There is no room to remember it, or it could not be written.
     Full,
 }
 
@@ -25,12 +54,50 @@
     most: usize,
     until: BTreeMap<Mark, Micros>,
     order: BTreeSet<(Micros, Mark)>,
+    kept: Option<Kept>,
 }
 
 impl Replays {
     /// A store for so many.
     pub fn new(most: usize) -> Replays {
-        Replays { most, until: BTreeMap::new(), order: BTreeSet::new() }
+        Replays { most, until: BTreeMap::new(), order: BTreeSet::new(), kept: None }
+    }
+
+    /// A store kept in a file, with what it holds that is still valid. A line cut off by a kill is passed over:
+    /// its call was never answered with 202.
+    pub fn open(path: &Path, most: usize, now: Micros) -> io::Result<Replays> {
+        let mut store = Replays::new(most);
+        let text = match std::fs::read_to_string(path) {
+            Err(e) if e.kind() == io::ErrorKind::NotFound => String::new(),
+            text => text?,
+        };
+        for (until, mark) in text.lines().filter_map(parse).filter(|(until, _)| *until >= now) {
+            store.until.insert(mark, until);
+            store.order.insert((until, mark));
+        }
+        store.rewrite(path)?;
+        Ok(store)
+    }
+
+    fn rewrite(&mut self, path: &Path) -> io::Result<()> {
+        let fresh = path.with_extension("new");
+        let text: String = self.order.iter().map(|(until, mark)| line(*until, mark)).collect();
+        std::fs::write(&fresh, text)?;
+        std::fs::rename(&fresh, path)?;
+        let file = OpenOptions::new().append(true).open(path)?;
+        self.kept = Some(Kept { path: path.to_owned(), file, lines: self.order.len() });
+        Ok(())
+    }
+
+    fn keep(&mut self, until: Micros, mark: &Mark) -> io::Result<()> {
+        let Some(kept) = &mut self.kept else { return Ok(()) };
+        kept.file.write_all(line(until, mark).as_bytes())?;
+        kept.lines += 1;
+        if kept.lines > FEWEST.max(SLACK * self.until.len()) {
+            let path = kept.path.clone();
+            self.rewrite(&path)?;
+        }
+        Ok(())
     }
 
     /// Takes an identity of a tenant, to be remembered until `until`. Guards against forgetting under a flood:
@@ -51,8 +118,14 @@
         if self.until.len() >= self.most {
             return Seen::Full;
         }
+        // Held first: a file written anew at this moment must have it too.
         self.until.insert(mark, until);
         self.order.insert((until, mark));
+        if self.keep(until, &mark).is_err() {
+            self.until.remove(&mark);
+            self.order.remove(&(until, mark));
+            return Seen::Full;
+        }
         Seen::New
     }
 }
@@ -71,4 +144,28 @@
         assert_eq!(r.take("t", "b", 11, 20), Seen::New);
         assert_eq!(r.take("ta", "", 12, 20), Seen::Full, "and not taken for tenant t's a");
     }
+
+    #[test]
+    fn a_file_outlives_the_process_and_a_line_cut_off() {
+        let folder = std::env::temp_dir().join(format!("molelug-replays-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let path = folder.join("seen");
+        let mut r = Replays::open(&path, 3, 0).unwrap();
+        assert_eq!((r.take("t", "a", 0, 10), r.take("t", "b", 0, 20)), (Seen::New, Seen::New));
+        drop(r);
+        let mut text = std::fs::read_to_string(&path).unwrap();
+        text.push_str("30 0011");
+        std::fs::write(&path, text).unwrap();
+        let mut r = Replays::open(&path, 3, 15).unwrap();
+        assert_eq!((r.take("t", "a", 15, 30), r.take("t", "b", 15, 30)), (Seen::New, Seen::Before));
+        // Written anew before it has grown without bound, and nothing valid is lost by it.
+        for i in 0..2 * FEWEST as u64 {
+            assert_eq!(r.take("t", &format!("c{i}"), 100 + i, 100 + i), Seen::New);
+        }
+        assert!(std::fs::read_to_string(&path).unwrap().lines().count() <= FEWEST + 1);
+        let last = format!("c{}", 2 * FEWEST - 1);
+        let now = 99 + 2 * FEWEST as u64;
+        assert_eq!(Replays::open(&path, 3, now).unwrap().take("t", &last, now, now), Seen::Before);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
 }
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -80,11 +80,16 @@
             self.core.share(now, tenant, per_s);
         }
         if let Some(w) = operator.webhooks {
+            let replays = match &w.replay_file {
+                Some(path) => Replays::open(path, w.replay_entries, now)
+                    .map_err(|e| NodeError::Operator(ConfigError::Read(path.clone(), e)))?,
+                None => Replays::new(w.replay_entries),
+            };
             self.hooks = Some(Hooks {
                 inbound: Inbound {
                     tolerance_s: w.tolerance_s,
-                    started: now,
-                    replays: Replays::new(w.replay_entries),
+                    started: w.replay_file.is_none().then_some(now),
+                    replays,
                     seed: self.config.seed,
                     classes: self.config.settings.classes.clone(),
                 },
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -119,10 +119,11 @@
     let key = b"the key of a tenant made later..";
     let portal = Portal::start(key);
     let operator = format!(
-        "state = {:?}\n[webhooks]\nlisten = \"127.0.0.1:0\"\n[admin]\nlisten = \"127.0.0.1:0\"\ntrust_domain = \"aurora.example\"\n\
+        "state = {:?}\n[webhooks]\nlisten = \"127.0.0.1:0\"\nreplay_file = {:?}\n[admin]\nlisten = \"127.0.0.1:0\"\ntrust_domain = \"aurora.example\"\n\
          audience = \"molelug\"\nbundle = {:?}\n[[admin.callers]]\nspiffe_id = \"{VIEWER}\"\nrole = \"viewer\"\n\
          [[admin.callers]]\nspiffe_id = \"{OPERATOR}\"\nrole = \"operator\"\n",
         folder.join("tenants.json").display().to_string(),
+        folder.join("seen").display().to_string(),
         path.display().to_string()
     );
     let workers = [endpoint("s-00000001", worker.address, "SERVING")];
--- a/tests/webhooks.rs
+++ b/tests/webhooks.rs
@@ -44,6 +44,14 @@
     http(g.webhooks.expect("webhooks are on"), &head, body).0
 }
 
+/// A gateway that is past its first second: without a file it takes nothing signed in or before that.
+fn start(workers: &[Worker], portal: SocketAddr) -> Gateway {
+    let g = Gateway::start(&settings(900.0), &endpoints(workers), None, Some(&operator(portal)));
+    let first = now_s();
+    until("its first second is over", || now_s() > first);
+    g
+}
+
 fn endpoints(workers: &[Worker]) -> Vec<serde_json::Value> {
     workers
         .iter()
@@ -56,7 +64,7 @@
 fn one_callback_each_while_workers_die_and_fall_silent() {
     let workers: Vec<Worker> = (0..5).map(|_| Worker::start()).collect();
     let portal = Portal::start(KEY);
-    let g = Gateway::start(&settings(900.0), &endpoints(&workers), None, Some(&operator(portal.address)));
+    let g = start(&workers, portal.address);
     let mut sent = BTreeMap::new();
     for i in 0..90u64 {
         match i {
@@ -96,7 +104,7 @@
 fn a_callback_cut_off_mid_delivery_follows_its_class() {
     let workers = [Worker::start()];
     let portal = Portal::start(KEY);
-    let g = Gateway::start(&settings(900.0), &endpoints(&workers), None, Some(&operator(portal.address)));
+    let g = start(&workers, portal.address);
     portal.drops.store(1, Ordering::SeqCst);
     assert_eq!(call(&g, KEY, "booking", now_s(), &event("confirmar-traslado", 1)), 202);
     until("the portal has seen it", || portal.count() == 1);
@@ -119,7 +127,7 @@
     let closed = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = closed.local_addr().unwrap();
     drop(closed);
-    let g = Gateway::start(&settings(900.0), &endpoints(&workers), None, Some(&operator(address)));
+    let g = start(&workers, address);
     assert_eq!(call(&g, KEY, "booking", now_s(), &event("confirmar-traslado", 1)), 202);
     until("it has run", || workers[0].gos.lock().unwrap().len() == 1);
     let portal = Portal::on(TcpListener::bind(address).expect("the port is still free"), KEY);
@@ -133,7 +141,7 @@
 fn what_is_forged_stale_or_replayed_never_reaches_the_module() {
     let workers = [Worker::start()];
     let portal = Portal::start(KEY);
-    let g = Gateway::start(&settings(900.0), &endpoints(&workers), None, Some(&operator(portal.address)));
+    let g = start(&workers, portal.address);
     let body = event("confirmar-traslado", 1);
     assert_eq!(call(&g, OTHER, "a", now_s(), &body), 401, "forged");
     assert_eq!(call(&g, KEY, "a", now_s() - 301, &body), 401, "stale");
@@ -156,3 +164,28 @@
     assert_eq!((&counters["taken"], &counters["webhooks_taken"]), (&json!(1), &json!(1)), "{counters}");
     assert_eq!((workers[0].gos.lock().unwrap().len(), portal.count()), (1, 1));
 }
+
+/// Guards a restart: what was taken before it is known after it, and without a file nothing signed before is taken.
+#[test]
+fn a_call_taken_before_a_restart_is_not_taken_again() {
+    let workers = [Worker::start()];
+    let portal = Portal::start(KEY);
+    let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("seen-{}", std::process::id()));
+    let line = format!("[webhooks]\nreplay_file = {:?}\n", file.display().to_string());
+    let kept = operator(portal.address).replace("[webhooks]\n", &line);
+    let begin = |operator: &str| Gateway::start(&settings(900.0), &endpoints(&workers), None, Some(operator));
+    let (body, at) = (event("confirmar-traslado", 1), now_s());
+    let g = begin(&kept);
+    assert_eq!(call(&g, KEY, "a", at, &body), 202);
+    until("the callback comes", || portal.count() == 1);
+    g.stop();
+    let g = begin(&kept);
+    assert_eq!(call(&g, KEY, "a", at, &body), 409, "the same bytes");
+    assert_eq!(call(&g, KEY, "a", now_s(), &body), 409, "signed anew");
+    g.stop();
+    let g = start(&workers, portal.address);
+    assert_eq!(call(&g, KEY, "a", at, &body), 401, "without a file: signed before the start");
+    let counters = g.stop();
+    assert_eq!((portal.count(), &counters["taken"]), (1, &json!(0)));
+    std::fs::remove_file(&file).unwrap();
+}
