Read the configuration anew on SIGHUP, let idle clients yield, forget workers gone

Looked at and ruled out: CPU (0.04 s in its worst second), memory (1 MB), workers (no error, 0 refused). The 153 places (limits.sockets * 3/5, node.rs) were held by clients that ask once and stay, for CLIENT_IDLE = 15 s, and accept_from returned when they were taken: 10 such clients a second fill them within the first 15 s.

SIGHUP: the file is read and checked; from it the board is taken, with the version held as Last-Event-ID; a file that cannot be used changes nothing and is told. Clients: 4.5 s idle, 2 s for a whole request, and when all places are taken the longest idle yields; places are what is left after 56 descriptors for the rest; the listener's queue is 1,024. Board: silent for 2.2 s it is asked again (was 4 s, as long as its news counts as told); an older whole list written twice is passed over. Workers that have gone are forgotten by roster and module.

--- a/src/api.rs
+++ b/src/api.rs
@@ -70,7 +70,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Micros,
@@ -85,7 +85,7 @@
 }
 
 /// A tenant's share of the service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second over all instances that are within its share; 0 where none is stated.
     pub quota_per_s: f64,
@@ -113,7 +113,7 @@
 }
 
 /// What the module is told at start. It holds no names.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// How many instances share the work.
     pub instances: u32,
--- a/src/board.rs
+++ b/src/board.rs
@@ -1,6 +1,6 @@
 //! The notice board: server-sent events over HTTP, and the list of workers that they tell.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -123,6 +123,8 @@
     taken: BTreeMap<WorkerId, String>,
     /// Where each worker listens.
     pub addresses: BTreeMap<WorkerId, SocketAddr>,
+    /// Workers that have left the list and are forgotten once nothing is open to them.
+    gone: BTreeSet<WorkerId>,
 }
 
 impl Roster {
@@ -148,11 +150,19 @@
     pub fn apply(&mut self, notice: &Notice) -> (Vec<Member>, Vec<WorkerId>) {
         let mut moved = Vec::new();
         let mut members = Vec::with_capacity(notice.endpoints.len());
+        if notice.snapshot {
+            self.gone.extend(self.addresses.keys());
+        }
         for e in &notice.endpoints {
             let worker = self.number(&e.name);
             if self.addresses.insert(worker, e.address).is_some_and(|old| old != e.address) {
                 moved.push(worker);
             }
+            if e.status == Status::Gone {
+                self.gone.insert(worker);
+            } else {
+                self.gone.remove(&worker);
+            }
             members.push(Member {
                 worker,
                 zone: e.zone,
@@ -164,6 +174,30 @@
         }
         (members, moved)
     }
+
+    /// Forgets the workers that have left the list, but for those still in use. Guards memory where workers
+    /// keep being replaced by new ones.
+    pub fn forget_gone(&mut self, in_use: impl Fn(&WorkerId) -> bool) {
+        let (kept, gone) = std::mem::take(&mut self.gone).into_iter().partition(|w| in_use(w));
+        self.gone = kept;
+        let gone: BTreeSet<WorkerId> = gone;
+        for worker in gone {
+            self.addresses.remove(&worker);
+            if let Some(name) = self.taken.remove(&worker) {
+                self.numbers.remove(&name);
+            }
+        }
+    }
+
+    /// How many workers it knows.
+    pub fn len(&self) -> usize {
+        self.numbers.len()
+    }
+
+    /// Whether it knows none.
+    pub fn is_empty(&self) -> bool {
+        self.numbers.is_empty()
+    }
 }
 
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -349,6 +383,25 @@
         assert_eq!(Roster::default().number(&e.name), WorkerId(0x00c4_1f7a), "the same at every gateway");
     }
 
+    #[test]
+    fn workers_that_have_gone_are_forgotten_once_nothing_is_open_to_them() {
+        let mut roster = Roster::default();
+        for n in 0..1000u32 {
+            let text = |n: u32, status| notice(status).replace("00c41f7a", &format!("{n:08x}"));
+            roster.apply(&Notice::parse(&text(n, "SERVING"), &names()).unwrap());
+            let old = n.saturating_sub(3);
+            roster.apply(&Notice::parse(&text(old, "DELETED"), &names()).unwrap());
+            roster.forget_gone(|w| *w == WorkerId(7));
+        }
+        assert!(roster.len() == 4 && roster.addresses.len() == 4 && roster.taken.len() == 4);
+        assert!(roster.addresses.contains_key(&WorkerId(7)), "something was open to it");
+        // A whole list names all there are.
+        let whole = notice("SERVING").replace("\"snapshot\":false", "\"snapshot\":true");
+        roster.apply(&Notice::parse(&whole, &names()).unwrap());
+        roster.forget_gone(|_| false);
+        assert_eq!(roster.addresses.keys().collect::<Vec<_>>(), [&WorkerId(0x00c4_1f7a)]);
+    }
+
     #[test]
     fn what_cannot_be_used_is_told_clearly() {
         let told = |text: &str| Notice::parse(text, &names()).unwrap_err().to_string();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -418,6 +418,7 @@
                 (f.last_calls, f.calls, f.sum) = (f.calls, 0.0, 0.0);
                 f.total *= (MEMORY / f.answers).min(1.0);
                 f.answers = f.answers.min(MEMORY);
+                f.copies.retain(|w, c| c.own > 0 || self.workers.contains_key(w));
             }
         }
         self.survey(now);
--- a/src/config.rs
+++ b/src/config.rs
@@ -88,7 +88,7 @@
 }
 
 /// Names that the wires use, by their places in the module's settings.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     /// Classes.
     pub classes: Vec<String>,
@@ -108,6 +108,8 @@
 /// A gateway's configuration.
 #[derive(Debug)]
 pub struct Config {
+    /// Its file, if it came from one.
+    pub file: Option<PathBuf>,
     /// Its name.
     pub name: String,
     /// Where clients connect.
@@ -147,10 +149,23 @@
     /// Reads a file; `name` and `listen` win over what it says.
     pub fn read(path: &Path, name: Option<String>, listen: Option<String>) -> Result<Config, ConfigError> {
         let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Read(path.into(), e))?;
-        Config::parse(&text, name, listen).map_err(|e| match e {
+        let read = Config::parse(&text, name, listen).map_err(|e| match e {
             ConfigError::Parse(_, e) => ConfigError::Parse(path.into(), e),
             e => e,
-        })
+        })?;
+        Ok(Config { file: Some(path.into()), ..read })
+    }
+
+    /// Reads the same file again, under the same name and for the same listener.
+    pub fn again(&self) -> Result<Config, ConfigError> {
+        let path = self.file.as_ref().ok_or(ConfigError::Missing("RELAY_CONFIG"))?;
+        Config::read(path, Some(self.name.clone()), Some(self.listen.to_string()))
+    }
+
+    /// All that a running gateway keeps until it is started anew.
+    pub fn fixed(&self) -> impl PartialEq + '_ {
+        let limits = (self.limits.sockets, self.connect_limit, self.conn_idle, self.streams, self.most_held);
+        (&self.settings, &self.names, limits)
     }
 
     /// Reads the JSON itself.
@@ -185,6 +200,7 @@
             Notice::from_value(n, &names).map_err(|e| ConfigError::Value("known.notices", e.to_string()))
         });
         Ok(Config {
+            file: None,
             name: name.or(raw.name).unwrap_or_default(),
             listen: address("RELAY_LISTEN", &listen)?,
             seed: seed(&raw.seed)?,
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -30,6 +30,8 @@
     pub probes: u64,
     /// Client connections accepted.
     pub accepted: u64,
+    /// Idle client connections closed to make room for new ones.
+    pub yielded: u64,
     /// Requests turned away before they reached the module.
     pub bad_requests: u64,
     /// Worker connections opened.
--- a/src/net.rs
+++ b/src/net.rs
@@ -215,11 +215,13 @@
     pub linger: bool,
     /// When it is given up, if that stands hung among the deadlines.
     pub deadline: Option<Micros>,
+    /// Since when nothing has been open on it.
+    pub idle: Micros,
 }
 
 impl Conn {
     /// Wraps a stream that is non-blocking and registered.
-    pub fn new(stream: Stream, token: RegistrationToken, up: bool) -> Conn {
+    pub fn new(stream: Stream, token: RegistrationToken, up: bool, now: Micros) -> Conn {
         Conn {
             stream,
             token,
@@ -232,6 +234,7 @@
             closing: false,
             linger: false,
             deadline: None,
+            idle: now,
         }
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -29,6 +29,7 @@
 mod clients;
 mod commands;
 mod listing;
+mod reload;
 mod second;
 use second::{AdminSide, CallbackKey, Hooks, JobKey};
 
@@ -45,8 +46,16 @@
 const ACCEPT_AGAIN: Token = Token { kind: 2, number: 2 };
 const BUNDLE_AGAIN: Token = Token { kind: 2, number: 3 };
 
-/// A client's connection without an open request is closed after this; clients themselves close after 4 s.
-const CLIENT_IDLE: Micros = 15_000_000;
+/// A client's connection without an open request is closed after this; clients themselves close after 4 s, but
+/// for those that ask once and stay.
+const CLIENT_IDLE: Micros = 4_500_000;
+/// A client has this long to send a whole request, counted from its connect or from the request's first byte.
+const CLIENT_SLOW: Micros = 2_000_000;
+/// When all places are taken, a connection that has been idle for this long may yield its own to a new one:
+/// long enough for a request that is on its way to have come.
+const CLIENT_YIELDS: Micros = 150_000;
+/// Descriptors kept for all that is not a client: workers, the board, portals, files, the event loop itself.
+const RESERVED: usize = 56;
 /// How long connections are accepted after SIGTERM: they keep coming for 0.4 s, requests for 0.2 s more.
 const DRAIN: Micros = 900_000;
 /// Answers larger than this are counted against what may wait for slow clients in all.
@@ -55,13 +64,17 @@
 /// How long a connection that was turned away may still send.
 const LINGER: Micros = 1_000_000;
 /// The board sends a comment every second; silent for this long it is asked anew.
-const BOARD_SILENT: Micros = 4_000_000;
-const BOARD_PAUSE: Micros = 200_000;
+const BOARD_SILENT: Micros = 2_200_000;
+const BOARD_PAUSE: Micros = 100_000;
 const ACCEPT_PAUSE: Micros = 50_000;
+/// Connections that may wait to be accepted.
+const BACKLOG_CONNECTS: i32 = 1024;
 /// Bytes that may wait on a worker's connection before new requests take another.
 const BACKLOG: usize = 256 << 10;
 /// A worker's connection on which something is given up after so long a silence takes nothing new.
 const SILENT: Micros = 1_000_000;
+/// How often a connection that takes nothing new is looked at, to be closed once nothing is open on it.
+const RETIRED_AGAIN: Micros = 250_000;
 /// Connections to one worker at once.
 const MOST_LINKS: usize = 4;
 
@@ -191,7 +204,8 @@
         }
         let listed = members.into_values().filter(|m| m.status != Status::Gone).collect();
         core.members(now, ListKind::Cached, listed);
-        let most_clients = (config.limits.sockets * 3 / 5).max(8);
+        let sockets = config.limits.sockets;
+        let most_clients = sockets.saturating_sub(RESERVED).max(sockets / 2).max(8);
         core.hang(now, BOARD_AGAIN);
         let most_others =
             if operator.webhooks.is_some() || operator.admin.is_some() { most_clients / 4 } else { 0 };
@@ -234,6 +248,9 @@
     fn listen(&mut self, kind: Kind, address: SocketAddr) -> Result<(), NodeError> {
         let fail = |e| NodeError::Listen(address, e);
         let socket = TcpListener::bind(address).map_err(fail)?;
+        // The library's queue of 128 overflows in a flood, and a connect that is dropped comes again after a
+        // second only.
+        rustix::net::listen(&socket, BACKLOG_CONNECTS).map_err(|e| fail(e.into()))?;
         socket.set_nonblocking(true).map_err(fail)?;
         let socket = Rc::new(socket);
         let source = Generic::new(Fd(socket.clone()), Interest::READ, Mode::Edge);
@@ -265,9 +282,10 @@
         self.address_of(Kind::Admin)
     }
 
-    /// Has SIGTERM and SIGINT end the gateway in order and SIGUSR1 print the counters.
+    /// Has SIGTERM and SIGINT end the gateway in order, SIGHUP read the configuration anew and SIGUSR1 print the
+    /// counters. To be called before anything is said to be ready: an unheeded signal ends the process.
     pub fn heed_signals(&self) -> Result<(), NodeError> {
-        let source = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])?;
+        let source = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])?;
         let note = |event: calloop::signals::Event, _: &mut (), node: &mut Node| {
             node.signals.push(event.signal());
         };
@@ -302,6 +320,7 @@
         for signal in std::mem::take(&mut self.signals) {
             match signal {
                 Signal::SIGUSR1 => eprintln!("counters {}", self.core.counters),
+                Signal::SIGHUP => self.reload(),
                 _ => self.drain(),
             }
         }
@@ -338,6 +357,7 @@
     // ---- Connections ----
 
     fn add(&mut self, stream: std::net::TcpStream, up: bool, role: Role) -> io::Result<ConnKey> {
+        let now = self.clock.now();
         let (handle, stream) = (&self.handle, Stream(Rc::new(stream)));
         self.conns.try_insert_with_key(|key| {
             let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
@@ -347,7 +367,7 @@
             };
             let token =
                 handle.insert_source(source, note).map_err(|e| io::Error::other(e.error.to_string()))?;
-            Ok((Conn::new(stream, token, up), role))
+            Ok((Conn::new(stream, token, up, now), role))
         })
     }
 
@@ -499,7 +519,11 @@
                 self.close(key, Ending::Idle)
             }
             Role::Worker(link) => {
-                let next = if link.open() == 0 { link.heard + idle } else { now + idle };
+                let next = match link.open() {
+                    _ if link.suspect => now + RETIRED_AGAIN,
+                    0 => link.heard + idle,
+                    _ => now + idle,
+                };
                 self.set_deadline(key, Some(next));
             }
             Role::Board(_) | Role::Portal(_) => {
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -19,10 +19,11 @@
                 Kind::Platform => self.clients - self.others < self.most_clients - self.most_others,
                 _ => self.others < self.most_others,
             };
-            if !room {
+            let socket = listener.socket.clone();
+            if !room && !self.make_room(kind) {
                 return;
             }
-            match listener.socket.accept() {
+            match socket.accept() {
                 Ok((stream, _)) => {
                     let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
                     let role = Role::Client { kind, open: None, keep: true };
@@ -31,7 +32,7 @@
                     self.others += usize::from(kind != Kind::Platform);
                     self.core.counters.accepted += 1;
                     let now = self.clock.now();
-                    self.set_deadline(key, Some(now + CLIENT_IDLE));
+                    self.set_deadline(key, Some(now + CLIENT_SLOW));
                     self.on_ready(key);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -48,6 +49,28 @@
         }
     }
 
+    /// All places are taken: closes the connection that has had nothing open for longest. Guards the places
+    /// against clients that ask once and stay, or that connect and say nothing. Where none has been idle for
+    /// long enough, it is tried again once one has.
+    fn make_room(&mut self, kind: Kind) -> bool {
+        let idle = self.conns.iter().filter_map(|(key, (conn, role))| match role {
+            Role::Client { kind: k, open: None, .. }
+                if (*k == Kind::Platform) == (kind == Kind::Platform) =>
+            {
+                Some((conn.idle, key))
+            }
+            _ => None,
+        });
+        let Some((since, key)) = idle.min() else { return false };
+        if self.clock.now() < since + CLIENT_YIELDS {
+            self.core.hang(since + CLIENT_YIELDS, ACCEPT_AGAIN);
+            return false;
+        }
+        self.core.counters.yielded += 1;
+        self.close(key, Ending::Overflow);
+        true
+    }
+
     pub(super) fn on_client(&mut self, key: ConnKey, now: Micros) {
         loop {
             let Some((conn, Role::Client { open, keep, .. })) = self.conns.get_mut(key) else { return };
@@ -65,6 +88,11 @@
                     if conn.ended {
                         self.ready.push(key);
                     }
+                    // A request that comes by and by has its time from its first byte on.
+                    let due = now + CLIENT_SLOW;
+                    if !conn.input.bytes().is_empty() && conn.deadline.is_none_or(|t| t > due) {
+                        self.set_deadline(key, Some(due));
+                    }
                     return;
                 }
                 Err(bad) => {
@@ -121,6 +149,7 @@
         }
         let Some((conn, Role::Client { open, keep, .. })) = self.conns.get_mut(key) else { return };
         *open = None;
+        conn.idle = now;
         let stays = *keep && accepting;
         conn.out.push(net::KEPT_FRAME, platform::answer(answer, stays));
         conn.closing = !stays;
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -32,17 +32,21 @@
                 return true;
             }
         };
-        if !notice.snapshot {
-            if notice.rev <= self.last_rev {
-                return true;
-            }
-            if notice.rev > self.last_rev + 1 && self.gap_at != Some(self.last_rev) {
-                self.gap_at = Some(self.last_rev);
-                return false;
-            }
+        self.on_notice(now, &notice)
+    }
+
+    /// Takes one notice; `false` if one before it was missed. One that is older than the list held is passed
+    /// over: a board may write an event twice, and an old whole list would bring back workers that have gone.
+    pub(super) fn on_notice(&mut self, now: Micros, notice: &Notice) -> bool {
+        if notice.rev < self.last_rev || notice.rev == self.last_rev && !notice.snapshot {
+            return true;
+        }
+        if !notice.snapshot && notice.rev > self.last_rev + 1 && self.gap_at != Some(self.last_rev) {
+            self.gap_at = Some(self.last_rev);
+            return false;
         }
         (self.last_rev, self.gap_at) = (notice.rev, None);
-        let (members, moved) = self.roster.apply(&notice);
+        let (members, moved) = self.roster.apply(notice);
         for m in &members {
             self.on_member(m);
         }
@@ -57,6 +61,8 @@
         let kind = if notice.snapshot { ListKind::Full } else { ListKind::Delta };
         let told = members.into_iter().filter(|m| !notice.snapshot || m.status != Status::Gone).collect();
         self.core.members(now, kind, told);
+        let links = &self.links;
+        self.roster.forget_gone(|worker| links.contains_key(worker));
         true
     }
 
@@ -79,6 +85,10 @@
             }
             link.withdraw_unsent(&mut conn.out, &mut done);
             link.suspect = true;
+            if link.open() == 0 {
+                let soon = self.clock.now() + RETIRED_AGAIN;
+                self.set_deadline(key, Some(soon));
+            }
         }
         self.done.extend(done);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -102,6 +102,14 @@
         g
     }
 
+    /// Replaces its configuration file by one with another text; it is not told.
+    pub fn replace_config(&self, change: impl FnOnce(String) -> String) {
+        let path = self.folder.join("config.json");
+        let text = change(std::fs::read_to_string(&path).expect("a file"));
+        std::fs::write(self.folder.join("new.json"), text).expect("a file");
+        std::fs::rename(self.folder.join("new.json"), path).expect("a file");
+    }
+
     fn listener(&mut self, what: &str) -> SocketAddr {
         let line = self.line(what);
         line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use std::io::Write;
-use std::net::TcpStream;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 
 use common::*;
 use rustix::process::Signal;
@@ -113,3 +113,65 @@
         "by the module, not the core"
     );
 }
+
+/// Guards the places: clients that asked once and stay, or say nothing, yield theirs to those that come.
+#[test]
+fn clients_that_stay_without_a_request_yield_their_places() {
+    let g = Gateway::start_with(&settings(2500.0), &[], None, None, (40, 1024));
+    let mut stay = Vec::new();
+    for n in 0..60 {
+        let mut c = TcpStream::connect(g.platform).unwrap();
+        if n % 2 == 0 {
+            c.write_all(b"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n").unwrap();
+            assert!(answer(&mut c).expect("an answer").starts_with("HTTP/1.1 200"), "number {n}");
+        }
+        stay.push(c);
+    }
+    let last = stay.last_mut().unwrap();
+    last.write_all(b"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n").unwrap();
+    assert!(answer(last).expect("an answer").starts_with("HTTP/1.1 200"));
+    // The very first was the longest idle, and the last has its place still.
+    assert_eq!(stay[0].read(&mut [0; 8]).unwrap(), 0, "it was closed");
+    assert!(g.stop()["yielded"].as_u64() >= Some(20), "not for its idle time alone");
+}
+
+/// Guards a reload under load: the gateway lives on, moves to the new board from the version it holds, and
+/// answers what was under way; a file that cannot be used changes nothing.
+#[test]
+fn on_sighup_it_moves_to_the_new_board_and_drops_nothing() {
+    let worker = Worker::start();
+    worker.set(Does::Silent);
+    let boards = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let at = boards.each_ref().map(|b| b.local_addr().unwrap());
+    let workers = [endpoint("s-00000001", worker.address, "SERVING")];
+    let mut g = Gateway::start(&settings(2500.0), &workers, Some(at[0]), None);
+    let poll = |board: &TcpListener| {
+        let mut stream = board.accept().unwrap().0;
+        let bytes = read_message(&mut stream, &mut Vec::new(), http_length).expect("a poll");
+        (stream, String::from_utf8(bytes).unwrap())
+    };
+    let (mut first, text) = poll(&boards[0]);
+    assert!(text.contains("Last-Event-ID: 1\r\n"), "{text}");
+    let news = json!({"rev": 2, "pool": {"index": 2, "snapshot": false, "endpoints": [
+        endpoint("s-00000002", worker.address, "DRAINING")]}});
+    write!(first, "HTTP/1.1 200 OK\r\n\r\nid: 2\ndata: {news}\n\n").unwrap();
+    let mut before = TcpStream::connect(g.platform).unwrap();
+    before.write_all(ask(1).as_bytes()).unwrap();
+    until("it is out", || worker.gos.lock().unwrap().len() == 1);
+    worker.set(Does::Answer);
+
+    g.replace_config(|text| text[1..].to_owned());
+    g.signal(Signal::HUP);
+    g.line("the settings stay as they are");
+    g.replace_config(|text| format!("{{{}", text.replace(&at[0].to_string(), &at[1].to_string())));
+    g.signal(Signal::HUP);
+    let (_second, text) = poll(&boards[1]);
+    assert!(text.contains("Last-Event-ID: 2\r\n"), "{text}");
+    assert_eq!(first.read(&mut [0; 8]).unwrap(), 0, "the old one is left");
+
+    let mut after = TcpStream::connect(g.platform).unwrap();
+    after.write_all(ask(2).as_bytes()).unwrap();
+    assert!(answer(&mut after).expect("an answer").starts_with("HTTP/1.1 200"));
+    assert!(!answer(&mut before).expect("an answer").starts_with("HTTP/1.1 200"), "its worker said nothing");
+    assert_eq!(g.stop()["left"], 0);
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -491,6 +491,28 @@
     assert!(late.unwrap() < &(early.unwrap() * 5 / 4), "{early:?} {late:?}");
 }
 
+/// What is believed of a worker's copies goes with the worker, also for a function that is asked for all day.
+#[test]
+fn a_function_outlives_its_workers_and_memory_stays_bounded() {
+    let mut rig = Rig::new(settings(), 0);
+    let mut sizes = Vec::new();
+    for i in 1..400u32 {
+        let members = vec![member(i, Status::Ready, None), member(i - 1, Status::Gone, None)];
+        rig.event(Event::Members { kind: ListKind::Delta, members });
+        for _ in 0..5 {
+            rig.now += SECOND;
+            let (id, actions) = rig.ask(1, 0);
+            for (_, worker) in sent(&actions) {
+                rig.end(id, worker, Outcome::Ok, 10_000);
+            }
+            rig.wake();
+        }
+        sizes.push(format!("{:?}", rig.brain).len());
+    }
+    let (early, late) = (sizes[50..100].iter().max(), sizes[300..].iter().max());
+    assert!(late.unwrap() < &(early.unwrap() * 11 / 10), "{early:?} {late:?}");
+}
+
 #[test]
 fn load_orders_stay_within_their_ration() {
     let ration = Some(LoadRation { window: 5 * SECOND, free: 2.0, ratio: 0.0 });
