End a connection whose answer stops short, and keep few instances' caps above one

Traced: 13 in 100 calls of the first seconds were refused while held, with all six workers ready and 0 or 1 of ours in flight at their home; its cap had been cut to 0.67 to 0.98 by one or two slow answers (Worker::cut takes inflight + 1, floor first_cap / 4, and the first answer weighed 0.5 as heard_ok was 0), so has_slot let nothing pass behind one call that took 1.1 s. Later on whole connections fell silent for 1 to 2 s: seven calls on one were given up in one turn. An answer had stopped short, what came after it was read as its body, and only SILENT (1 s) and the stall watch ended that.

Changed: an answer that has begun comes whole within 0.2 s or its connection closes, with what is open on it ended as Malformed (it may have run). Slow answers cut a cap of few instances to first_cap / 2 at the least; 'full' still cuts as before. Resets at one time are one strike: one connection's end benched a healthy worker.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -91,6 +91,7 @@
     heard_ok: Micros,
     stalled: bool,
     strikes: u32,
+    reset: Micros,
     benched: Micros,
     /// When a connect failed last with nothing heard since.
     down: Option<Micros>,
@@ -311,7 +312,8 @@
             let begun = w.cap == 0.0 || m.started.is_some() && m.started > w.started;
             if begun {
                 let (started, cap) = (m.started, self.first_cap);
-                let fresh = Worker { started, cap, strain: 1.0, quiet_since: now, ..Default::default() };
+                let fresh = Worker { started, cap, strain: 1.0, ..Default::default() };
+                let fresh = Worker { quiet_since: now, heard_ok: now, ..fresh };
                 *w = Worker { inflight: w.inflight, ..fresh };
             }
             (w.zone, w.cell, w.ready) = (Some(m.zone), Some(m.cell), m.status == Status::Ready);
@@ -769,7 +771,9 @@
             let pressure = (load.max(1.0) / FIRST_CAP * latency * 3.0 / aim.max(1.0)).sqrt();
             w.cap = (w.cap / pressure.clamp(0.6, 1.6)).clamp(least_cap, 1.0);
         } else if w.strain > 1.0 && now > w.cut_at + usual as Micros * 2 {
-            w.cut(now, least_cap);
+            // Slow answers alone leave few instances a call or two there: at the start of a day all workers
+            // are slow, and a cap below one holds calls back behind one that waits. 'Full' cuts deeper.
+            w.cut(now, least_cap.max(self.first_cap / 2.0).min(2.0));
         } else if f64::from(w.inflight + 1) >= w.cap * 0.75 {
             w.cap += (1.0 / w.cap).min(w.cap / 8.0);
         }
@@ -872,7 +876,9 @@
                 }
             }
             Outcome::Timeout | Outcome::Cancelled | Outcome::Reset if !answered_since => {
-                w.strikes += 1;
+                // All that ends with one connection is one sign.
+                w.strikes += u32::from(outcome != Outcome::Reset || w.reset != now);
+                w.reset = if outcome == Outcome::Reset { now } else { w.reset };
                 // Caps that learn from answers alone know only what survives: silence beyond the usual cuts
                 // too. Can harm where clients leave early: short waits are left out, any answer mends it.
                 if outcome != Outcome::Reset && usual > 0.0 && e.latency as f64 > STRAINED * usual {
--- a/src/node.rs
+++ b/src/node.rs
@@ -67,6 +67,8 @@
 const BOARD_SILENT: Micros = 2_200_000;
 const BOARD_PAUSE: Micros = 100_000;
 const ACCEPT_PAUSE: Micros = 50_000;
+/// An answer that has begun comes whole within this, or its connection is of no more use.
+const ANSWER_SLOW: Micros = 200_000;
 /// Connections that may wait to be accepted.
 const BACKLOG_CONNECTS: i32 = 1024;
 /// Bytes that may wait on a worker's connection before new requests take another.
@@ -471,7 +473,13 @@
                 let result = link.input(now, &mut conn.input, &mut done);
                 self.done.extend(done);
                 match result {
-                    Ok(unmatched) => self.core.counters.unmatched += unmatched,
+                    Ok(unmatched) => {
+                        self.core.counters.unmatched += unmatched;
+                        let due = link.partial.map(|since| since + ANSWER_SLOW);
+                        if due.is_some() && due < conn.deadline {
+                            self.set_deadline(key, due);
+                        }
+                    }
                     Err(e) => {
                         let worker = link.worker.0;
                         self.core.counters.unreadable += 1;
@@ -515,11 +523,17 @@
                 self.close(key, Ending::Idle);
             }
             Role::Worker(_) if !conn.up => self.close(key, Ending::NeverUp),
+            // Guards what waits behind an answer that stopped short: nothing after it can be told apart.
+            Role::Worker(link) if link.partial.is_some_and(|since| now >= since + ANSWER_SLOW) => {
+                self.core.counters.unreadable += 1;
+                self.close(key, Ending::Malformed)
+            }
             Role::Worker(link) if link.open() == 0 && (link.suspect || now >= link.heard + idle) => {
                 self.close(key, Ending::Idle)
             }
             Role::Worker(link) => {
                 let next = match link.open() {
+                    _ if link.partial.is_some() => now + ANSWER_SLOW,
                     _ if link.suspect => now + RETIRED_AGAIN,
                     0 => link.heard + idle,
                     _ => now + idle,
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -160,6 +160,8 @@
     pub heard: Micros,
     /// When something last went out with nothing else open.
     pub busy: Micros,
+    /// Since when an answer has been coming that is not whole yet.
+    pub partial: Option<Micros>,
     /// Whether nothing new goes on it: it kept silent for too long, or its worker has gone.
     pub suspect: bool,
     open: BTreeMap<Rc<str>, (Open, u64)>,
@@ -192,6 +194,7 @@
             opened: now,
             heard: now,
             busy: now,
+            partial: None,
             suspect: false,
             open: BTreeMap::new(),
             given_up: VecDeque::new(),
@@ -291,10 +294,13 @@
     pub fn input(&mut self, now: Micros, input: &mut Buffer, done: &mut Vec<Done>) -> Result<u64, RespError> {
         let mut unmatched = 0;
         while let Some((words, size)) = parse(input.bytes())? {
-            self.heard = now;
+            (self.heard, self.partial) = (now, None);
             unmatched += u64::from(!self.answer(&words, done)?);
             input.consume(size);
         }
+        if !input.bytes().is_empty() {
+            self.partial.get_or_insert(now);
+        }
         Ok(unmatched)
     }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -540,6 +540,39 @@
     assert_eq!(sent(&rig.ask(7, 0).1)[0].1, worker);
 }
 
+/// One connection's end is one sign: a worker whose connection broke under several calls is not benched.
+#[test]
+fn a_reset_connection_is_one_strike_whatever_was_out_on_it() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.lanes = 4;
+    let calls: Vec<_> = (0..3).map(|_| rig.ask(7, 2).0).collect();
+    rig.now += SECOND / 10;
+    for id in calls {
+        rig.end(id, WorkerId(1), Outcome::Reset, SECOND / 10);
+    }
+    assert_eq!(sent(&rig.ask(7, 2).1).len(), 1, "it takes calls still");
+    rig.now += 1;
+    let (id, _) = rig.ask(7, 2);
+    rig.end(id, WorkerId(1), Outcome::Reset, 1);
+    assert_eq!(sent(&rig.ask(7, 2).1).len(), 0, "a second connection broke");
+}
+
+/// A slow answer or two while a worker has hardly anything of ours leave few instances room for two calls there.
+#[test]
+fn a_cap_of_few_instances_is_not_cut_below_half_the_first_one() {
+    let mut rig = Rig::new(Settings { instances: 3, ..settings() }, 1);
+    rig.lanes = 8;
+    for _ in 0..6 {
+        let (id, actions) = rig.ask(7, 0);
+        assert_eq!(sent(&actions).len(), 1);
+        rig.now += SECOND;
+        rig.end(id, WorkerId(1), Outcome::Ok, SECOND);
+    }
+    assert_eq!(sent(&rig.ask_within(7, 0, 60 * SECOND).1).len(), 1);
+    rig.now += 30 * SECOND;
+    assert_eq!(sent(&rig.ask(7, 0).1).len(), 1, "one that waits does not hold the next back");
+}
+
 /// Incident i5c0b55: resets on a bad network made every worker look restarted and cold.
 #[test]
 fn a_reset_alone_is_no_restart() {
