Take the identity of an open request once, and turn away figures out of range

Now a call under an open identity gets 409 and its connection goes on; a deadline more than 5 in 100 past its class's longest, and figures that no machine has, get 400. Neither reaches the module.

--- a/src/config.rs
+++ b/src/config.rs
@@ -96,6 +96,8 @@
     pub tenants: Vec<String>,
     /// Zones.
     pub zones: Vec<String>,
+    /// The longest that a client waits, by class; a call that asks for more is not one of ours.
+    pub longest: Vec<Micros>,
 }
 
 impl Names {
@@ -195,6 +197,7 @@
             classes: listed("services", "name"),
             tenants: listed("orgs", "name"),
             zones: zones.filter_map(Value::as_str).map(str::to_owned).collect(),
+            longest: module.classes.iter().map(|c| c.deadline).collect(),
         };
         let known = raw.known.notices.iter().map(|n| {
             Notice::from_value(n, &names).map_err(|e| ConfigError::Value("known.notices", e.to_string()))
--- a/src/core.rs
+++ b/src/core.rs
@@ -3,7 +3,7 @@
 //! It knows no wire and no socket. Events come in, go through the decision module, and leave as [`Command`]s.
 //! Every call that it takes gets exactly one [`Answer`].
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use slotmap::{new_key_type, Key, KeyData, SlotMap};
@@ -189,6 +189,8 @@
     safe: Vec<bool>,
     requests: SlotMap<RequestKey, Request<O>>,
     by_id: HashMap<RequestId, RequestKey>,
+    /// The identities of all that is open.
+    ids: HashSet<Rc<str>>,
     attempts: SlotMap<AttemptKey, Attempt>,
     orders: SlotMap<OrderKey, (WorkerId, FunctionId, Micros)>,
     probes: SlotMap<ProbeKey, (WorkerId, Micros)>,
@@ -216,6 +218,7 @@
             safe,
             requests: SlotMap::with_key(),
             by_id: HashMap::new(),
+            ids: HashSet::new(),
             attempts: SlotMap::with_key(),
             orders: SlotMap::with_key(),
             probes: SlotMap::with_key(),
@@ -233,6 +236,12 @@
         self.requests.values().filter(|r| !r.answered).count()
     }
 
+    /// Whether a request under this identity has no answer yet, or an attempt out. Another call under it is not to
+    /// be taken: answers on workers' connections are told apart by identity alone.
+    pub fn is_open(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
+
     /// The next thing to be done outside, if any.
     pub fn command(&mut self) -> Option<Command<O>> {
         self.commands.pop_front()
@@ -295,6 +304,7 @@
         call.arrival.request = brain_id;
         let arrival = call.arrival.clone();
         let expires = call.arrival.expires;
+        self.ids.insert(call.id.clone());
         let key = self.requests.insert(Request {
             brain_id,
             call,
@@ -390,6 +400,7 @@
         if self.requests.get(key).is_some_and(done) {
             if let Some(r) = self.requests.remove(key) {
                 self.by_id.remove(&r.brain_id);
+                self.ids.remove(&r.call.id);
                 let at = r.call.arrival.expires + self.grace;
                 self.deadlines.remove(&(at, Due::Request(key.data().as_ffi())));
             }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -7,8 +7,12 @@
 use crate::config::Names;
 use crate::core::{Answer, Call};
 
-/// The longest time that a caller may ask for, in milliseconds.
+/// The longest time that a caller may ask for where its class states none, and the longest for a figure that is
+/// a time, in milliseconds.
 const LONGEST_MS: f64 = 600_000.0;
+/// What one copy may take and do at the most; no machine is larger.
+const MOST_MEMORY_MB: f64 = 1e6;
+const MOST_LANES: f64 = 1024.0;
 
 /// What a client asks.
 #[derive(Debug)]
@@ -62,8 +66,12 @@
         None => names.tenants.is_empty().then_some(0),
     };
     let id = r.header("X-Correlation-Id").filter(|id| hex16(id).is_some());
-    let wait = r.header("X-Deadline-Ms").and_then(number).filter(|ms| *ms > 0.0 && *ms <= LONGEST_MS);
-    let work = r.header("X-Estimate-Ms").map(|w| number(w).ok_or(plain(400, "bad X-Estimate-Ms")));
+    let stated = class.and_then(|c| names.longest.get(c)).filter(|t| **t > 0);
+    // A little more than stated is a clock's or a rounding's doing.
+    let longest = stated.map_or(LONGEST_MS, |t| *t as f64 / 1e3 * 1.05);
+    let wait = r.header("X-Deadline-Ms").and_then(number).filter(|ms| *ms > 0.0 && *ms <= longest);
+    let estimate = |w| number(w).filter(|ms| *ms <= LONGEST_MS).ok_or(plain(400, "bad X-Estimate-Ms"));
+    let work = r.header("X-Estimate-Ms").map(estimate);
     let id = id.ok_or(plain(400, "bad X-Correlation-Id"))?;
     let mut arrival = Arrival {
         request: RequestId(0),
@@ -86,8 +94,11 @@
         let (name, value) = part.split_once(':').ok_or(plain(400, "bad X-Extras"))?;
         let value = number(value.trim()).ok_or(plain(400, "bad X-Extras"))?;
         match name.trim() {
+            "memory_mb" if value > MOST_MEMORY_MB => return Err(plain(400, "bad X-Extras")),
+            "lanes" if !(1.0..=MOST_LANES).contains(&value) => return Err(plain(400, "bad X-Extras")),
+            "load_ms" if value > LONGEST_MS => return Err(plain(400, "bad X-Extras")),
             "memory_mb" => arrival.memory_mb = value,
-            "lanes" => arrival.lanes = (value as u32).max(1),
+            "lanes" => arrival.lanes = value as u32,
             "load_ms" => arrival.load_time = Some((value * 1e3) as Micros).filter(|t| *t > 0),
             _ => {}
         }
@@ -163,6 +174,23 @@
         }
     }
 
+    #[test]
+    fn figures_out_of_range_are_turned_away() {
+        let names = Names { longest: vec![2_000_000], ..names() };
+        let taken = |text: &str| take(text.as_bytes(), &names, 0).unwrap().unwrap().ask.is_ok();
+        assert!(taken(GOOD) && taken(&GOOD.replace("1500.5", "2000")));
+        for (good, bad) in [
+            ("1500.5", "2200"),
+            ("Ms: 8.2", "Ms: 1e9"),
+            ("memory_mb:512", "memory_mb:1e9"),
+            ("lanes:2", "lanes:0"),
+            ("lanes:2", "lanes:70000"),
+            ("load_ms:640", "load_ms:1e12"),
+        ] {
+            assert!(!taken(&GOOD.replace(good, bad)), "{bad}");
+        }
+    }
+
     #[test]
     fn a_refusal_says_when_to_come_back_in_whole_seconds() {
         for (advice, seconds) in [(0, 0), (1, 1), (500_000, 1), (1_000_001, 2)] {
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -114,6 +114,13 @@
                     conn.closing = !stays;
                     self.dirty.push(key);
                 }
+                Ok(Ask::Call(call)) if self.core.is_open(&call.id) => {
+                    self.core.counters.bad_requests += 1;
+                    let bad = crate::front::http::plain(409, "X-Correlation-Id of an open request");
+                    conn.out.push(net::KEPT_FRAME, platform::turn_away(&bad, stays));
+                    conn.closing = !stays;
+                    self.dirty.push(key);
+                }
                 Ok(Ask::Call(call)) => {
                     self.set_deadline(key, None);
                     let request = self.core.call(now, call.with(Origin::Client(key)));
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -175,3 +175,23 @@
     assert!(!answer(&mut before).expect("an answer").starts_with("HTTP/1.1 200"), "its worker said nothing");
     assert_eq!(g.stop()["left"], 0);
 }
+
+/// Guards the one answer: a second call under the identity of an open one is turned away and reaches no worker.
+#[test]
+fn the_identity_of_an_open_request_is_taken_once() {
+    let worker = Worker::start();
+    worker.set(Does::Silent);
+    let g =
+        Gateway::start(&settings(2500.0), &[endpoint("s-00000001", worker.address, "SERVING")], None, None);
+    let mut first = TcpStream::connect(g.platform).unwrap();
+    first.write_all(ask(1).replace("2400", "600").as_bytes()).unwrap();
+    until("it is out", || worker.gos.lock().unwrap().len() == 1);
+    let mut second = TcpStream::connect(g.platform).unwrap();
+    second.write_all(ask(1).as_bytes()).unwrap();
+    assert!(answer(&mut second).expect("an answer").starts_with("HTTP/1.1 409"));
+    assert!(answer(&mut first).expect("an answer").starts_with("HTTP/1.1 503"), "its own end");
+    worker.set(Does::Answer);
+    second.write_all(ask(2).as_bytes()).unwrap();
+    assert!(answer(&mut second).expect("an answer").starts_with("HTTP/1.1 200"), "the connection goes on");
+    assert_eq!(g.stop()["taken"], 2);
+}
