--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -104,6 +104,10 @@
                 }
             };
             conn.input.consume(taken.size);
+            conn.idle = now;
+            // A whole request came: the time for the next one begins anew.
+            self.set_deadline(key, Some(now + CLIENT_IDLE));
+            let Some((conn, Role::Client { keep, .. })) = self.conns.get_mut(key) else { return };
             let stays = taken.keep && !self.listeners.is_empty();
             *keep = stays;
             match taken.ask {
