--- a/src/brain.rs
+++ b/src/brain.rs
@@ -772,8 +772,10 @@
             w.cap = (w.cap / pressure.clamp(0.6, 1.6)).clamp(least_cap, 1.0);
         } else if w.strain > 1.0 && now > w.cut_at + usual as Micros * 2 {
             // Slow answers alone leave few instances a call or two there: at the start of a day all workers
-            // are slow, and a cap below one holds calls back behind one that waits. 'Full' cuts deeper.
-            w.cut(now, least_cap.max(self.first_cap / 2.0).min(2.0));
+            // are slow, and a cap below one holds calls back behind one that waits. While all carry much, and
+            // on 'full', it cuts deeper.
+            let few = self.calm && self.first_cap >= 2.0;
+            w.cut(now, if few { 1.0 } else { least_cap });
         } else if f64::from(w.inflight + 1) >= w.cap * 0.75 {
             w.cap += (1.0 / w.cap).min(w.cap / 8.0);
         }
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -73,7 +73,7 @@
 
     pub(super) fn on_client(&mut self, key: ConnKey, now: Micros) {
         loop {
-            let Some((conn, Role::Client { open, keep, .. })) = self.conns.get_mut(key) else { return };
+            let Some((conn, Role::Client { open, .. })) = self.conns.get_mut(key) else { return };
             if open.is_some() || conn.closing || conn.hold_back() {
                 return;
             }
