Log through tracing, make a workspace, and end the circle of board and config

Need: the second front grows into subsystems; tools need a package of their own, and operators levels and JSON lines.

Change: names.rs takes what board and config both used; the calendar is the time crate's; cli/ is a folder; lab/ is a second package that the root build leaves out.

--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Tools and stand-ins around the gateway.
+
+fn main() {}
--- a/src/board.rs
+++ b/src/board.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use crate::api::*;
-use crate::config::Names;
+use crate::names::Names;
 use crate::net::Buffer;
 
 /// A line or a head longer than this is taken for damage.
--- a/src/cli.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,9 @@
 use crate::config::{Config, ConfigError, Operator};
 use crate::node::Node;
 
+mod log;
+pub use log::{Format, Logging};
+
 /// A gateway for functions loaded on demand
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -20,6 +23,9 @@
         /// An operator's file: signed webhooks, tenants and the administration API
         #[bpaf(long, argument("FILE"))]
         operator: Option<PathBuf>,
+        #[allow(missing_docs)]
+        #[bpaf(external(log::logging))]
+        logging: Logging,
     },
     /// Read a configuration and say whether it can be used
     #[bpaf(command("check-config"))]
@@ -39,7 +45,10 @@
 /// Runs the command that the arguments name.
 pub fn main() -> ExitCode {
     let result = match command().run() {
-        Command::Serve { operator } => serve(operator),
+        Command::Serve { operator, logging } => {
+            logging.begin();
+            serve(operator)
+        }
         Command::CheckConfig { operator, file } => check(operator, file).map_err(Into::into),
         Command::Version => {
             println!("molelug {}", env!("CARGO_PKG_VERSION"));
@@ -68,7 +77,7 @@
         ("is administered", node.admin_address()),
     ];
     for (what, at) in listeners.iter().filter_map(|(what, at)| at.map(|at| (what, at))) {
-        eprintln!("molelug: {name} {what} on {at}");
+        tracing::info!("{name} {what} on {at}");
     }
     node.run(&mut events)?;
     eprintln!("counters {}", node.counters());
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -4,8 +4,8 @@
 
 use super::http::{self, fatal, plain, Bad, Request};
 use crate::api::{Arrival, ClassId, FunctionId, Micros, RequestId, TenantId};
-use crate::config::Names;
 use crate::core::{Answer, Call};
+use crate::names::Names;
 
 /// The longest time that a caller may ask for where its class states none, and the longest for a figure that is
 /// a time, in milliseconds.
--- a/src/front/webhook/callback.rs
+++ b/src/front/webhook/callback.rs
@@ -6,6 +6,8 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use serde_json::json;
+use time::format_description::well_known::Rfc3339;
+use time::OffsetDateTime;
 
 use super::inbound::Job;
 use super::signature;
@@ -52,18 +54,10 @@
     ran: Option<Micros>,
 }
 
-/// Unix microseconds as RFC 3339 has them, to the second.
-fn timestamp(at: Micros) -> String {
-    let (days, rest) = (at / 86_400_000_000, at / 1_000_000 % 86_400);
-    // Days since 0000-03-01, in eras of 400 years.
-    let z = days + 719_468;
-    let (era, doe) = (z / 146_097, z % 146_097);
-    let yoe = (doe - doe / 1460 + doe / 36_524 - doe / 146_096) / 365;
-    let doy = doe - (365 * yoe + yoe / 4 - yoe / 100);
-    let mp = (5 * doy + 2) / 153;
-    let (d, m) = (doy - (153 * mp + 2) / 5 + 1, if mp < 10 { mp + 3 } else { mp - 9 });
-    let y = yoe + era * 400 + u64::from(m <= 2);
-    format!("{y:04}-{m:02}-{d:02}T{:02}:{:02}:{:02}Z", rest / 3600, rest / 60 % 60, rest % 60)
+/// Unix microseconds as RFC 3339 has them, to the second; empty for a year past 9999.
+pub fn timestamp(at: Micros) -> String {
+    let at = i64::try_from(at / 1_000_000).ok().and_then(|s| OffsetDateTime::from_unix_timestamp(s).ok());
+    at.and_then(|at| at.format(&Rfc3339).ok()).unwrap_or_default()
 }
 
 impl Callback {
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -7,10 +7,10 @@
 use super::replay::{Replays, Seen};
 use super::signature;
 use crate::api::*;
-use crate::config::Names;
 use crate::core::Call;
 use crate::front::http::{plain, Bad, Request};
 use crate::front::platform::hex16;
+use crate::names::Names;
 use crate::tenants::{Registry, Tenant};
 
 /// The longest identity that is taken.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ending;
 pub mod front;
 pub mod identity;
+pub mod names;
 pub mod net;
 pub mod node;
 pub mod settings;
--- a/src/node.rs
+++ b/src/node.rs
@@ -483,7 +483,10 @@
                     Err(e) => {
                         let worker = link.worker.0;
                         self.core.counters.unreadable += 1;
-                        eprintln!("molelug: worker {worker:08x} answered what cannot be read: {e}");
+                        tracing::warn!(
+                            worker = format_args!("{worker:08x}"),
+                            "an answer cannot be read: {e}"
+                        );
                         self.close(key, Ending::Malformed);
                     }
                 }
@@ -500,7 +503,7 @@
                 }
                 if let Err(e) = result {
                     self.core.counters.unreadable += 1;
-                    eprintln!("molelug: {e}");
+                    tracing::warn!("{e}");
                     self.close(key, Ending::Malformed);
                 } else if ended {
                     self.close(key, Ending::Closed);
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -27,7 +27,7 @@
             Err(e) => {
                 // The list held stays as it is; the next event goes on from there.
                 self.core.counters.unreadable += 1;
-                eprintln!("molelug: event {:?} is passed over: {e}", event.id);
+                tracing::warn!(event = ?event.id, "a notice is passed over: {e}");
                 self.last_rev = self.last_rev.max(event.id.unwrap_or(0));
                 return true;
             }
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -9,11 +9,11 @@
     pub(super) fn reload(&mut self) {
         let fresh = match self.config.again() {
             Ok(fresh) => fresh,
-            Err(e) => return eprintln!("molelug: the settings stay as they are: {e}"),
+            Err(e) => return tracing::error!("the settings stay as they are: {e}"),
         };
         let now = self.clock.now();
         if self.config.fixed() != fresh.fixed() {
-            eprintln!("molelug: only the notice board is taken from the new configuration before a restart");
+            tracing::warn!("only the notice board is taken from the new configuration before a restart");
         }
         for notice in &fresh.known {
             // One that was missed in between is asked of the board.
@@ -27,6 +27,6 @@
         boards.into_iter().for_each(|key| self.close(key, Ending::Shutdown));
         self.open_board(now);
         let to = fresh.board.map_or("none".to_owned(), |b| b.to_string());
-        eprintln!("molelug: the configuration was read anew; notice board: {to}");
+        tracing::info!("the configuration was read anew; notice board: {to}");
     }
 }
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -116,7 +116,7 @@
         let Some(admin) = &mut self.admin else { return };
         let text = std::fs::read_to_string(&admin.bundle).map_err(|e| e.to_string());
         if let Err(e) = text.and_then(|t| admin.gate.load(&t).map_err(|e| e.to_string())) {
-            eprintln!("molelug: trust bundle {}: {e}", admin.bundle.display());
+            tracing::warn!(bundle = %admin.bundle.display(), "the trust bundle stays as it is: {e}");
         }
         let again = now + admin.refresh;
         self.core.hang(again, BUNDLE_AGAIN);
@@ -173,7 +173,7 @@
         if let (Some((path, before)), true) = (before, handled.is_ok()) {
             // A change that would be forgotten is not made.
             if let Err(e) = keep(path, &self.tenants.state()) {
-                eprintln!("molelug: {} cannot be written: {e}", path.display());
+                tracing::error!(file = %path.display(), "cannot be written: {e}");
                 self.tenants = before;
                 handled = Err(plain(500, "the change could not be kept"));
             }
