Add delivery decisions: schedule, breaker, budgets, fair turns and a timer wheel, no I/O

Need: callbacks wait in memory with a fixed pause, and one dead portal holds the places of all others.

Change: src/delivery is one value, input and time in, outputs out: Standard Webhooks schedule with jitter and bounded Retry-After, meaning of each status, breaker with half-open trials and slow start, retry budget, deficit round robin over tenants and endpoints, a window of what is due soon over a store, address networks. Not yet driven by the node.

Result: a property test against a plain store and portals (128 runs of up to 300 events) loses, doubles or holds nothing; 100,000 waiting for a portal dead for an hour cost under 60 attempts in it and all arrive afterwards. It found an endless fetch while the window is full of others' messages, mended here.

--- a/src/api.rs
+++ b/src/api.rs
@@ -42,7 +42,7 @@
 );
 
 /// The workers that drop repeats of a keyed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Group {
     /// Every worker.
     All,
@@ -53,7 +53,7 @@
 }
 
 /// How far a request may be repeated once it may have run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Effect {
     /// May be repeated and refused freely.
     Safe,
--- /dev/null
+++ b/src/delivery/tests.rs
@@ -0,0 +1,374 @@
+//! Delivery against a plain model: a store that is a map, portals that do as they are told.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+
+use super::*;
+use crate::ending::{Ending, Left};
+
+const SECOND: Micros = 1_000_000;
+
+/// The store and the portals around one delivery, and what must hold at every step.
+struct World {
+    delivery: Delivery,
+    now: Micros,
+    plans: BTreeMap<EndpointId, Plan>,
+    store: BTreeMap<Seq, (Waiting, State)>,
+    /// What waits, in the order in which it is fetched.
+    index: BTreeSet<(EndpointId, Micros, Seq)>,
+    out: BTreeMap<Seq, Micros>,
+    /// Messages that an attempt may have brought to their portal.
+    arrived: BTreeSet<Seq>,
+    begun: BTreeMap<Seq, u32>,
+    /// Fetches that the store has not answered.
+    fetches: Vec<(EndpointId, Vec<Waiting>, Option<Micros>)>,
+    disabled: Vec<EndpointId>,
+    /// When each endpoint was last begun to.
+    sent: BTreeMap<EndpointId, Vec<Micros>>,
+    caps: Caps,
+}
+
+fn plan(tenant: u64) -> Plan {
+    let schedule = Schedule::from_seconds(&[1.0, 10.0, 100.0]).unwrap();
+    Plan { tenant, enabled: Enabled::Yes, per_s: 0.0, in_flight: 3, schedule }
+}
+
+fn answer(status: u16) -> Report {
+    let ending = if status / 100 == 2 { Ending::Served } else { Ending::Failed };
+    Report { ending, left: Left::Some, status: Some(status), advice: None }
+}
+
+const REFUSED: Report = Report { ending: Ending::Refused, left: Left::Nothing, status: None, advice: None };
+const CUT: Report = Report { ending: Ending::Reset, left: Left::Some, status: None, advice: None };
+
+impl World {
+    fn new(caps: Caps, endpoints: u64) -> World {
+        let mut w = World {
+            delivery: Delivery::new(caps, 7, 1),
+            now: 1,
+            plans: BTreeMap::new(),
+            store: BTreeMap::new(),
+            index: BTreeSet::new(),
+            out: BTreeMap::new(),
+            arrived: BTreeSet::new(),
+            begun: BTreeMap::new(),
+            fetches: Vec::new(),
+            disabled: Vec::new(),
+            sent: BTreeMap::new(),
+            caps,
+        };
+        for n in 0..endpoints {
+            w.plan(EndpointId(n), plan(n / 2));
+        }
+        w
+    }
+
+    fn plan(&mut self, id: EndpointId, plan: Plan) {
+        self.plans.insert(id, plan.clone());
+        self.input(Input::Endpoint(id, plan));
+    }
+
+    fn input(&mut self, input: Input) {
+        self.delivery.handle(self.now, input);
+        self.settle();
+    }
+
+    fn publish(&mut self, seq: u64, endpoint: u64, effect: Effect) {
+        let (seq, endpoint) = (Seq(seq), EndpointId(endpoint));
+        let message = Waiting { seq, endpoint, due: self.now, effect, ran: None, tries: 0, size: 9000 };
+        self.keep(message, State::Waiting);
+        self.input(Input::Waits(message));
+    }
+
+    fn keep(&mut self, message: Waiting, state: State) {
+        if let Some((old, _)) = self.store.insert(message.seq, (message, state)) {
+            self.index.remove(&(old.endpoint, old.due, old.seq));
+        }
+        if state == State::Waiting {
+            self.index.insert((message.endpoint, message.due, message.seq));
+        }
+    }
+
+    /// Does what delivery asks for, and checks it.
+    fn settle(&mut self) {
+        while let Some(output) = self.delivery.output() {
+            match output {
+                Output::Begin { seq, endpoint, recorded } => {
+                    let (m, state) = self.store[&seq];
+                    assert_eq!((m.endpoint, state), (endpoint, State::Waiting));
+                    assert!(m.due <= self.now, "{seq:?} before its time");
+                    assert!(self.out.insert(seq, self.now).is_none(), "{seq:?} is out twice");
+                    assert_eq!(recorded, m.effect != Effect::Safe);
+                    assert!(
+                        m.effect != Effect::Unsafe || !self.arrived.contains(&seq),
+                        "{seq:?} may arrive twice"
+                    );
+                    *self.begun.entry(seq).or_default() += 1;
+                    self.sent.entry(endpoint).or_default().push(self.now);
+                    let at = |id| self.out.keys().filter(|s| self.store[s].0.endpoint == id).count();
+                    assert!(at(endpoint) as u32 <= self.plans[&endpoint].in_flight);
+                    assert_eq!(self.plans[&endpoint].enabled, Enabled::Yes);
+                    assert!(self.out.len() as u32 <= self.caps.out);
+                }
+                Output::Keep { message, state, .. } => {
+                    assert!(!self.store[&message.seq].1.is_over(), "{message:?} ends twice");
+                    self.keep(message, state);
+                }
+                Output::Fetch(id, limit) => {
+                    let mut mine = self.index.range((id, 0, Seq(0))..(EndpointId(id.0 + 1), 0, Seq(0)));
+                    let all: Vec<Waiting> = mine.by_ref().take(limit).map(|k| self.store[&k.2].0).collect();
+                    let next = mine.next().map(|k| k.1);
+                    assert!(self.fetches.iter().all(|(e, ..)| *e != id), "one fetch at a time");
+                    self.fetches.push((id, all, next));
+                }
+                Output::Disabled(id, _) => {
+                    self.plans.get_mut(&id).unwrap().enabled = Enabled::ByFailure;
+                    self.disabled.push(id);
+                }
+                Output::Purge(id) => {
+                    let mine = self.store.values().filter(|(m, s)| m.endpoint == id && !s.is_over());
+                    let mine: Vec<Waiting> = mine.map(|(m, _)| *m).collect();
+                    for m in mine.into_iter().filter(|m| !self.out.contains_key(&m.seq)).collect::<Vec<_>>() {
+                        self.keep(m, State::Dead(Dead::Gone));
+                    }
+                }
+            }
+        }
+        assert_eq!(self.delivery.out() as usize, self.out.len());
+        assert!(self.delivery.loaded() <= self.caps.loaded + 4 * self.plans.len());
+    }
+
+    fn answer_fetch(&mut self) {
+        if !self.fetches.is_empty() {
+            let (id, messages, next) = self.fetches.remove(0);
+            self.input(Input::Fetched(id, messages, next));
+        }
+    }
+
+    fn end(&mut self, nth: usize, report: Report) {
+        let Some(&seq) = self.out.keys().nth(nth % self.out.len().max(1)) else { return };
+        self.out.remove(&seq);
+        if report.may_have_arrived() {
+            self.arrived.insert(seq);
+        }
+        self.input(Input::Ended(seq, report));
+    }
+
+    fn pass(&mut self, span: Micros) {
+        self.now += span;
+        self.input(Input::Tick);
+    }
+
+    /// Lets time pass, with portals that answer so, until nothing waits any more or so much time is over.
+    fn run_out(&mut self, span: Micros, report: impl Fn(Seq, Micros) -> Report) {
+        let end = self.now + span;
+        loop {
+            while !self.fetches.is_empty() {
+                self.answer_fetch();
+            }
+            if let Some(&seq) = self.out.keys().next() {
+                let report = report(seq, self.now);
+                self.end(0, report);
+                continue;
+            }
+            match self.delivery.next_deadline() {
+                Some(at) if at <= end => {
+                    self.now = self.now.max(at);
+                    self.input(Input::Tick);
+                }
+                _ => return self.now = end,
+            }
+        }
+    }
+
+    fn states(&self) -> BTreeMap<&'static str, usize> {
+        let mut map = BTreeMap::new();
+        self.store.values().for_each(|(_, s)| *map.entry(s.name()).or_default() += 1);
+        map
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Publish(u64, bool),
+    End(usize, u8),
+    Fetched,
+    Pass(Micros),
+    Switch(u64, bool),
+    Remove(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0u64..6, any::<bool>()).prop_map(|(e, safe)| Step::Publish(e, safe)),
+        6 => (any::<usize>(), 0u8..8).prop_map(|(n, how)| Step::End(n, how)),
+        3 => Just(Step::Fetched),
+        3 => (0u32..32).prop_map(|e| Step::Pass(1 << e)),
+        1 => (0u64..6, any::<bool>()).prop_map(|(e, on)| Step::Switch(e, on)),
+        1 => (0u64..40).prop_map(Step::Remove),
+    ]
+}
+
+fn ending(how: u8) -> Report {
+    match how {
+        0 => REFUSED,
+        1 => CUT,
+        2 => answer(500),
+        3 => Report { advice: Some(30 * SECOND), ..answer(503) },
+        4 => Report { advice: Some(Micros::MAX), ..answer(429) },
+        5 => Report::VOID,
+        _ => answer(204),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    /// Whatever happens in whatever order: the checks in [`World::settle`] hold, and in the end, with portals that
+    /// answer, nothing is left waiting, nothing safe was lost, and nothing ended without an attempt or a reason.
+    #[test]
+    fn no_order_of_events_loses_doubles_or_sticks(steps in prop::collection::vec(step(), 1..300)) {
+        // Small windows, so that most of it lies in the store.
+        let caps = Caps { out: 5, ready: 3, loaded: 8, soon: 20 * SECOND, ..Caps::default() };
+        let mut w = World::new(caps, 6);
+        let mut removed = BTreeSet::new();
+        for (n, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Publish(e, safe) if !removed.contains(&e) => {
+                    w.publish(n as u64, e, if safe { Effect::Safe } else { Effect::Unsafe });
+                }
+                Step::Publish(..) => {}
+                Step::End(nth, how) => w.end(nth, ending(how)),
+                Step::Fetched => w.answer_fetch(),
+                Step::Pass(span) => w.pass(span),
+                Step::Switch(e, on) if !removed.contains(&e) => {
+                    let enabled = if on { Enabled::Yes } else { Enabled::ByHand };
+                    let p = Plan { enabled, ..w.plans[&EndpointId(e)].clone() };
+                    w.plan(EndpointId(e), p);
+                }
+                Step::Switch(..) => {}
+                // Only now and then: most runs keep their endpoints.
+                Step::Remove(e) if e < 6 => {
+                    removed.insert(e);
+                    w.input(Input::Removed(EndpointId(e)));
+                }
+                Step::Remove(_) => {}
+            }
+        }
+        for e in (0..6).filter(|e| !removed.contains(e)) {
+            let p = Plan { enabled: Enabled::Yes, ..w.plans[&EndpointId(e)].clone() };
+            w.plan(EndpointId(e), p);
+        }
+        w.run_out(100 * 86_400 * SECOND, |_, _| answer(204));
+        prop_assert!(w.out.is_empty() && w.fetches.is_empty() && w.delivery.loaded() == 0);
+        for (m, state) in w.store.values() {
+            let begun = w.begun.get(&m.seq).copied().unwrap_or(0);
+            match state {
+                State::Delivered => prop_assert!(begun > 0),
+                State::Dead(Dead::Unknown) => prop_assert!(m.effect == Effect::Unsafe && w.arrived.contains(&m.seq)),
+                State::Dead(Dead::Exhausted) => prop_assert_eq!(m.tries, 4),
+                State::Dead(Dead::Gone) => prop_assert!(removed.contains(&m.endpoint.0)),
+                other => prop_assert!(false, "{:?} is left {:?}", m, other),
+            }
+        }
+        prop_assert!(w.delivery.wheel.is_empty(), "no timer outlives what it was for");
+    }
+}
+
+/// A portal that comes back after an hour with 100,000 waiting is not run over, and gets all of them.
+#[test]
+fn a_portal_back_after_an_hour_is_met_slowly_and_gets_all() {
+    let mut w = World::new(Caps { out: 64, ready: 32, loaded: 256, ..Caps::default() }, 1);
+    let day = 86_400 * SECOND;
+    let schedule = Schedule::from_seconds(&[10.0, 60.0, 600.0, 3600.0, 7200.0]).unwrap();
+    w.plan(EndpointId(0), Plan { in_flight: 8, schedule, ..plan(0) });
+    for n in 0..100_000 {
+        w.publish(n, 0, if n % 2 == 0 { Effect::Safe } else { Effect::Unsafe });
+    }
+    let back = w.now + 3600 * SECOND;
+    w.run_out(3600 * SECOND, |_, _| REFUSED);
+    let tried: usize = w.begun.values().map(|n| *n as usize).sum();
+    assert!(tried < 60, "a dead portal costs {tried} attempts in an hour, not 100,000");
+    let before = w.sent[&EndpointId(0)].len();
+    w.run_out(2 * day, |_, _| answer(204));
+    assert_eq!(w.states(), BTreeMap::from([("delivered", 100_000)]));
+    let times = &w.sent[&EndpointId(0)][before..];
+    assert!(times[0] >= back && w.delivery.loaded() == 0);
+    // Its repeats, of the messages that were tried in the hour, come at the budget's pace.
+    assert!(w.begun.values().all(|n| *n <= 6));
+}
+
+/// One dead and one slow tenant take nothing from the others.
+#[test]
+fn a_dead_or_slow_portal_takes_nothing_from_the_others() {
+    let mut w = World::new(Caps { out: 16, ready: 16, loaded: 4096, ..Caps::default() }, 0);
+    for e in 0..50 {
+        w.plan(EndpointId(e), Plan { in_flight: 4, ..plan(e) });
+    }
+    let mut seq = 0;
+    // Ten rounds of a message to each endpoint; endpoint 0 refuses, endpoint 1 never answers.
+    for _ in 0..10 {
+        for e in 0..50 {
+            w.publish(seq, e, Effect::Safe);
+            seq += 1;
+        }
+        loop {
+            let other = w.out.keys().position(|s| w.store[s].0.endpoint.0 != 1);
+            let Some(nth) = other else { break };
+            let report =
+                if w.store[w.out.keys().nth(nth).unwrap()].0.endpoint.0 == 0 { REFUSED } else { answer(200) };
+            w.end(nth, report);
+        }
+        w.pass(SECOND / 10);
+    }
+    let done = |e: u64| w.store.values().filter(|(m, s)| m.endpoint.0 == e && *s == State::Delivered).count();
+    assert!((2..50).all(|e| done(e) == 10), "each of the others has all of its ten within the round");
+    assert_eq!((done(0), done(1), w.out.len()), (0, 0, 4), "the slow one holds its own four places");
+}
+
+#[test]
+fn an_endpoint_is_switched_off_by_410_or_long_failure_and_its_messages_wait() {
+    let mut w = World::new(Caps { disable_after: 100 * SECOND, ..Caps::default() }, 2);
+    w.publish(1, 0, Effect::Safe);
+    w.publish(2, 0, Effect::Safe);
+    w.end(0, answer(410));
+    assert_eq!(
+        (w.disabled.clone(), w.delivery.health(EndpointId(0)).unwrap().in_flight),
+        (vec![EndpointId(0)], 1)
+    );
+    w.end(0, REFUSED);
+    w.publish(3, 0, Effect::Unsafe);
+    w.run_out(3600 * SECOND, |_, _| answer(204));
+    assert_eq!(w.states(), BTreeMap::from([("gone", 1), ("waiting", 2)]));
+    w.plan(EndpointId(0), plan(0));
+    w.run_out(3600 * SECOND, |_, _| answer(204));
+    assert_eq!(w.states(), BTreeMap::from([("gone", 1), ("delivered", 2)]));
+    for n in 10..30 {
+        w.publish(n, 1, Effect::Safe);
+    }
+    w.run_out(400 * SECOND, |_, _| answer(500));
+    assert_eq!(w.disabled, [EndpointId(0), EndpointId(1)]);
+    assert!(w.states()["waiting"] > 0, "{:?}", w.states());
+}
+
+#[test]
+fn a_rate_is_kept_and_a_repeat_that_has_become_harmful_is_not_sent() {
+    let mut w = World::new(Caps::default(), 0);
+    w.plan(EndpointId(0), Plan { per_s: 5.0, in_flight: 50, ..plan(0) });
+    (0..100).for_each(|n| w.publish(n, 0, Effect::Safe));
+    w.run_out(10 * SECOND, |_, _| answer(200));
+    let sent = w.sent[&EndpointId(0)].len();
+    assert!((50..=56).contains(&sent), "{sent}");
+    w.plan(EndpointId(1), plan(1));
+    let keyed = Effect::Keyed { group: crate::api::Group::All, window: SECOND / 2 };
+    w.publish(1000, 1, keyed);
+    w.end(w.out.len() - 1, CUT);
+    w.run_out(1000 * SECOND, |_, _| answer(200));
+    assert_eq!(
+        w.store[&Seq(1000)].1,
+        State::Dead(Dead::Unknown),
+        "the portal forgets it after half a second"
+    );
+    assert_eq!(w.begun[&Seq(1000)], 1);
+}
--- /dev/null
+++ b/src/delivery/verdict.rs
@@ -0,0 +1,130 @@
+//! What an attempt's end means, for the message and for the endpoint.
+
+use serde::{Deserialize, Serialize};
+
+use crate::api::Micros;
+use crate::brain::never_ran;
+use crate::ending::{Ending, Left};
+
+/// How an attempt at a callback ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// How its connection ended, or [`Ending::Served`] and [`Ending::Failed`] for a whole answer.
+    pub ending: Ending,
+    /// How much of it had left.
+    pub left: Left,
+    /// The answer's status, if one came whole.
+    pub status: Option<u16>,
+    /// The answer's `Retry-After`, as a span.
+    pub advice: Option<Micros>,
+}
+
+/// What follows from a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Meaning {
+    /// A 2xx: the portal has it.
+    Delivered,
+    /// 410: the portal wants nothing more here.
+    Gone,
+    /// It failed; the endpoint may be ill. With advice, the endpoint asks to be left alone for so long.
+    Failed(Option<Micros>),
+    /// It ended on this side before a byte left: nothing is known of the endpoint, and no attempt is counted.
+    Void,
+}
+
+impl Report {
+    /// An attempt that never left, for a reason of this side's own.
+    pub const VOID: Report =
+        Report { ending: Ending::Overflow, left: Left::Nothing, status: None, advice: None };
+
+    /// Whether the portal may have taken it. Whatever a portal says, once its answer comes it has seen the message.
+    pub fn may_have_arrived(&self) -> bool {
+        !never_ran(self.ending.outcome(self.left))
+    }
+
+    /// What it means. 3xx is a failure like any other: a signed message goes nowhere but to the address that the
+    /// operator has set.
+    pub fn meaning(&self) -> Meaning {
+        match (self.status, self.ending, self.left) {
+            (Some(200..=299), Ending::Served, _) => Meaning::Delivered,
+            (Some(410), ..) => Meaning::Gone,
+            (Some(429 | 503), ..) => Meaning::Failed(Some(self.advice.unwrap_or(0))),
+            (Some(_), ..) => Meaning::Failed(None),
+            (None, Ending::Overflow | Ending::Shutdown | Ending::CalledOff, Left::Nothing) => Meaning::Void,
+            (None, ..) => Meaning::Failed(None),
+        }
+    }
+}
+
+/// Why a message is not sent any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Dead {
+    /// Its schedule has ended; a portal may have seen it, but none confirmed it.
+    Exhausted,
+    /// It may have arrived, and its class forbids to send it again.
+    Unknown,
+    /// Its endpoint said 410, or was removed with its tenant.
+    Gone,
+    /// It waited for longer than messages are kept.
+    Expired,
+}
+
+/// Where a message stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// It waits for its first or a further attempt.
+    Waiting,
+    /// It waits for another of its order key to end.
+    Behind,
+    /// A portal confirmed it.
+    Delivered,
+    /// It is not sent any more.
+    Dead(Dead),
+}
+
+impl State {
+    /// Its name in listings.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Waiting | State::Behind => "waiting",
+            State::Delivered => "delivered",
+            State::Dead(Dead::Exhausted) => "exhausted",
+            State::Dead(Dead::Unknown) => "unknown",
+            State::Dead(Dead::Gone) => "gone",
+            State::Dead(Dead::Expired) => "expired",
+        }
+    }
+
+    /// Whether nothing more becomes of it by itself.
+    pub fn is_over(self) -> bool {
+        matches!(self, State::Delivered | State::Dead(_))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_status_has_its_meaning() {
+        let of = |status, advice| {
+            let ending = if status / 100 == 2 { Ending::Served } else { Ending::Failed };
+            Report { ending, left: Left::Some, status: Some(status), advice }.meaning()
+        };
+        for status in [200, 201, 204, 299] {
+            assert_eq!(of(status, None), Meaning::Delivered);
+        }
+        for status in [301, 302, 307, 308, 400, 401, 404, 500, 502] {
+            assert_eq!(of(status, Some(5)), Meaning::Failed(None), "{status}");
+        }
+        assert_eq!((of(429, Some(5)), of(503, None)), (Meaning::Failed(Some(5)), Meaning::Failed(Some(0))));
+        assert_eq!(of(410, None), Meaning::Gone);
+        let cut = |ending, left| Report { ending, left, status: None, advice: None };
+        assert_eq!(cut(Ending::Shutdown, Left::Nothing).meaning(), Meaning::Void);
+        assert_eq!(cut(Ending::Shutdown, Left::Some).meaning(), Meaning::Failed(None));
+        assert!(!cut(Ending::Refused, Left::Nothing).may_have_arrived());
+        assert!(cut(Ending::TimedOut, Left::Some).may_have_arrived());
+    }
+}
--- /dev/null
+++ b/src/delivery/wheel.rs
@@ -0,0 +1,289 @@
+//! A hierarchical timer wheel: the deadlines of all that waits, in memory that does not move.
+//!
+//! Six levels of 64 slots; a slot of one level is as long as all slots of the level below. An entry hangs in the
+//! level that its distance asks for and sinks as its time comes nearer, so that inserting and cancelling take the
+//! same few steps however many there are. Times are kept to the microsecond: an entry is never told early, and
+//! those that fall due together are told in the order of their times.
+
+use crate::api::Micros;
+
+/// Slots of a level; the bits of one word.
+const SLOTS: usize = 64;
+const LEVELS: usize = 6;
+/// How long a slot of the lowest level is, as a power of two: 16.384 ms.
+const SHIFT: u32 = 14;
+const BITS: u32 = 6;
+const NONE: u32 = u32::MAX;
+
+/// Names an entry until it is told or cancelled; a stale one names nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timer {
+    place: u32,
+    turn: u32,
+}
+
+#[derive(Debug)]
+struct Node<T> {
+    at: Micros,
+    value: Option<T>,
+    next: u32,
+    back: u32,
+    turn: u32,
+    /// Where it hangs: level and slot.
+    home: (u8, u8),
+}
+
+/// The wheel.
+#[derive(Debug)]
+pub struct Wheel<T> {
+    /// The tick up to which all has been told.
+    ticked: u64,
+    heads: [[u32; SLOTS]; LEVELS],
+    used: [u64; LEVELS],
+    nodes: Vec<Node<T>>,
+    free: u32,
+    len: usize,
+}
+
+impl<T> Wheel<T> {
+    /// An empty wheel whose time begins at `now`, in microseconds.
+    pub fn new(now: Micros) -> Wheel<T> {
+        Wheel {
+            ticked: now >> SHIFT,
+            heads: [[NONE; SLOTS]; LEVELS],
+            used: [0; LEVELS],
+            nodes: Vec::new(),
+            free: NONE,
+            len: 0,
+        }
+    }
+
+    /// How many entries hang.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether none does.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Hangs a value up to be told at `at`; a time that has passed falls due with the next call.
+    pub fn insert(&mut self, at: Micros, value: T) -> Timer {
+        let place = if self.free == NONE {
+            self.nodes.push(Node { at, value: None, next: NONE, back: NONE, turn: 0, home: (0, 0) });
+            (self.nodes.len() - 1) as u32
+        } else {
+            let place = self.free;
+            self.free = self.nodes[place as usize].next;
+            place
+        };
+        let node = &mut self.nodes[place as usize];
+        (node.at, node.value) = (at, Some(value));
+        let turn = node.turn;
+        self.len += 1;
+        self.link(place);
+        Timer { place, turn }
+    }
+
+    /// Takes an entry away; its value, if it still hung.
+    pub fn cancel(&mut self, timer: Timer) -> Option<T> {
+        let node = self.nodes.get(timer.place as usize).filter(|n| n.turn == timer.turn)?;
+        node.value.as_ref()?;
+        self.unlink(timer.place);
+        self.release(timer.place)
+    }
+
+    /// A time at or before which nothing falls due, and at which [`Wheel::expire`] is to be called; none while
+    /// nothing hangs. It is the exact time of an entry when that is near, else when one comes nearer.
+    pub fn next(&self) -> Option<Micros> {
+        for level in 0..LEVELS {
+            if self.used[level] == 0 {
+                continue;
+            }
+            let shift = BITS * level as u32;
+            let now = self.ticked >> shift;
+            let ahead = u64::from(self.used[level].rotate_right((now % 64) as u32).trailing_zeros());
+            if level > 0 {
+                return Some(((now + ahead) << shift) << SHIFT);
+            }
+            let mut at = self.heads[0][((now + ahead) % 64) as usize];
+            let mut first = Micros::MAX;
+            while at != NONE {
+                first = first.min(self.nodes[at as usize].at);
+                at = self.nodes[at as usize].next;
+            }
+            return Some(first);
+        }
+        None
+    }
+
+    /// Takes off all that is due at `now`, in the order of time.
+    pub fn expire(&mut self, now: Micros, told: &mut Vec<(Micros, T)>) {
+        let (target, begin) = (now >> SHIFT, told.len());
+        loop {
+            self.take(now, told);
+            if self.ticked >= target {
+                break;
+            }
+            // Nothing is left in this tick: on to the next one in which anything happens.
+            let next = self.next().map_or(target, |t| (t >> SHIFT).max(self.ticked + 1)).min(target);
+            let crossed = self.ticked ^ next;
+            self.ticked = next;
+            for level in (1..LEVELS).rev() {
+                if crossed >> (BITS * level as u32) != 0 {
+                    self.sink(level);
+                }
+            }
+        }
+        told[begin..].sort_by_key(|(at, _)| *at);
+    }
+
+    /// Takes what is due out of the present tick's slot.
+    fn take(&mut self, now: Micros, told: &mut Vec<(Micros, T)>) {
+        let mut at = self.heads[0][(self.ticked % 64) as usize];
+        while at != NONE {
+            let next = self.nodes[at as usize].next;
+            if self.nodes[at as usize].at <= now {
+                let due = self.nodes[at as usize].at;
+                self.unlink(at);
+                told.extend(self.release(at).map(|value| (due, value)));
+            }
+            at = next;
+        }
+    }
+
+    /// Hangs the entries of a level's present slot anew, further down.
+    fn sink(&mut self, level: usize) {
+        let slot = ((self.ticked >> (BITS * level as u32)) % 64) as usize;
+        let mut at = std::mem::replace(&mut self.heads[level][slot], NONE);
+        self.used[level] &= !(1 << slot);
+        while at != NONE {
+            let next = self.nodes[at as usize].next;
+            self.link(at);
+            at = next;
+        }
+    }
+
+    fn link(&mut self, place: u32) {
+        let tick = (self.nodes[place as usize].at >> SHIFT).max(self.ticked);
+        let differ = (tick ^ self.ticked) >> BITS;
+        let level = (((64 - differ.leading_zeros()) as usize).div_ceil(BITS as usize)).min(LEVELS - 1);
+        // What is further off than the wheel reaches hangs in its last slot and sinks again and again.
+        let shift = BITS * level as u32;
+        let most = (self.ticked >> shift) + 63;
+        let slot = ((tick >> shift).min(most) % 64) as usize;
+        let head = self.heads[level][slot];
+        let node = &mut self.nodes[place as usize];
+        (node.next, node.back, node.home) = (head, NONE, (level as u8, slot as u8));
+        if head != NONE {
+            self.nodes[head as usize].back = place;
+        }
+        self.heads[level][slot] = place;
+        self.used[level] |= 1 << slot;
+    }
+
+    fn unlink(&mut self, place: u32) {
+        let node = &self.nodes[place as usize];
+        let (next, back, (level, slot)) = (node.next, node.back, node.home);
+        if next != NONE {
+            self.nodes[next as usize].back = back;
+        }
+        if back != NONE {
+            self.nodes[back as usize].next = next;
+        } else {
+            self.heads[level as usize][slot as usize] = next;
+            if next == NONE {
+                self.used[level as usize] &= !(1 << slot);
+            }
+        }
+    }
+
+    fn release(&mut self, place: u32) -> Option<T> {
+        let free = self.free;
+        let node = &mut self.nodes[place as usize];
+        node.turn = node.turn.wrapping_add(1);
+        node.next = free;
+        self.free = place;
+        self.len -= 1;
+        node.value.take()
+    }
+
+    /// Bytes that the wheel holds, whatever hangs.
+    pub fn bytes(&self) -> usize {
+        std::mem::size_of::<Self>() + self.nodes.capacity() * std::mem::size_of::<Node<T>>()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeSet;
+
+    #[derive(Clone, Debug)]
+    enum Step {
+        Insert(Micros),
+        Cancel(usize),
+        Pass(Micros),
+        ToNext,
+    }
+
+    fn step() -> impl Strategy<Value = Step> {
+        // Spans of every size, from within a tick to past the wheel's reach.
+        let span = (0u32..44, 0u64..1000).prop_map(|(e, f)| (1u64 << e) + (f << e.saturating_sub(10)));
+        prop_oneof![
+            4 => span.clone().prop_map(Step::Insert),
+            1 => any::<usize>().prop_map(Step::Cancel),
+            2 => span.prop_map(Step::Pass),
+            2 => Just(Step::ToNext),
+        ]
+    }
+
+    proptest! {
+        /// The wheel tells what a plain ordered set tells, and its next time is never past the set's first.
+        #[test]
+        fn it_tells_what_an_ordered_set_tells(start in 0u64..1 << 40, steps in prop::collection::vec(step(), 1..200)) {
+            let (mut wheel, mut plain) = (Wheel::new(start), BTreeSet::new());
+            let (mut now, mut timers) = (start, Vec::new());
+            for (n, step) in steps.into_iter().enumerate() {
+                match step {
+                    Step::Insert(span) => {
+                        timers.push((wheel.insert(now + span, n), now + span, n));
+                        plain.insert((now + span, n));
+                    }
+                    Step::Cancel(i) if !timers.is_empty() => {
+                        let (timer, at, n) = timers[i % timers.len()];
+                        prop_assert_eq!(wheel.cancel(timer).is_some(), plain.remove(&(at, n)));
+                    }
+                    Step::Cancel(_) => {}
+                    Step::Pass(span) => now += span,
+                    Step::ToNext => now = now.max(wheel.next().unwrap_or(now)),
+                }
+                let mut told = Vec::new();
+                wheel.expire(now, &mut told);
+                let rest = plain.split_off(&(now + 1, 0));
+                let due: Vec<_> = std::mem::replace(&mut plain, rest).into_iter().collect();
+                let mut seen = told.clone();
+                seen.sort();
+                prop_assert_eq!(&seen, &due);
+                prop_assert!(told.windows(2).all(|w| w[0].0 <= w[1].0));
+                prop_assert_eq!(wheel.len(), plain.len());
+                match (wheel.next(), plain.first()) {
+                    (Some(at), Some((first, _))) => prop_assert!(at <= *first && at > now),
+                    (at, first) => prop_assert!(at.is_none() && first.is_none()),
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn places_are_used_again() {
+        let mut wheel = Wheel::new(0);
+        for round in 0..1000u64 {
+            let timers: Vec<_> = (0..10).map(|n| wheel.insert(round * 7 + n * 1_000_000, n)).collect();
+            timers.into_iter().for_each(|t| assert!(wheel.cancel(t).is_some()));
+        }
+        assert!(wheel.is_empty() && wheel.nodes.len() == 10);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod core;
 pub mod counters;
+pub mod delivery;
 pub mod ending;
 pub mod front;
 pub mod identity;
