Add the store: durable calls and messages, recovery by stage and class, one writer thread

Need: a call that got 202 is forgotten when the gateway is killed, and callbacks live in memory alone.

Change: src/store keeps calls, messages, attempts, order keys and identities in redb; the logic is the same over memory and over a transaction. One thread commits up to 512 operations at once; after an error nothing new is taken and what has happened waits for the file to open again. Not yet driven by the node.

Result: against a plain model over random calls, answers, ends, kills and retention nothing is lost or doubled and order keys hold; on a disk that fails or tears at each step what was told done is there after the crash.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod net;
 pub mod node;
 pub mod settings;
+pub mod store;
 pub mod tenants;
 pub mod worker;
 
--- /dev/null
+++ b/src/store/tests.rs
@@ -0,0 +1,378 @@
+//! The store against a plain model, and on a disk that fails, tears and lies.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use proptest::prelude::*;
+use redb::backends::InMemoryBackend;
+use redb::StorageBackend;
+
+use super::disk::Disk;
+use super::records::*;
+use super::recovery::{fate, Fate};
+use super::space::Memory;
+use super::tables::Tables;
+use crate::api::{Effect, Group, Micros};
+use crate::delivery::verdict::{Dead, State};
+use crate::delivery::{EndpointId, Seq, Waiting};
+
+const SECOND: Micros = 1_000_000;
+const BYTES: u64 = 1 << 30;
+
+fn call(seq: u64, effect: Effect) -> Box<CallRecord> {
+    Box::new(CallRecord {
+        seq: Seq(seq),
+        tenant: "clinic".into(),
+        serial: 1,
+        webhook_id: format!("call-{seq}"),
+        worker_id: format!("{seq:016x}"),
+        class: "c".into(),
+        effect,
+        function: 7,
+        expires: 100 * SECOND,
+        work: None,
+        memory_mb: 1.0,
+        lanes: 1,
+        load_time: None,
+        body: b"trip".to_vec(),
+        order: None,
+        sent: None,
+    })
+}
+
+fn mark(seq: u64) -> Mark {
+    let mut mark = Mark::default();
+    mark[..8].copy_from_slice(&seq.to_be_bytes());
+    mark
+}
+
+fn message(seq: u64, endpoint: u64, effect: Effect, order: Option<u64>) -> (MessageRecord, Vec<u8>) {
+    let waiting = Waiting {
+        seq: Seq(seq),
+        endpoint: EndpointId(endpoint),
+        due: seq,
+        effect,
+        ran: None,
+        tries: 0,
+        size: 4,
+    };
+    let record = MessageRecord {
+        waiting,
+        state: State::Waiting,
+        tenant: "clinic".into(),
+        serial: 1,
+        id: format!("msg_{seq}"),
+        kind: "call.completed".into(),
+        call: None,
+        created: seq,
+        order,
+        acknowledged: None,
+    };
+    (record, b"body".to_vec())
+}
+
+#[test]
+fn each_stage_and_class_has_its_fate_after_a_kill() {
+    let keyed = |group| Effect::Keyed { group, window: 5 * SECOND };
+    let rows = [
+        (Effect::Unsafe, None, 10, Fate::Run),
+        (Effect::Unsafe, None, 200, Fate::Refuse),
+        (Effect::Safe, Some(5), 10, Fate::Run),
+        (Effect::Safe, Some(5), 200, Fate::Refuse),
+        (Effect::Unsafe, Some(5), 10, Fate::Unknown),
+        (Effect::Unsafe, Some(5), 200, Fate::Unknown),
+        (keyed(Group::All), Some(7), 10, Fate::Run),
+        (keyed(Group::All), Some(4), 10, Fate::Unknown),
+        (keyed(Group::Zone), Some(99), 101, Fate::Unknown),
+        (keyed(Group::All), Some(99), 101, Fate::Refuse),
+    ];
+    for (effect, sent, now, expected) in rows {
+        let c = CallRecord { sent: sent.map(|s| s * SECOND), ..*call(1, effect) };
+        assert_eq!(fate(&c, now * SECOND, false), expected, "{effect:?} {sent:?} {now}");
+    }
+    let c = CallRecord { sent: Some(7 * SECOND), ..*call(1, keyed(Group::All)) };
+    assert_eq!(fate(&c, 6 * SECOND, true), Fate::Unknown, "the clock has stepped back");
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Take(bool),
+    Answer(usize, Option<u64>),
+    End(usize, u8),
+    Kill,
+    Retain(Micros),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => any::<bool>().prop_map(Step::Take),
+        4 => (any::<usize>(), prop::option::of(0u64..3)).prop_map(|(n, o)| Step::Answer(n, o)),
+        6 => (any::<usize>(), 0u8..5).prop_map(|(n, how)| Step::End(n, how)),
+        1 => Just(Step::Kill),
+        1 => (0u64..2000).prop_map(Step::Retain),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    /// Calls become messages and messages end, with kills between: none is lost, none ends twice, those of one order
+    /// key go out in their order, and the figures are those of a plain count.
+    #[test]
+    fn calls_and_messages_are_neither_lost_nor_doubled(steps in prop::collection::vec(step(), 1..120)) {
+        let mut space = Memory::default();
+        let (mut tables, _) = Tables::open(&mut space, true, BYTES, 0).unwrap();
+        let (mut next, mut now) = (0, 1000);
+        let mut calls: BTreeMap<u64, Effect> = BTreeMap::new();
+        // Number, order key, and whether it may be sent now.
+        let mut waits: BTreeMap<u64, (Effect, Option<u64>)> = BTreeMap::new();
+        let mut over = 0u64;
+        let mut last_of_key: BTreeMap<u64, u64> = BTreeMap::new();
+        for step in steps {
+            now += 1;
+            match step {
+                Step::Take(safe) => {
+                    next += 1;
+                    let effect = if safe { Effect::Safe } else { Effect::Unsafe };
+                    tables.apply(&mut space, Op::Take(call(next, effect), mark(next), now + 300)).unwrap();
+                    calls.insert(next, effect);
+                }
+                Step::Answer(n, order) if !calls.is_empty() => {
+                    let seq = *calls.keys().nth(n % calls.len()).unwrap();
+                    let effect = calls.remove(&seq).unwrap();
+                    next += 1;
+                    let mut m = message(next, 0, effect, order);
+                    m.0.created = now;
+                    waits.insert(next, (effect, order));
+                    tables.apply(&mut space, Op::Answer(Seq(seq), "served".into(), vec![m])).unwrap();
+                }
+                Step::End(n, how) => {
+                    let Reply::Fetched(ready, _) = tables.apply(&mut space, Op::Fetch(EndpointId(0), 1000)).unwrap() else { panic!() };
+                    // Of each key exactly the oldest may go.
+                    let mut expect: Vec<u64> = waits.iter().filter(|(s, (_, o))| {
+                        o.is_none() || waits.iter().find(|(_, (_, p))| p == o).unwrap().0 == *s
+                    }).map(|(s, _)| *s).collect();
+                    expect.sort();
+                    let mut seen: Vec<u64> = ready.iter().map(|w| w.seq.0).collect();
+                    seen.sort();
+                    prop_assert_eq!(&seen, &expect);
+                    if ready.is_empty() {
+                        continue;
+                    }
+                    let mut w = ready[n % ready.len()];
+                    let recorded = w.effect != Effect::Safe;
+                    tables.apply(&mut space, Op::Begin(w.seq, recorded, now)).unwrap();
+                    w.tries += 1;
+                    let state = match how {
+                        0 => { w.due = now + 5; State::Waiting }
+                        1 => State::Dead(Dead::Exhausted),
+                        _ => State::Delivered,
+                    };
+                    tables.apply(&mut space, Op::Ended(Box::new(w), state, None)).unwrap();
+                    if state != State::Waiting {
+                        let (_, order) = waits.remove(&w.seq.0).unwrap();
+                        over += 1;
+                        if let Some(order) = order {
+                            prop_assert!(last_of_key.insert(order, w.seq.0) < Some(w.seq.0), "out of order");
+                        }
+                    }
+                }
+                Step::Kill => {
+                    tables.finish(&mut space, now).unwrap();
+                    let (fresh, found) = Tables::open(&mut space, true, BYTES, now).unwrap();
+                    tables = fresh;
+                    let seen: Vec<u64> = found.calls.iter().map(|c| c.seq.0).collect();
+                    prop_assert_eq!(seen, calls.keys().copied().collect::<Vec<_>>());
+                    prop_assert_eq!(found.next, next);
+                    prop_assert_eq!((found.unknown, found.stepped_back), (0, false));
+                }
+                Step::Retain(age) => {
+                    let Reply::Retained(expired, _) = tables.apply(&mut space, Op::Retain(now, age, BYTES, 1000)).unwrap() else { panic!() };
+                    for seq in expired {
+                        let (_, order) = waits.remove(&seq.0).unwrap();
+                        over += 1;
+                        if let Some(order) = order {
+                            last_of_key.insert(order, seq.0);
+                        }
+                    }
+                }
+                Step::Answer(..) => {}
+            }
+            let Reply::Stat(stat) = tables.apply(&mut space, Op::Stat).unwrap() else { panic!() };
+            prop_assert_eq!((stat.calls, stat.waiting), (calls.len() as u64, waits.len() as u64));
+            prop_assert!(stat.messages >= stat.waiting && stat.messages <= stat.waiting + over);
+            prop_assert_eq!(stat.bytes, 4 * (stat.messages + stat.calls));
+        }
+    }
+}
+
+#[test]
+fn a_callback_killed_on_its_way_follows_its_class_and_sending_again_needs_an_acknowledgement() {
+    let mut space = Memory::default();
+    let (mut t, _) = Tables::open(&mut space, true, BYTES, 0).unwrap();
+    let all = vec![message(1, 0, Effect::Unsafe, None), message(2, 0, Effect::Safe, None)];
+    t.apply(&mut space, Op::Publish(all)).unwrap();
+    for seq in [1, 2] {
+        t.apply(&mut space, Op::Begin(Seq(seq), seq == 1, 50)).unwrap();
+    }
+    let (mut t, found) = Tables::open(&mut space, true, BYTES, 60).unwrap();
+    assert_eq!((found.unknown, found.endpoints), (1, vec![(EndpointId(0), 2)]));
+    let state =
+        |t: &mut Tables, space: &mut Memory, seq| match t.apply(space, Op::Message(Seq(seq), 1)).unwrap() {
+            Reply::Message(Some(m)) => (m.0.state, m.1.len()),
+            other => panic!("{other:?}"),
+        };
+    assert_eq!(state(&mut t, &mut space, 1), (State::Dead(Dead::Unknown), 1));
+    assert_eq!(state(&mut t, &mut space, 2), (State::Waiting, 0));
+    let again = |t: &mut Tables, space: &mut Memory, by: Option<&str>| {
+        t.apply(space, Op::Again(Seq(1), 1, 70, by.map(str::to_owned))).unwrap()
+    };
+    assert!(matches!(again(&mut t, &mut space, None), Reply::NotAgain(_)));
+    assert!(
+        matches!(t.apply(&mut space, Op::Recover(EndpointId(0), 1, 0, 70, 10)).unwrap(), Reply::Waits(w) if w.is_empty())
+    );
+    assert!(matches!(again(&mut t, &mut space, Some("ops")), Reply::Waits(w) if w.len() == 1));
+    let Reply::Message(Some(m)) = t.apply(&mut space, Op::Message(Seq(1), 1)).unwrap() else { panic!() };
+    assert_eq!((m.0.state, m.0.acknowledged.as_deref()), (State::Waiting, Some("ops")));
+    assert_eq!(
+        t.apply(&mut space, Op::Message(Seq(1), 2)).unwrap(),
+        Reply::Message(None),
+        "another tenant's"
+    );
+}
+
+/// A disk that can be told to fail, to lose what was not synced, or to tear the write at which it fails.
+#[derive(Clone, Debug, Default)]
+struct Sick {
+    /// What is on the platter, and what is only in its cache.
+    synced: Arc<Mutex<Vec<u8>>>,
+    cache: Arc<InMemoryBackend>,
+    /// Calls that change something until it fails; wraps below nought into never.
+    left: Arc<AtomicU64>,
+    torn: Arc<AtomicBool>,
+    failed: Arc<AtomicBool>,
+}
+
+impl Sick {
+    fn new(left: u64, torn: bool) -> Sick {
+        let sick = Sick::default();
+        sick.left.store(left, Ordering::SeqCst);
+        sick.torn.store(torn, Ordering::SeqCst);
+        sick
+    }
+
+    fn step(&self) -> std::io::Result<()> {
+        let left = self.left.load(Ordering::SeqCst);
+        if left == 0 {
+            self.failed.store(true, Ordering::SeqCst);
+            return Err(std::io::Error::other("no space left on device"));
+        }
+        self.left.store(left - 1, Ordering::SeqCst);
+        Ok(())
+    }
+
+    /// The machine after a crash: what was synced, on a healthy disk; of a torn write also its first half.
+    fn after(&self) -> Sick {
+        let bytes = self.synced.lock().unwrap().clone();
+        let well = Sick::new(u64::MAX, false);
+        well.cache.set_len(bytes.len() as u64).unwrap();
+        well.cache.write(0, &bytes).unwrap();
+        *well.synced.lock().unwrap() = bytes;
+        well
+    }
+}
+
+impl StorageBackend for Sick {
+    fn len(&self) -> std::io::Result<u64> {
+        self.cache.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> std::io::Result<()> {
+        self.cache.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> std::io::Result<()> {
+        self.step()?;
+        self.cache.set_len(len)
+    }
+
+    fn sync_data(&self) -> std::io::Result<()> {
+        self.step()?;
+        let mut bytes = vec![0; self.cache.len()? as usize];
+        self.cache.read(0, &mut bytes)?;
+        *self.synced.lock().unwrap() = bytes;
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> std::io::Result<()> {
+        if let Err(e) = self.step() {
+            if self.torn.load(Ordering::SeqCst) {
+                // Half of the page reaches the platter by itself.
+                let mut synced = self.synced.lock().unwrap();
+                let (at, half) = (offset as usize, data.len() / 2);
+                if synced.len() >= at + half {
+                    synced[at..at + half].copy_from_slice(&data[..half]);
+                }
+            }
+            return Err(e);
+        }
+        self.cache.write(offset, data)
+    }
+}
+
+/// At every step at which the disk can fail, whole or torn: what was told done is there after a crash, and the file
+/// opens. What was told an error may be there or not, and is undone by [`Op::Untake`].
+#[test]
+fn whatever_write_fails_what_was_told_done_is_kept() {
+    for torn in [false, true] {
+        let mut points = 0;
+        for left in 1..2000 {
+            let sick = Sick::new(left, torn);
+            let Ok((mut disk, _)) = Disk::open_backend(sick.clone(), BYTES, 1) else { continue };
+            let mut done = Vec::new();
+            for seq in 1..=6 {
+                let op = Op::Take(call(seq, Effect::Unsafe), mark(seq), 300);
+                match disk.commit([op, Op::Sent(Seq(seq), 5)], seq) {
+                    Ok(_) => done.push(seq),
+                    Err(e) => {
+                        assert!(matches!(e, StoreError::Disk(_)), "{e}");
+                        break;
+                    }
+                }
+            }
+            let failed = sick.failed.load(Ordering::SeqCst);
+            points += usize::from(failed);
+            assert!(failed || done.len() == 6, "an error that the disk did not give");
+            drop(disk);
+            let (mut disk, found) =
+                Disk::open_backend(sick.after(), BYTES, 9).expect("it opens after the crash");
+            let seen: Vec<u64> = found.calls.iter().map(|c| c.seq.0).collect();
+            assert!(seen.starts_with(&done) && seen.len() <= done.len() + 1, "{left}: {done:?} {seen:?}");
+            assert!(found.calls.iter().all(|c| c.sent == Some(5)), "one commit is kept whole");
+            let next = done.len() as u64 + 1;
+            disk.commit([Op::Untake(Seq(next), mark(next))], 10).unwrap();
+            assert_eq!(disk.commit([Op::Stat], 10).unwrap().len(), 1);
+            if !failed {
+                break;
+            }
+        }
+        assert!(points > 20, "only {points} points of failure were met");
+    }
+}
+
+#[test]
+fn a_file_that_is_not_ours_or_is_held_is_left_alone() {
+    let folder = std::env::temp_dir().join(format!("molelug-store-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("store");
+    std::fs::write(&path, "a letter, not a store").unwrap();
+    assert!(matches!(Disk::open(&path, BYTES, 0), Err(StoreError::Foreign(_))));
+    assert_eq!(std::fs::read(&path).unwrap(), b"a letter, not a store");
+    std::fs::remove_file(&path).unwrap();
+    let (held, _) = Disk::open(&path, BYTES, 0).unwrap();
+    assert_eq!(Disk::open(&path, BYTES, 0).unwrap_err(), StoreError::Held);
+    drop(held);
+    assert!(Disk::open(&path, BYTES, 0).is_ok());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/src/store/writer.rs
@@ -0,0 +1,165 @@
+//! The one thread that writes: it takes what waits, many operations to one commit, and tells the loop.
+//!
+//! After an error nothing that the operations asked for counts as kept. What only asks, or must not be done unless
+//! it is kept, is told the error; what has happened and must be kept waits here, in its order, until the file can
+//! be opened again. It is bounded by what was under way when the disk failed, as nothing new is taken meanwhile.
+
+use std::collections::VecDeque;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use super::disk::Disk;
+use super::records::{Op, Reply, StoreError};
+use crate::api::Micros;
+use crate::clock::Clock;
+
+/// Operations that one commit takes at most.
+const MOST_OPS: usize = 512;
+/// How long after an error the file is opened anew.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// Opens the store anew, at a time.
+pub type Opener = Box<dyn FnMut(Micros) -> Result<Disk, StoreError> + Send>;
+/// Where answers go: the number of the question, and the answer.
+pub type Answered = Box<dyn FnMut(u64, Result<Reply, StoreError>) + Send>;
+
+enum Job {
+    Op(u64, Op),
+    Stop,
+}
+
+/// The way to the thread.
+#[derive(Debug)]
+pub struct Writer {
+    jobs: Sender<Job>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Writer {
+    /// Begins the thread over a store that is open.
+    pub fn start(disk: Disk, opener: Opener, answered: Answered) -> std::io::Result<Writer> {
+        let (jobs, waits) = mpsc::channel();
+        let room = Room { disk: Some(disk), opener, answered, kept: VecDeque::new(), clock: Clock::system() };
+        let thread = std::thread::Builder::new().name("store".into()).spawn(move || room.run(&waits))?;
+        Ok(Writer { jobs, thread: Some(thread) })
+    }
+
+    /// Asks for something; the answer comes under the number.
+    pub fn ask(&self, number: u64, op: Op) {
+        // A thread that is gone answers nothing; the process is at its end then.
+        let _ = self.jobs.send(Job::Op(number, op));
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        let _ = self.jobs.send(Job::Stop);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// What has happened and must be kept, whatever the disk says now.
+fn must_be_kept(op: &Op) -> bool {
+    matches!(
+        op,
+        Op::Answer(..) | Op::Ended(..) | Op::Unsent(_) | Op::Untake(..) | Op::Purge(..) | Op::Publish(_)
+    )
+}
+
+struct Room {
+    disk: Option<Disk>,
+    opener: Opener,
+    answered: Answered,
+    /// What waits for the disk.
+    kept: VecDeque<(u64, Op)>,
+    clock: Clock,
+}
+
+/// The number under which nobody waits for an answer.
+const NOBODY: u64 = 0;
+
+impl Room {
+    fn run(mut self, waits: &Receiver<Job>) {
+        let mut stopping = false;
+        while !stopping {
+            let first = if self.disk.is_some() {
+                match waits.recv() {
+                    Ok(job) => Some(job),
+                    Err(_) => return,
+                }
+            } else {
+                match waits.recv_timeout(AGAIN) {
+                    Ok(job) => Some(job),
+                    Err(RecvTimeoutError::Timeout) => None,
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+            };
+            let mut batch = Vec::new();
+            for job in first.into_iter().chain(waits.try_iter()).take(MOST_OPS) {
+                match job {
+                    Job::Op(number, op) => batch.push((number, op)),
+                    Job::Stop => stopping = true,
+                }
+            }
+            if self.disk.is_none() {
+                self.reopen();
+            }
+            self.commit(batch);
+        }
+    }
+
+    fn reopen(&mut self) {
+        let now = self.clock.now();
+        match (self.opener)(now) {
+            Ok(disk) => {
+                tracing::info!("the store is open again");
+                self.disk = Some(disk);
+                let kept: Vec<_> = self.kept.drain(..).collect();
+                self.commit(kept);
+            }
+            Err(e) => tracing::debug!("the store stays closed: {e}"),
+        }
+    }
+
+    fn commit(&mut self, batch: Vec<(u64, Op)>) {
+        if batch.is_empty() {
+            return;
+        }
+        let Some(disk) = &mut self.disk else { return self.fail(batch, &StoreError::Disk("closed".into())) };
+        let now = self.clock.now();
+        match disk.commit(batch.iter().map(|(_, op)| op.clone()), now) {
+            Ok(replies) => {
+                for ((number, _), reply) in batch.into_iter().zip(replies) {
+                    if number != NOBODY {
+                        (self.answered)(number, reply);
+                    }
+                }
+            }
+            Err(e) => {
+                tracing::error!("the store has failed; nothing new is taken until it is open again: {e}");
+                self.disk = None;
+                self.fail(batch, &e);
+            }
+        }
+    }
+
+    /// A commit that failed may still have reached the disk: what was told an error is undone once it is open.
+    fn fail(&mut self, batch: Vec<(u64, Op)>, e: &StoreError) {
+        for (number, op) in batch {
+            match &op {
+                op if must_be_kept(op) => {
+                    self.kept.push_back((number, op.clone()));
+                    continue;
+                }
+                Op::Take(call, mark, _) => self.kept.push_back((NOBODY, Op::Untake(call.seq, *mark))),
+                // That an attempt began and did not errs on the safe side; the attempt's end corrects it.
+                Op::Sent(seq, _) => self.kept.push_back((NOBODY, Op::Unsent(*seq))),
+                _ => {}
+            }
+            (self.answered)(number, Err(e.clone()));
+        }
+    }
+}
