--- a/examples/send_webhook.rs
+++ b/examples/send_webhook.rs
@@ -7,7 +7,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use molelug::front::webhook::signature::sign;
-use molelug::tenants::Secret;
+use molelug::tenancy::Secret;
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let at = std::env::args().nth(1).unwrap_or_else(|| "127.0.0.1:7002".into());
--- /dev/null
+++ b/src/admin/messages.rs
@@ -0,0 +1,112 @@
+//! Messages and their attempts: `/v1/tenants/NAME/messages`, in cursor pages, the newest first.
+
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use super::{body, query, refused, Context, Done, Handled};
+use crate::delivery::Seq;
+use crate::front::http::{plain, Bad, Request};
+use crate::front::webhook::message::timestamp;
+use crate::store::records::{AttemptRecord, Filter, MessageRecord, Op, Reply, StoreError};
+use crate::tenancy::TenantError;
+
+/// Messages on one page, where nothing is said and at most.
+const PAGE: usize = 50;
+const LONGEST_PAGE: usize = 200;
+
+fn seq(text: &str) -> Result<Seq, Bad> {
+    text.parse().map(Seq).map_err(|_| plain(404, "no such message"))
+}
+
+fn serial(cx: &Context<'_>, tenant: &str) -> Result<u64, Bad> {
+    cx.tenants.get(tenant).map(|t| t.serial).ok_or(refused(TenantError::Unknown))
+}
+
+/// A page of a tenant's messages, by state, type, endpoint and time.
+pub fn list(cx: &Context<'_>, tenant: &str, q: &str) -> Result<Done, Bad> {
+    let t = cx.tenants.get(tenant).ok_or(refused(TenantError::Unknown))?;
+    let bad = plain(422, "a parameter cannot be used");
+    let number = |name: &str| query(q, name).map(|v| v.parse::<u64>().map_err(|_| bad)).transpose();
+    let endpoint = query(q, "endpoint").map(|name| t.endpoints.get(name).map(|e| e.id));
+    let limit = number("limit")?.map_or(PAGE, |n| n as usize);
+    if limit == 0 || limit > LONGEST_PAGE || endpoint == Some(None) {
+        return Err(bad);
+    }
+    Ok(Done::Ask(Op::Messages(Filter {
+        serial: t.serial,
+        state: query(q, "state").map(str::to_owned),
+        kind: query(q, "type").map(str::to_owned),
+        endpoint: endpoint.flatten(),
+        since: number("since")?.map(|s| s.saturating_mul(1_000_000)),
+        before: number("cursor")?.map(Seq),
+        limit,
+    })))
+}
+
+/// One message, its attempts and its body.
+pub fn one(cx: &Context<'_>, tenant: &str, message: &str) -> Result<Done, Bad> {
+    Ok(Done::Ask(Op::Message(seq(message)?, serial(cx, tenant)?)))
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Again {
+    /// Send it although it may have arrived and its class forbids to send it twice.
+    #[serde(default)]
+    acknowledge_duplicate: bool,
+}
+
+/// Sends one again.
+pub fn again(r: &Request<'_>, cx: &Context<'_>, who: &str, tenant: &str, message: &str) -> Result<Done, Bad> {
+    let again: Again = body(r, "body is not a request to send again")?;
+    let by = again.acknowledge_duplicate.then(|| who.to_owned());
+    Ok(Done::Ask(Op::Again(seq(message)?, serial(cx, tenant)?, cx.now, by)))
+}
+
+fn view(m: &MessageRecord) -> Value {
+    json!({
+        "message": m.waiting.seq.0.to_string(),
+        "webhook_id": m.id,
+        "type": m.kind,
+        "call": m.call,
+        "state": m.state.name(),
+        "attempts": m.waiting.tries,
+        "created": timestamp(m.created),
+        "due": (!m.state.is_over()).then(|| timestamp(m.waiting.due)),
+        "may_have_arrived": m.waiting.ran.is_some(),
+        "acknowledged_by": m.acknowledged,
+        "bytes": m.waiting.size,
+    })
+}
+
+fn attempt(a: &AttemptRecord) -> Value {
+    json!({ "at": timestamp(a.at), "took_ms": a.took / 1000, "ending": a.ending, "status": a.status,
+            "may_have_arrived": a.may_have_arrived })
+}
+
+/// The answer that a reply of the store makes.
+pub fn answer(op_limit: Option<usize>, reply: Result<Reply, StoreError>) -> Result<Handled, Bad> {
+    match reply {
+        Ok(Reply::Messages(all)) => {
+            // A full page may have one behind it.
+            let full = op_limit.is_some_and(|limit| all.len() >= limit);
+            let cursor = all.last().filter(|_| full).map(|m| m.waiting.seq.0.to_string());
+            let list: Vec<Value> = all.iter().map(view).collect();
+            Ok(Handled::new(200, json!({ "messages": list, "cursor": cursor })))
+        }
+        Ok(Reply::Message(Some(shown))) => {
+            let mut body = view(&shown.record);
+            body["log"] = shown.attempts.iter().map(attempt).collect();
+            body["body"] = serde_json::from_slice(&shown.body).unwrap_or(Value::Null);
+            Ok(Handled::new(200, body))
+        }
+        Ok(Reply::Message(None)) => Err(plain(404, "no such message")),
+        Ok(Reply::Waits(all)) => Ok(Handled::new(202, json!({ "sent_again": all.len() }))),
+        Ok(Reply::NotAgain("no such message")) => Err(plain(404, "no such message")),
+        Ok(Reply::NotAgain(why)) => Err(plain(409, why)),
+        Ok(Reply::Stat(stat)) => Ok(Handled::new(200, json!(stat))),
+        Ok(_) => Err(plain(500, "the store answered something else")),
+        Err(StoreError::Full) => Err(plain(503, "the store is full")),
+        Err(_) => Err(plain(503, "the store cannot be written or read")),
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,15 +5,17 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use ipnet::IpNet;
 use serde::Deserialize;
 use serde_json::Value;
 
 use crate::api::{Micros, Settings};
 use crate::board::Notice;
+use crate::delivery::schedule::Schedule;
 use crate::identity::{self, Role};
 use crate::names::Names;
 use crate::settings;
-use crate::tenants::{Registry, Spec};
+use crate::tenancy::{Registry, Spec};
 
 /// Why a configuration cannot be used.
 #[derive(Debug)]
@@ -241,7 +243,33 @@
     pub replay_entries: usize,
     /// Where they are kept over restarts.
     pub replay_file: Option<PathBuf>,
-    /// Calls and callbacks that may be under way at once.
+    /// Where calls and callbacks are kept; without it they last as long as the process.
+    pub store: Option<PathBuf>,
+    /// Bytes of calls and callbacks that the store takes at most, in MiB.
+    #[serde(default = "default_store_mb")]
+    pub store_mb: u64,
+    /// How long messages are kept, in days; one that still waits then has expired.
+    #[serde(default = "default_retention_days")]
+    pub retention_days: u64,
+    /// Above so many MiB, messages that are over go before their time.
+    #[serde(default = "default_retention_mb")]
+    pub retention_mb: u64,
+    /// Pauses between the attempts at a callback, in seconds; where none are given, those of the Standard Webhooks
+    /// specification with a store, and short ones within `callback_window_ms` without.
+    pub schedule_s: Option<Vec<f64>>,
+    /// An endpoint that has only failed for so many seconds is switched off.
+    #[serde(default = "default_disable")]
+    pub disable_after_s: u64,
+    /// Networks that portals may be in, besides the public ones and loopback.
+    #[serde(default)]
+    pub allow_networks: Vec<IpNet>,
+    /// Networks that portals may not be in.
+    #[serde(default)]
+    pub deny_networks: Vec<IpNet>,
+    /// Attempts at callbacks that are out at once.
+    #[serde(default = "default_portals")]
+    pub portals: u32,
+    /// Calls under way at once; without a store, calls and callbacks.
     #[serde(default = "default_pending")]
     pub pending: usize,
     /// How long a callback is tried.
@@ -252,6 +280,26 @@
     pub callback_answer_ms: u64,
 }
 
+fn default_store_mb() -> u64 {
+    1024
+}
+
+fn default_retention_days() -> u64 {
+    14
+}
+
+fn default_retention_mb() -> u64 {
+    512
+}
+
+fn default_disable() -> u64 {
+    5 * 86_400
+}
+
+fn default_portals() -> u32 {
+    64
+}
+
 fn default_tolerance() -> u64 {
     300
 }
@@ -325,6 +373,7 @@
             operator.state = operator.state.map(|state| folder.join(state));
             if let Some(w) = &mut operator.webhooks {
                 w.replay_file = w.replay_file.take().map(|file| folder.join(file));
+                w.store = w.store.take().map(|file| folder.join(file));
             }
             if let Some(admin) = &mut operator.admin {
                 admin.bundle = folder.join(&admin.bundle);
@@ -347,6 +396,12 @@
                     .map_err(|e| ConfigError::Value("admin.callers", e.to_string()))?;
             }
         }
+        if let Some(w) = &operator.webhooks {
+            if let Some(pauses) = &w.schedule_s {
+                Schedule::from_seconds(pauses)
+                    .map_err(|e| ConfigError::Value("webhooks.schedule_s", e.to_string()))?;
+            }
+        }
         operator.registry(&[])?;
         Ok(operator)
     }
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -4,14 +4,15 @@
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
 
-use super::replay::{Replays, Seen};
+use super::replay::{mark, Replays, Seen};
 use super::signature;
 use crate::api::*;
 use crate::core::Call;
 use crate::front::http::{plain, Bad, Request};
 use crate::front::platform::hex16;
 use crate::names::Names;
-use crate::tenants::{Registry, Tenant};
+use crate::store::records::Mark;
+use crate::tenancy::{Registry, Tenant, COMPLETED};
 
 /// The longest identity that is taken.
 const LONGEST_ID: usize = 128;
@@ -38,6 +39,8 @@
     /// The worker's input, in base64.
     #[serde(default)]
     payload: String,
+    /// Answers under one key go out in their order, to endpoints that ask for it.
+    order_key: Option<String>,
 }
 
 /// The type of event that asks for a call.
@@ -58,6 +61,8 @@
     pub effect: Effect,
     /// The function.
     pub function: FunctionId,
+    /// Answers under one key go out in their order.
+    pub order: Option<String>,
 }
 
 /// The rules for calls from outside.
@@ -68,6 +73,9 @@
     /// When this process started, if it forgot what was taken before: that may have been taken by the process
     /// before it.
     pub started: Option<Micros>,
+    /// Identities whose stamps were good until then may have been forgotten: after a clock has stepped back they
+    /// would be taken again.
+    pub forgotten: Micros,
     /// What was taken.
     pub replays: Replays,
     /// Makes identities for workers that no other gateway or start makes.
@@ -77,7 +85,8 @@
 }
 
 impl Inbound {
-    /// Checks a request and makes a call of it. The order matters: what is not signed learns nothing and takes
+    /// Checks a request and makes a call of it, with the digest of its identity and the time until which that is
+    /// remembered. The order matters: what is not signed learns nothing and takes
     /// no room in the replay store.
     pub fn take(
         &mut self,
@@ -85,11 +94,35 @@
         tenants: &Registry,
         names: &Names,
         now: Micros,
-    ) -> Result<Call<Job>, Bad> {
+    ) -> Result<(Call<Job>, Mark, Micros), Bad> {
         let name = r.path.strip_prefix("/webhooks/").ok_or(plain(404, "no such path"))?;
         if r.method != "POST" {
             return Err(plain(405, "a webhook is a POST"));
         }
+        let (tenant, id, stamp) = self.signed(r, name, tenants, now)?;
+        let call = self.call(r.body, (name, tenant), id, names, now)?;
+        if !tenant.wants(COMPLETED) {
+            return Err(plain(422, "the tenant has no portal for the answer"));
+        }
+        let until = (stamp + self.tolerance_s + 1) * 1_000_000;
+        if until <= self.forgotten {
+            return Err(plain(401, "time stamp refused"));
+        }
+        match self.replays.take(name, id, now, until) {
+            Seen::New => Ok((call, mark(name, id), until)),
+            Seen::Before => Err(plain(409, "already taken")),
+            Seen::Full => Err(plain(503, "too many calls remembered")),
+        }
+    }
+
+    /// Who signed a request, under which identity and when; an error unless its signature and time hold.
+    fn signed<'a, 't>(
+        &self,
+        r: &Request<'a>,
+        name: &str,
+        tenants: &'t Registry,
+        now: Micros,
+    ) -> Result<(&'t Tenant, &'a str, u64), Bad> {
         let refused = plain(401, "signature refused");
         let tenant = tenants.get(name).ok_or(refused)?;
         // A full stop separates what is signed; within an identity it would let one signature fit two readings.
@@ -112,16 +145,19 @@
         if started == Some(stamp) {
             return Err(plain(503, "just started"));
         }
-        let call = self.call(r.body, (name, tenant), id, names, now)?;
-        if tenant.portal.is_none() {
-            return Err(plain(422, "the tenant has no portal for the answer"));
-        }
-        let until = (stamp + self.tolerance_s + 1) * 1_000_000;
-        match self.replays.take(name, id, now, until) {
-            Seen::New => Ok(call),
-            Seen::Before => Err(plain(409, "already taken")),
-            Seen::Full => Err(plain(503, "too many calls remembered")),
+        Ok((tenant, id, stamp))
+    }
+
+    /// Checks a signed question for the state of a call, `GET /webhooks/TENANT/calls/ID`: the identity signed is
+    /// the call's. Returns which tenant, and the call's identity. It changes nothing, so it may be repeated.
+    pub fn ask<'a>(&self, r: &Request<'a>, tenants: &Registry, now: Micros) -> Result<(u64, &'a str), Bad> {
+        let rest = r.path.strip_prefix("/webhooks/").ok_or(plain(404, "no such path"))?;
+        let (name, call) = rest.split_once("/calls/").ok_or(plain(404, "no such path"))?;
+        let (tenant, id, _) = self.signed(r, name, tenants, now)?;
+        if id != call || !r.body.is_empty() {
+            return Err(plain(401, "signature refused"));
         }
+        Ok((tenant.serial, id))
     }
 
     fn call(
@@ -158,6 +194,7 @@
             class: d.class,
             effect: class.effect,
             function,
+            order: d.order_key.filter(|k| !k.is_empty() && k.len() <= LONGEST_ID),
         };
         let arrival = Arrival {
             request: RequestId(0),
--- a/src/front/webhook/mod.rs
+++ b/src/front/webhook/mod.rs
@@ -1,6 +1,7 @@
 //! Signed webhooks, as the Standard Webhooks specification has them: calls in, callbacks out.
 
-pub mod callback;
+pub mod answer;
 pub mod inbound;
+pub mod message;
 pub mod replay;
 pub mod signature;
--- a/src/front/webhook/replay.rs
+++ b/src/front/webhook/replay.rs
@@ -8,8 +8,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::api::Micros;
-
-type Mark = [u8; 32];
+use crate::store::records::Mark;
 
 /// A file is written anew once it holds so many times more lines than the store holds marks, and no fewer.
 const SLACK: usize = 2;
@@ -37,6 +36,15 @@
     Some((until.parse().ok()?, mark))
 }
 
+/// The digest of a tenant's identity.
+pub fn mark(tenant: &str, id: &str) -> Mark {
+    let mut hash = Sha256::new();
+    hash.update((tenant.len() as u64).to_le_bytes());
+    hash.update(tenant);
+    hash.update(id);
+    hash.finalize().into()
+}
+
 /// What an identity is to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
@@ -79,6 +87,22 @@
         Ok(store)
     }
 
+    /// Takes identities in that were kept elsewhere.
+    pub fn load(&mut self, kept: &[(Mark, Micros)]) {
+        for (mark, until) in kept {
+            if self.until.insert(*mark, *until).is_none() {
+                self.order.insert((*until, *mark));
+            }
+        }
+    }
+
+    /// Forgets an identity whose call could not be kept.
+    pub fn forget(&mut self, mark: &Mark) {
+        if let Some(until) = self.until.remove(mark) {
+            self.order.remove(&(until, *mark));
+        }
+    }
+
     fn rewrite(&mut self, path: &Path) -> io::Result<()> {
         let fresh = path.with_extension("new");
         let text: String = self.order.iter().map(|(until, mark)| line(*until, mark)).collect();
@@ -107,11 +131,7 @@
             self.order.remove(&(t, mark));
             self.until.remove(&mark);
         }
-        let mut hash = Sha256::new();
-        hash.update((tenant.len() as u64).to_le_bytes());
-        hash.update(tenant);
-        hash.update(id);
-        let mark: Mark = hash.finalize().into();
+        let mark = mark(tenant, id);
         if self.until.contains_key(&mark) {
             return Seen::Before;
         }
--- a/src/front/webhook/signature.rs
+++ b/src/front/webhook/signature.rs
@@ -1,27 +1,21 @@
-//! Signatures: `v1,` and the base64 of HMAC-SHA256 over `id.timestamp.body`.
+//! The header `webhook-signature`: signatures over `id.timestamp.body`, apart by spaces.
 
-use base64::prelude::{Engine, BASE64_STANDARD};
-use hmac::{Hmac, KeyInit, Mac};
-use sha2::Sha256;
+use crate::tenancy::Secret;
 
-use crate::tenants::Secret;
+/// Signatures of one header that are looked at.
+const MOST: usize = 16;
 
-fn mac(secret: &Secret, id: &str, timestamp: u64, body: &[u8]) -> Option<Hmac<Sha256>> {
-    let mut mac = Hmac::<Sha256>::new_from_slice(secret.key()).ok()?;
-    mac.update(format!("{id}.{timestamp}.").as_bytes());
-    mac.update(body);
-    Some(mac)
+fn content(id: &str, timestamp: u64, body: &[u8]) -> Vec<u8> {
+    [format!("{id}.{timestamp}.").as_bytes(), body].concat()
 }
 
-/// The value of `webhook-signature`: one signature for each secret that counts.
+/// The value of `webhook-signature`: one signature for each secret that can sign.
 pub fn sign<'a>(secrets: impl Iterator<Item = &'a Secret>, id: &str, timestamp: u64, body: &[u8]) -> String {
-    let signed = secrets.filter_map(|s| mac(s, id, timestamp, body));
-    let text = signed.map(|m| format!("v1,{}", BASE64_STANDARD.encode(m.finalize().into_bytes())));
-    text.collect::<Vec<_>>().join(" ")
+    let content = content(id, timestamp, body);
+    secrets.filter_map(|s| s.sign(&content)).collect::<Vec<_>>().join(" ")
 }
 
-/// Whether one of the signatures is one of the secrets'. The comparison takes the same time wherever they
-/// differ.
+/// Whether one of the signatures is one of the secrets'.
 pub fn verify<'a>(
     secrets: impl Iterator<Item = &'a Secret>,
     id: &str,
@@ -29,20 +23,15 @@
     body: &[u8],
     header: &str,
 ) -> bool {
-    let given: Vec<Vec<u8>> = header
-        .split(' ')
-        .filter_map(|s| s.strip_prefix("v1,"))
-        .take(16)
-        .filter_map(|s| BASE64_STANDARD.decode(s).ok())
-        .collect();
-    secrets
-        .filter_map(|s| mac(s, id, timestamp, body))
-        .any(|m| given.iter().any(|g| m.clone().verify_slice(g).is_ok()))
+    let content = content(id, timestamp, body);
+    let given: Vec<&str> = header.split(' ').filter(|s| !s.is_empty()).take(MOST).collect();
+    secrets.into_iter().any(|secret| given.iter().any(|g| secret.verify(&content, g)))
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use base64::prelude::{Engine, BASE64_STANDARD};
 
     /// The example of the Standard Webhooks specification's libraries.
     #[test]
@@ -60,4 +49,28 @@
         assert!(!verify(one(), id, at, body, short) && !verify(one(), id, at, body, ""));
         assert!(!verify(std::iter::empty(), id, at, body, good), "no secret lets nothing in");
     }
+
+    #[test]
+    fn keys_of_both_kinds_sign_together_and_each_checks_its_own() {
+        let hmac = Secret::parse(&format!("whsec_{}", BASE64_STANDARD.encode([1; 32]))).unwrap();
+        let ed = Secret::parse(&format!("whsk_{}", BASE64_STANDARD.encode([2; 32]))).unwrap();
+        let public = Secret::parse(&ed.public().unwrap()).unwrap();
+        let header = sign([&hmac, &ed, &public].into_iter(), "m", 7, b"body");
+        assert_eq!(
+            header.split(' ').map(|s| s.split(',').next().unwrap()).collect::<Vec<_>>(),
+            ["v1", "v1a"]
+        );
+        for secret in [&hmac, &ed, &public] {
+            assert!(verify(std::iter::once(secret), "m", 7, b"body", &header));
+            assert!(!verify(std::iter::once(secret), "m", 7, b"bodx", &header));
+            let swapped = header.replace("v1a,", "v2,").replace("v1,", "v1a,");
+            assert!(!verify(std::iter::once(secret), "m", 7, b"body", &swapped), "under another's version");
+        }
+        assert!(public.public() == ed.public() && !public.signs());
+        for bad in ["whsk_AAAA", "whpk_AAAA", "whsec", "x_y"] {
+            assert!(Secret::parse(bad).is_err());
+        }
+        let torn = format!("whsk_{}", BASE64_STANDARD.encode([2; 64]));
+        assert!(Secret::parse(&torn).is_err(), "the halves do not belong together");
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod node;
 pub mod settings;
 pub mod store;
-pub mod tenants;
+pub mod tenancy;
 pub mod worker;
 
 pub use api::{Action, Event, Outcome, Settings};
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,8 +22,8 @@
 use crate::ending::{Ending, Left};
 use crate::front::http::READ_LIMIT;
 use crate::front::platform::{self, Ask};
+use crate::names::Names;
 use crate::net::{self, Conn, Stream};
-use crate::tenants::Registry;
 use crate::worker::{self, Done, Go, Link, Open};
 
 mod clients;
@@ -31,7 +31,9 @@
 mod listing;
 mod reload;
 mod second;
-use second::{AdminSide, CallbackKey, Hooks, JobKey};
+mod webhooks;
+use second::Second;
+use webhooks::{JobKey, PortalLink};
 
 new_key_type! {
     /// The slot of a connection.
@@ -40,11 +42,12 @@
 
 /// Kinds of deadlines that the node hangs into the core's order.
 const CONN: u8 = 0;
-const CALLBACK: u8 = 1;
 const BOARD_AGAIN: Token = Token { kind: 2, number: 0 };
 const DRAIN_OVER: Token = Token { kind: 2, number: 1 };
 const ACCEPT_AGAIN: Token = Token { kind: 2, number: 2 };
 const BUNDLE_AGAIN: Token = Token { kind: 2, number: 3 };
+const DELIVER: Token = Token { kind: 2, number: 4 };
+const RETAIN: Token = Token { kind: 2, number: 5 };
 
 /// A client's connection without an open request is closed after this; clients themselves close after 4 s, but
 /// for those that ask once and stay.
@@ -127,12 +130,21 @@
     Admin,
 }
 
+/// What a client's answer waits for.
+#[derive(Clone, Copy, Debug)]
+enum Owed {
+    /// The module.
+    Call(RequestKey),
+    /// The store.
+    Store,
+}
+
 #[derive(Debug)]
 enum Role {
-    Client { kind: Kind, open: Option<RequestKey>, keep: bool },
+    Client { kind: Kind, open: Option<Owed>, keep: bool },
     Worker(Link),
     Board(Feed),
-    Portal(CallbackKey),
+    Portal(PortalLink),
 }
 
 #[derive(Debug)]
@@ -170,10 +182,7 @@
     /// Clients that are not the platform's.
     others: usize,
     most_others: usize,
-    tenants: Registry,
-    state: Option<std::path::PathBuf>,
-    hooks: Option<Hooks>,
-    admin: Option<AdminSide>,
+    second: Second,
     last_rev: u64,
     gap_at: Option<u64>,
     ready: Vec<ConnKey>,
@@ -229,10 +238,7 @@
             most_clients,
             others: 0,
             most_others,
-            tenants: Registry::default(),
-            state: None,
-            hooks: None,
-            admin: None,
+            second: Second::default(),
             last_rev,
             gap_at: None,
             ready: Vec::new(),
@@ -334,7 +340,8 @@
             self.accept_all();
         }
         self.pump();
-        let hooks = self.hooks.as_ref().is_none_or(Hooks::is_idle);
+        let now = self.clock.now();
+        let hooks = self.second.hooks.as_ref().is_none_or(|h| h.is_idle(now));
         if self.draining && self.listeners.is_empty() && self.clients == 0 && hooks {
             self.stop = true;
         }
@@ -347,10 +354,14 @@
         for token in due {
             match token {
                 BOARD_AGAIN => self.open_board(now),
-                DRAIN_OVER => self.stop_accepting(),
+                DRAIN_OVER => {
+                    self.stop_accepting();
+                    self.stop_webhooks(now);
+                }
                 ACCEPT_AGAIN => self.accept = true,
                 BUNDLE_AGAIN => self.load_bundle(now),
-                Token { kind: CALLBACK, number } => self.deliver(now, KeyData::from_ffi(number).into()),
+                DELIVER => self.tick_webhooks(now),
+                RETAIN => self.retain(now),
                 Token { number, .. } => self.on_deadline(now, KeyData::from_ffi(number).into()),
             }
         }
@@ -396,7 +407,7 @@
                 self.clients -= 1;
                 self.others -= usize::from(kind != Kind::Platform);
                 self.accept |= !self.listeners.is_empty();
-                if let Some(request) = open {
+                if let Some(Owed::Call(request)) = open {
                     self.core.caller_gone(now, request);
                 }
             }
@@ -412,10 +423,9 @@
                 }
             }
             Role::Board(_) => self.core.hang(now + BOARD_PAUSE, BOARD_AGAIN),
-            Role::Portal(callback) => {
-                let left =
-                    if conn.out.untouched(second::CALLBACK_FRAME) { Left::Nothing } else { Left::Some };
-                self.delivered(now, callback, ending, left);
+            Role::Portal(link) => {
+                let untouched = link.untouched(&conn.out);
+                self.portal_closed(now, key, &link, ending, untouched);
             }
         }
     }
@@ -430,7 +440,8 @@
             Err(ending) => return self.close(key, ending),
         }
         let limit = match role {
-            Role::Client { .. } | Role::Portal(_) => READ_LIMIT,
+            Role::Client { .. } => READ_LIMIT,
+            Role::Portal(_) => crate::front::webhook::answer::READ_LIMIT,
             Role::Worker(_) => worker::READ_LIMIT,
             Role::Board(_) => board::READ_LIMIT,
         };
@@ -463,11 +474,7 @@
         match role {
             Role::Client { kind: Kind::Platform, .. } => self.on_client(key, now),
             Role::Client { .. } => self.on_second(key, now),
-            Role::Portal(_) => {
-                if let Some(ending) = crate::front::webhook::callback::portal_answer(conn.input.bytes()) {
-                    self.close(key, ending);
-                }
-            }
+            Role::Portal(_) => self.on_portal(key, now),
             Role::Worker(link) => {
                 let mut done = Vec::new();
                 let result = link.input(now, &mut conn.input, &mut done);
@@ -543,6 +550,7 @@
                 };
                 self.set_deadline(key, Some(next));
             }
+            Role::Portal(link) if link.is_idle() => self.close(key, Ending::Idle),
             Role::Board(_) | Role::Portal(_) => {
                 let ending = if conn.up { Ending::TimedOut } else { Ending::NeverUp };
                 self.close(key, ending)
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -129,7 +129,7 @@
                     self.set_deadline(key, None);
                     let request = self.core.call(now, call.with(Origin::Client(key)));
                     if let Some((_, Role::Client { open, .. })) = self.conns.get_mut(key) {
-                        *open = Some(request);
+                        *open = Some(Owed::Call(request));
                     }
                     return;
                 }
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -1,6 +1,7 @@
 //! The core's commands carried out on worker connections, and their endings reported.
 
 use super::*;
+use crate::front::webhook::message::Outcome;
 
 impl Node {
     /// Carries out commands and reports endings until there is nothing left; then writes.
@@ -11,6 +12,7 @@
                 self.report(now, done);
             } else if let Some(command) = self.core.command() {
                 self.perform(now, command);
+            } else if self.step_webhooks(now) {
             } else if let Some(key) = self.dirty.pop() {
                 let Some((conn, _)) = self.conns.get_mut(key) else { continue };
                 match conn.flush() {
@@ -34,6 +36,7 @@
         match done.what {
             Open::Attempt(key) => {
                 self.attempts.remove(key);
+                self.guarded_ended(key, crate::brain::never_ran(done.ending.outcome(done.left)));
                 self.core.ended(now, key, done.ending, done.left, done.back);
             }
             Open::Order(key) => {
@@ -50,24 +53,15 @@
     pub(super) fn perform(&mut self, now: Micros, command: Command<Origin>) {
         match command {
             Command::Answer { origin: Origin::Client(key), answer } => self.answer_client(key, &answer),
-            Command::Answer { origin: Origin::Webhook(job), answer } => self.call_back(now, job, &answer),
+            Command::Answer { origin: Origin::Webhook(job), answer } => {
+                self.call_back(now, job, &Outcome::Answered(answer))
+            }
+            command @ Command::Go { .. } if self.wait_for_record(now, &command) => {}
             Command::Go { attempt, worker, id, class, function, expires, body } => {
-                let key = match self.link(now, worker, &id) {
-                    Ok(key) => key,
-                    Err(ending) => {
-                        return self.done.push_back(Done::plain(
-                            Open::Attempt(attempt),
-                            ending,
-                            Left::Nothing,
-                        ))
-                    }
-                };
-                let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
-                let class = self.config.names.classes.get(class.0 as usize).map_or("", String::as_str);
-                let wait_ms = expires.saturating_sub(now) / 1000;
-                link.go(&mut conn.out, Go { attempt, id, class, function, wait_ms, body: &body });
-                self.attempts.insert(attempt, key);
-                self.dirty.push(key);
+                self.go(now, attempt, worker, id, class, function, expires, &body)
+            }
+            Command::Halt { attempt, why } if self.unrecorded(attempt) => {
+                self.done.push_back(Done::plain(Open::Attempt(attempt), why, Left::Nothing));
             }
             Command::Halt { attempt, why } => {
                 let left = self.attempts.get(attempt).copied();
@@ -111,6 +105,33 @@
         }
     }
 
+    /// Sends an attempt.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn go(
+        &mut self,
+        now: Micros,
+        attempt: AttemptKey,
+        worker: WorkerId,
+        id: Rc<str>,
+        class: ClassId,
+        function: FunctionId,
+        expires: Micros,
+        body: &[u8],
+    ) {
+        let key = match self.link(now, worker, &id) {
+            Ok(key) => key,
+            Err(ending) => {
+                return self.done.push_back(Done::plain(Open::Attempt(attempt), ending, Left::Nothing))
+            }
+        };
+        let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
+        let class = self.config.names.classes.get(class.0 as usize).map_or("", String::as_str);
+        let wait_ms = expires.saturating_sub(now) / 1000;
+        link.go(&mut conn.out, Go { attempt, id, class, function, wait_ms, body });
+        self.attempts.insert(attempt, key);
+        self.dirty.push(key);
+    }
+
     /// Gives up what is open on a connection. One that has said nothing since takes nothing new: its machine
     /// may have vanished, and then only a new connection shows whether it is back.
     pub(super) fn give_up(&mut self, now: Micros, key: ConnKey, what: Open) -> Left {
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -1,66 +1,37 @@
-//! The second front's side of the gateway: signed webhooks, their callbacks, and the administration API.
+//! The second front's listeners: requests off their connections, and the administration API.
 
 use std::fs::OpenOptions;
 use std::io::Write;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 
-use slotmap::{new_key_type, Key, SlotMap};
-
-use super::{ConnKey, Kind, Node, NodeError, Origin, Role, BUNDLE_AGAIN, CALLBACK, CLIENT_IDLE, LINGER};
-use crate::admin;
-use crate::api::Micros;
-use crate::config::{ConfigError, Operator};
-use crate::core::{Answer, Token};
-use crate::ending::{Ending, Left};
+use super::webhooks::{refuse, Hooks};
+use super::*;
+use crate::admin::{self, idempotency::Keys, idempotency::Known, Change, Context, Done as Handling};
+use crate::config::ConfigError;
 use crate::front::http::{self, plain, Bad};
-use crate::front::webhook::callback::{Callback, Next};
-use crate::front::webhook::inbound::{Inbound, Job};
-use crate::front::webhook::replay::Replays;
 use crate::identity::Gate;
-use crate::net::{self, KEPT_FRAME};
-use crate::tenants::TenantError;
-
-new_key_type! {
-    /// The slot of a call that came as a webhook.
-    pub(super) struct JobKey;
-    /// The slot of a callback.
-    pub(super) struct CallbackKey;
-}
-
-/// The frame of a callback on its connection; the only one.
-pub(super) const CALLBACK_FRAME: u64 = 1;
-/// Connections to portals at once.
-const MOST_PORTALS: usize = 64;
-/// How long a callback waits for one of them.
-const PORTAL_PAUSE: Micros = 50_000;
-
-/// Webhooks, while they are on.
-#[derive(Debug)]
-pub(super) struct Hooks {
-    inbound: Inbound,
-    /// Each with the identity that workers were told.
-    jobs: SlotMap<JobKey, (Job, String)>,
-    callbacks: SlotMap<CallbackKey, Callback>,
-    portals: usize,
-    pending: usize,
-    window: Micros,
-    answer_limit: Micros,
-}
-
-impl Hooks {
-    /// Whether nothing taken is without its delivered or given-up callback.
-    pub(super) fn is_idle(&self) -> bool {
-        self.jobs.is_empty() && self.callbacks.is_empty()
-    }
+use crate::net::KEPT_FRAME;
+use crate::store::records::{Reply, StoreError};
+use crate::tenancy::{Registry, TenantError};
+
+/// All that belongs to the second front.
+#[derive(Debug, Default)]
+pub(super) struct Second {
+    pub(super) tenants: Registry,
+    /// Where tenants are kept.
+    state: Option<PathBuf>,
+    pub(super) hooks: Option<Hooks>,
+    admin: Option<AdminSide>,
 }
 
 /// The administration API, while it is on.
 #[derive(Debug)]
-pub(super) struct AdminSide {
+struct AdminSide {
     gate: Gate,
     bundle: PathBuf,
     refresh: Micros,
+    keys: Keys,
 }
 
 impl Node {
@@ -68,43 +39,24 @@
     pub(super) fn set_up(&mut self, now: Micros, operator: Operator) -> Result<(), NodeError> {
         let shares = self.config.settings.tenants.iter().map(|t| t.quota_per_s);
         let platform: Vec<_> = self.config.names.tenants.iter().cloned().zip(shares).collect();
-        self.tenants = operator.registry(&platform).map_err(NodeError::Operator)?;
-        self.state = operator.state;
-        if let Some(path) = self.state.as_ref().filter(|p| p.exists()) {
+        self.second.tenants = operator.registry(&platform).map_err(NodeError::Operator)?;
+        self.second.state = operator.state;
+        if let Some(path) = self.second.state.as_ref().filter(|p| p.exists()) {
             let text = std::fs::read_to_string(path);
             let text = text.map_err(|e| NodeError::Operator(ConfigError::Read(path.clone(), e)))?;
             let bad = |e: TenantError| NodeError::Operator(ConfigError::Parse(path.clone(), e.to_string()));
-            self.tenants.restore(&text).map_err(bad)?;
+            self.second.tenants.restore(&text).map_err(bad)?;
         }
-        for (tenant, per_s) in self.tenants.shares() {
+        for (tenant, per_s) in self.second.tenants.shares() {
             self.core.share(now, tenant, per_s);
         }
         if let Some(w) = operator.webhooks {
-            let replays = match &w.replay_file {
-                Some(path) => Replays::open(path, w.replay_entries, now)
-                    .map_err(|e| NodeError::Operator(ConfigError::Read(path.clone(), e)))?,
-                None => Replays::new(w.replay_entries),
-            };
-            self.hooks = Some(Hooks {
-                inbound: Inbound {
-                    tolerance_s: w.tolerance_s,
-                    started: w.replay_file.is_none().then_some(now),
-                    replays,
-                    seed: self.config.seed,
-                    classes: self.config.settings.classes.clone(),
-                },
-                jobs: SlotMap::with_key(),
-                callbacks: SlotMap::with_key(),
-                portals: 0,
-                pending: w.pending,
-                window: w.callback_window_ms * 1000,
-                answer_limit: w.callback_answer_ms * 1000,
-            });
-            self.listen(Kind::Webhook, w.listen)?;
+            self.set_up_webhooks(now, w)?;
         }
         if let Some(a) = operator.admin {
             let gate = Gate::new(&a.trust_domain, &a.audience, a.roles()).map_err(NodeError::Identity)?;
-            self.admin = Some(AdminSide { gate, bundle: a.bundle, refresh: a.refresh_s.max(1) * 1_000_000 });
+            let refresh = a.refresh_s.max(1) * 1_000_000;
+            self.second.admin = Some(AdminSide { gate, bundle: a.bundle, refresh, keys: Keys::default() });
             self.listen(Kind::Admin, a.listen)?;
             self.load_bundle(now);
         }
@@ -113,7 +65,7 @@
 
     /// Reads the trust bundle, now and again: keys rotate. One that cannot be read leaves the keys held.
     pub(super) fn load_bundle(&mut self, now: Micros) {
-        let Some(admin) = &mut self.admin else { return };
+        let Some(admin) = &mut self.second.admin else { return };
         let text = std::fs::read_to_string(&admin.bundle).map_err(|e| e.to_string());
         if let Err(e) = text.and_then(|t| admin.gate.load(&t).map_err(|e| e.to_string())) {
             tracing::warn!(bundle = %admin.bundle.display(), "the trust bundle stays as it is: {e}");
@@ -125,8 +77,8 @@
     /// Answers what has come on a webhook's or administrator's connection.
     pub(super) fn on_second(&mut self, key: ConnKey, now: Micros) {
         loop {
-            let Some((conn, Role::Client { kind, keep, .. })) = self.conns.get_mut(key) else { return };
-            if conn.closing || conn.hold_back() {
+            let Some((conn, Role::Client { kind, keep, open })) = self.conns.get_mut(key) else { return };
+            if open.is_some() || conn.closing || conn.hold_back() {
                 return;
             }
             let kind = *kind;
@@ -139,25 +91,32 @@
                     if conn.refill(http::READ_LIMIT) {
                         continue;
                     }
+                    if conn.ended {
+                        self.ready.push(key);
+                    }
                     return;
                 }
                 Ok(Some(r)) => {
                     let stays = r.keep && accepting;
                     *keep = stays;
                     let bytes = match kind {
-                        Kind::Admin => self.administer(&r, stays, now),
-                        _ => self.take_webhook(&r, stays, now),
+                        Kind::Admin => self.administer(key, &r, stays, now),
+                        _ => self.take_webhook(key, &r, stays, now),
                     };
                     (r.size, bytes, stays, false)
                 }
                 Err(bad) => {
                     self.core.counters.bad_requests += 1;
-                    (0, refuse(&bad, false), false, true)
+                    (0, Some(refuse(&bad, false)), false, true)
                 }
             };
             input.consume(size);
-            let Some((conn, _)) = self.conns.get_mut(key) else { return };
+            let Some((conn, Role::Client { open, .. })) = self.conns.get_mut(key) else { return };
             conn.input = input;
+            let Some(bytes) = bytes else {
+                *open = Some(Owed::Store);
+                return self.set_deadline(key, None);
+            };
             conn.out.push(KEPT_FRAME, bytes);
             (conn.closing, conn.linger) = (!stays, malformed);
             self.dirty.push(key);
@@ -165,113 +124,111 @@
         }
     }
 
-    fn administer(&mut self, r: &http::Request<'_>, stays: bool, now: Micros) -> Vec<u8> {
-        let Some(side) = &self.admin else { return refuse(&plain(404, "off"), stays) };
-        let before =
-            self.state.as_ref().filter(|_| r.method != "GET").map(|path| (path, self.tenants.clone()));
-        let mut handled = admin::handle(r, &side.gate, &mut self.tenants, &self.core.counters, now);
-        if let (Some((path, before)), true) = (before, handled.is_ok()) {
-            // A change that would be forgotten is not made.
-            if let Err(e) = keep(path, &self.tenants.state()) {
-                tracing::error!(file = %path.display(), "cannot be written: {e}");
-                self.tenants = before;
-                handled = Err(plain(500, "the change could not be kept"));
+    fn administer(
+        &mut self,
+        conn: ConnKey,
+        r: &http::Request<'_>,
+        stays: bool,
+        now: Micros,
+    ) -> Option<Vec<u8>> {
+        let problem = |bad: Bad| Some(admin::answer(&Err(bad), stays));
+        let Some(side) = &mut self.second.admin else { return problem(plain(404, "off")) };
+        let who = match admin::admit(r, &side.gate, now) {
+            Ok(who) => who,
+            Err(bad) => return problem(bad),
+        };
+        let key = r.header("Idempotency-Key").filter(|_| r.method == "POST");
+        if let Some(key) = key {
+            if !Keys::usable(key) {
+                return problem(plain(422, "an Idempotency-Key is 1 to 128 bytes"));
+            }
+            let request = [r.path.as_bytes(), b"\n", r.body].concat();
+            match side.keys.begin(&who, key, &request, now) {
+                Known::New => {}
+                Known::Answered(bytes) => return Some(bytes),
+                Known::Conflict => {
+                    return problem(plain(409, "the Idempotency-Key is in use for another request"))
+                }
             }
         }
-        if let Some(share) = handled.as_ref().ok().and_then(|h| h.share) {
-            self.core.share(now, share.tenant, share.per_s);
+        let before = self.second.tenants.clone();
+        let hooks = &self.second.hooks;
+        let health = |id| hooks.as_ref().and_then(|h| h.health(id));
+        let counters = &self.core.counters;
+        let mut cx = Context { tenants: &mut self.second.tenants, counters, health: &health, now };
+        let handled = admin::handle(r, &who, &mut cx);
+        let key = key.map(|key| (who.clone(), key.to_owned()));
+        let mut handled = match handled {
+            Ok(Handling::Ask(op)) => match self.ask_for_admin(conn, op, key.clone()) {
+                Ok(()) => return None,
+                Err(bad) => Err(bad),
+            },
+            Ok(Handling::Now(handled)) => Ok(handled),
+            Err(bad) => Err(bad),
+        };
+        let changes = handled.as_mut().map_or(Vec::new(), |h| std::mem::take(&mut h.changes));
+        if !changes.is_empty() && !self.keep_tenants() {
+            // A change that would be forgotten is not made.
+            self.second.tenants = before;
+            handled = Err(plain(500, "the change could not be kept"));
+        } else {
+            if !changes.is_empty() {
+                tracing::info!(who, method = r.method, path = r.path, "administered");
+            }
+            changes.into_iter().for_each(|change| self.follow(now, change));
         }
-        admin::answer(&handled, stays)
+        let bytes = admin::answer(&handled, stays);
+        self.end_key(key, handled.as_ref().map_or_else(|bad| bad.status < 500, |_| true), &bytes);
+        Some(bytes)
     }
 
-    fn take_webhook(&mut self, r: &http::Request<'_>, stays: bool, now: Micros) -> Vec<u8> {
-        let Some(hooks) = &mut self.hooks else { return refuse(&plain(404, "off"), stays) };
-        // Taken only with room for its callback: what got a 202 is owed one.
-        let full = hooks.jobs.len() + hooks.callbacks.len() >= hooks.pending;
-        let taken = if full {
-            Err(plain(503, "too many calls under way"))
-        } else {
-            hooks.inbound.take(r, &self.tenants, &self.config.names, now)
-        };
-        match taken {
-            Ok(call) => {
-                let job = hooks.jobs.insert((call.origin.clone(), call.id.to_string()));
-                self.core.counters.webhooks_taken += 1;
-                self.core.call(now, call.with(Origin::Webhook(job)));
-                http::response(202, "", b"", stays)
-            }
-            Err(bad) => {
-                self.core.counters.webhooks_refused += 1;
-                refuse(&bad, stays)
-            }
+    fn end_key(&mut self, key: Option<(String, String)>, final_answer: bool, bytes: &[u8]) {
+        if let (Some((who, key)), Some(side)) = (key, &mut self.second.admin) {
+            side.keys.end(&who, &key, final_answer.then_some(bytes));
         }
     }
 
-    /// A webhook's call has its final answer: the one callback for it begins.
-    pub(super) fn call_back(&mut self, now: Micros, job: JobKey, answer: &Answer) {
-        let Some(hooks) = &mut self.hooks else { return };
-        let Some((job, id)) = hooks.jobs.remove(job) else { return };
-        let expires = now + hooks.window;
-        let key = hooks.callbacks.insert(Callback::new(&job, &id, answer, now, expires));
-        self.deliver(now, key);
+    /// What the store said makes an administrator's answer.
+    pub(super) fn answer_asked(
+        &mut self,
+        now: Micros,
+        conn: ConnKey,
+        limit: Option<usize>,
+        key: Option<(String, String)>,
+        reply: Result<Reply, StoreError>,
+    ) {
+        let handled = admin::messages::answer(limit, reply);
+        let good = handled.as_ref().map_or_else(|bad| bad.status < 500, |_| true);
+        let bytes = admin::answer(&handled, true);
+        self.end_key(key, good, &bytes);
+        self.answer_second(conn, now, |stays| if stays { bytes } else { admin::answer(&handled, false) });
     }
 
-    /// Begins an attempt at a callback.
-    pub(super) fn deliver(&mut self, now: Micros, key: CallbackKey) {
-        let Some(hooks) = &mut self.hooks else { return };
-        let Some(callback) = hooks.callbacks.get_mut(key) else { return };
-        let tenant = self.tenants.same(&callback.tenant, callback.serial);
-        let Some(tenant) = tenant.filter(|_| now < callback.expires) else {
-            let next = callback.given_up();
-            return self.settle(key, next);
-        };
-        if hooks.portals >= MOST_PORTALS {
-            let again = Token { kind: CALLBACK, number: key.data().as_ffi() };
-            return self.core.hang((now + PORTAL_PAUSE).min(callback.expires), again);
-        }
-        let deadline = (now + hooks.answer_limit).min(callback.expires);
-        let address = tenant.portal.as_ref().map(|p| p.address);
-        let (Some(address), Some(bytes)) = (address, callback.attempt(tenant, now)) else {
-            let next = callback.given_up();
-            return self.settle(key, next);
-        };
-        hooks.portals += 1;
-        let opened = net::connect(address).and_then(|s| self.add(s, false, Role::Portal(key)));
-        match opened {
-            Ok(conn_key) => {
-                if let Some((conn, _)) = self.conns.get_mut(conn_key) {
-                    conn.out.push(CALLBACK_FRAME, bytes);
-                }
-                self.set_deadline(conn_key, Some(deadline));
+    fn follow(&mut self, now: Micros, change: Change) {
+        match change {
+            Change::Share(tenant, per_s) => self.core.share(now, tenant, per_s),
+            Change::Endpoints(tenant) => self.tell_endpoints(now, &tenant),
+            Change::Removed(ids) => self.forget_endpoints(now, &ids),
+            Change::Rotated(tenant, endpoint) => {
+                let data = serde_json::json!({ "endpoint": endpoint });
+                self.tell_tenant(now, &tenant, None, "secret.rotated", &data);
             }
-            Err(e) => {
-                let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
-                let ending = if refused { Ending::Refused } else { Ending::NeverUp };
-                self.delivered(now, key, ending, Left::Nothing);
+            Change::Test(tenant, endpoint) => {
+                let data = serde_json::json!({ "endpoint": endpoint });
+                self.tell_tenant(now, &tenant, Some(&endpoint), "endpoint.test", &data);
             }
         }
     }
 
-    /// An attempt at a callback has ended.
-    pub(super) fn delivered(&mut self, now: Micros, key: CallbackKey, ending: Ending, left: Left) {
-        let Some(hooks) = &mut self.hooks else { return };
-        hooks.portals = hooks.portals.saturating_sub(1);
-        let Some(callback) = hooks.callbacks.get_mut(key) else { return };
-        match callback.ended(now, ending, left) {
-            Next::Again(at) => self.core.hang(at, Token { kind: CALLBACK, number: key.data().as_ffi() }),
-            next => self.settle(key, next),
-        }
-    }
-
-    fn settle(&mut self, key: CallbackKey, next: Next) {
-        if let Some(hooks) = &mut self.hooks {
-            hooks.callbacks.remove(key);
-        }
-        let counters = &mut self.core.counters;
-        match next {
-            Next::Delivered => counters.callbacks_delivered += 1,
-            Next::Unknown => counters.callbacks_unknown += 1,
-            Next::Undelivered | Next::Again(_) => counters.callbacks_undelivered += 1,
+    /// Writes the tenants to their file, if they have one; `false` if that failed.
+    pub(super) fn keep_tenants(&self) -> bool {
+        let Some(path) = &self.second.state else { return true };
+        match keep(path, &self.second.tenants.state()) {
+            Ok(()) => true,
+            Err(e) => {
+                tracing::error!(file = %path.display(), "cannot be written: {e}");
+                false
+            }
         }
     }
 }
@@ -284,12 +241,3 @@
     file.sync_all()?;
     std::fs::rename(&fresh, path)
 }
-
-fn refuse(bad: &Bad, stays: bool) -> Vec<u8> {
-    let extra = if bad.status == 503 {
-        "Content-Type: text/plain\r\nRetry-After: 1\r\n"
-    } else {
-        "Content-Type: text/plain\r\n"
-    };
-    http::response(bad.status, extra, bad.why.as_bytes(), stays && !bad.fatal)
-}
--- /dev/null
+++ b/src/node/webhooks.rs
@@ -0,0 +1,973 @@
+//! Drives the second front: calls to the store and the core, deliveries to portals. It decides nothing: who may go
+//! is [`Delivery`]'s, what is kept the store's, what may be taken [`Inbound`]'s.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use calloop::channel;
+use slotmap::{new_key_type, SecondaryMap, SlotMap};
+
+use super::*;
+use crate::api::{Arrival, Effect, RequestId};
+use crate::config::{ConfigError, Webhooks};
+use crate::core::Call;
+use crate::delivery::networks::Networks;
+use crate::delivery::schedule::Schedule;
+use crate::delivery::verdict::{Dead, Report, State};
+use crate::delivery::{Caps, Delivery, EndpointId, Input, Output, Seq, Waiting};
+use crate::front::http::{self, plain, Bad};
+use crate::front::webhook::answer::{self, Progress};
+use crate::front::webhook::inbound::{Inbound, Job};
+use crate::front::webhook::message::{self, Outcome};
+use crate::front::webhook::replay::Replays;
+use crate::net::KEPT_FRAME;
+use crate::store::disk::Disk;
+use crate::store::records::*;
+use crate::store::recovery::{fate, Fate};
+use crate::store::space::Memory;
+use crate::store::tables::{Found, Tables};
+use crate::store::writer::Writer;
+use crate::tenancy::{Endpoint, COMPLETED};
+
+new_key_type! {
+    /// The slot of a call that came as a webhook.
+    pub(super) struct JobKey;
+}
+
+/// An idle connection to a portal is kept for this long.
+const PORTAL_IDLE: Micros = 10_000_000;
+/// Idle connections kept to one endpoint.
+const MOST_IDLE: usize = 4;
+/// How long an attempt may wait for its record before its worker is asked no more: well under the time within which
+/// a worker that drains may still be sent something.
+const STALE: Micros = 250_000;
+/// Records that one pass of retention looks at, and the pauses between passes.
+const RETAINED: usize = 256;
+const RETAIN_SOON: Micros = 50_000;
+const RETAIN_LATER: Micros = 5_000_000;
+/// Questions to the store that may be open before nothing new is taken.
+const MOST_ASKED: usize = 8192;
+/// How long after the last call the disk is waited for at the end.
+const LAST_WORD: Micros = 2_000_000;
+
+/// A connection to a portal.
+#[derive(Debug)]
+pub(super) struct PortalLink {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    /// The message that is out on it, and since when.
+    current: Option<(Seq, Micros)>,
+    /// What is known of the answer before its end.
+    status: Option<(u16, Option<Micros>)>,
+}
+
+impl PortalLink {
+    /// Whether nothing is out on it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.current.is_none()
+    }
+
+    /// Whether not one byte of what is out on it has left.
+    pub(super) fn untouched(&self, out: &net::Outbox) -> bool {
+        self.current.is_some_and(|(seq, _)| out.untouched(seq.0))
+    }
+}
+
+/// A call whose answer is owed.
+#[derive(Debug)]
+struct Held {
+    seq: Seq,
+    job: Job,
+    id: Rc<str>,
+}
+
+/// A call that must not run twice, by the identity that workers are told.
+#[derive(Debug)]
+struct Guard {
+    seq: Seq,
+    /// Whether an attempt is not proved never to have run.
+    ran: bool,
+}
+
+/// An attempt that waits for its record.
+#[derive(Debug)]
+struct Waits {
+    worker: WorkerId,
+    id: Rc<str>,
+    class: ClassId,
+    function: FunctionId,
+    expires: Micros,
+    body: Rc<[u8]>,
+    since: Micros,
+}
+
+/// What a question to the store was for.
+#[derive(Debug)]
+enum Ask {
+    Take {
+        conn: ConnKey,
+        call: Box<Call<Job>>,
+        seq: Seq,
+        mark: Mark,
+    },
+    Go(AttemptKey),
+    /// Messages that may wait now.
+    Publish,
+    Begin(Seq),
+    Fetch(EndpointId),
+    Purge(EndpointId),
+    Retain,
+    Call {
+        conn: ConnKey,
+        id: String,
+    },
+    Admin {
+        conn: ConnKey,
+        limit: Option<usize>,
+        key: Option<(String, String)>,
+    },
+    Quiet,
+}
+
+enum Backend {
+    Memory(Box<(Memory, Tables)>),
+    Disk(Writer),
+}
+
+impl std::fmt::Debug for Backend {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(if matches!(self, Backend::Memory(_)) { "Memory" } else { "Disk" })
+    }
+}
+
+/// Webhooks, while they are on.
+#[derive(Debug)]
+pub(super) struct Hooks {
+    inbound: Inbound,
+    delivery: Delivery,
+    jobs: SlotMap<JobKey, Held>,
+    backend: Backend,
+    replies: VecDeque<(u64, Result<Reply, StoreError>)>,
+    asked: HashMap<u64, Ask>,
+    last_ask: u64,
+    last_seq: u64,
+    /// Messages whose attempt is being made, and their endpoint.
+    out: HashMap<Seq, Box<MessageRecord>>,
+    idle: HashMap<EndpointId, Vec<ConnKey>>,
+    guards: HashMap<Rc<str>, Guard>,
+    guarded: SecondaryMap<AttemptKey, Rc<str>>,
+    unrecorded: SecondaryMap<AttemptKey, Waits>,
+    networks: Networks,
+    schedule: Schedule,
+    hung: Option<Micros>,
+    pending: usize,
+    waiting: usize,
+    answer_limit: Micros,
+    retention: (Micros, u64),
+    stopping: Option<Micros>,
+}
+
+impl Hooks {
+    fn durable(&self) -> bool {
+        matches!(self.backend, Backend::Disk(_))
+    }
+
+    fn ask(&mut self, ask: Ask, op: Op) {
+        self.last_ask += 1;
+        let number = self.last_ask;
+        self.asked.insert(number, ask);
+        match &mut self.backend {
+            Backend::Disk(writer) => writer.ask(number, op),
+            Backend::Memory(both) => {
+                let (space, tables) = &mut **both;
+                let reply = tables.apply(space, op);
+                self.replies.push_back((number, reply));
+            }
+        }
+    }
+
+    fn seq(&mut self) -> Seq {
+        self.last_seq += 1;
+        Seq(self.last_seq)
+    }
+
+    /// Whether nothing is left that the end of the process would lose or leave in doubt.
+    pub(super) fn is_idle(&self, now: Micros) -> bool {
+        let late = self.stopping.is_some_and(|t| now > t + LAST_WORD);
+        let kept = if self.durable() {
+            self.delivery.out() == 0 && (self.asked.is_empty() || late)
+        } else {
+            self.waiting == 0 && self.asked.is_empty()
+        };
+        self.jobs.is_empty() && kept
+    }
+
+    /// What can be seen of an endpoint.
+    pub(super) fn health(&self, id: EndpointId) -> Option<crate::delivery::Health> {
+        self.delivery.health(id)
+    }
+
+    /// Notes a reply of the store's thread.
+    pub(super) fn reply(&mut self, number: u64, reply: Result<Reply, StoreError>) {
+        self.replies.push_back((number, reply));
+    }
+}
+
+fn store_error(path: PathBuf, e: &StoreError) -> NodeError {
+    NodeError::Operator(ConfigError::Parse(path, e.to_string()))
+}
+
+impl Node {
+    /// Sets webhooks up, and goes on with what the store holds.
+    pub(super) fn set_up_webhooks(&mut self, now: Micros, w: Webhooks) -> Result<(), NodeError> {
+        let seed = self.config.seed;
+        let most_bytes = w.store_mb << 20;
+        let mut found = Found::default();
+        let backend = match &w.store {
+            Some(path) => {
+                let (disk, f) =
+                    Disk::open(path, most_bytes, now).map_err(|e| store_error(path.clone(), &e))?;
+                found = f;
+                let (tell, told) = channel::channel();
+                let note = |event, _: &mut (), node: &mut Node| {
+                    if let (channel::Event::Msg((number, reply)), Some(h)) = (event, &mut node.second.hooks) {
+                        h.reply(number, reply);
+                    }
+                };
+                self.handle.insert_source(told, note).map_err(|e| NodeError::Loop(e.error))?;
+                let again = path.clone();
+                // What a start would settle was settled then; what was begun since ends by its own report.
+                let opener = move || Disk::reopen(&again, most_bytes);
+                let answered = move |number, reply| {
+                    // The loop is gone only at the end of the process.
+                    let _ = tell.send((number, reply));
+                };
+                let writer = Writer::start(disk, Box::new(opener), Box::new(answered));
+                Backend::Disk(
+                    writer.map_err(|e| store_error(path.clone(), &StoreError::Disk(e.to_string())))?,
+                )
+            }
+            None => {
+                let mut space = Memory::default();
+                let opened = Tables::open(&mut space, false, most_bytes, now);
+                let (tables, _) = opened.map_err(|e| store_error(PathBuf::new(), &e))?;
+                Backend::Memory(Box::new((space, tables)))
+            }
+        };
+        let durable = w.store.is_some();
+        let mut replays = match &w.replay_file {
+            Some(path) => Replays::open(path, w.replay_entries, now)
+                .map_err(|e| NodeError::Operator(ConfigError::Read(path.clone(), e)))?,
+            None => Replays::new(w.replay_entries),
+        };
+        replays.load(&found.replays);
+        let schedule = match (&w.schedule_s, durable) {
+            (Some(pauses), _) => Schedule::from_seconds(pauses)
+                .map_err(|e| NodeError::Operator(ConfigError::Value("webhooks.schedule_s", e.to_string())))?,
+            (None, true) => Schedule::default(),
+            (None, false) => Schedule::short(w.callback_window_ms * 1000),
+        };
+        // What waits in memory is bounded by what may be taken: all of it is known to delivery.
+        let all =
+            Caps { ready: usize::MAX / 2, loaded: usize::MAX / 2, soon: Micros::MAX / 2, ..Caps::default() };
+        let caps = if durable { Caps::default() } else { all };
+        let caps = Caps { out: w.portals, disable_after: w.disable_after_s * 1_000_000, ..caps };
+        self.second.hooks = Some(Hooks {
+            inbound: Inbound {
+                tolerance_s: w.tolerance_s,
+                started: (w.replay_file.is_none() && !durable).then_some(now),
+                forgotten: found.forgotten,
+                replays,
+                seed,
+                classes: self.config.settings.classes.clone(),
+            },
+            delivery: Delivery::new(caps, seed, now),
+            jobs: SlotMap::with_key(),
+            backend,
+            replies: VecDeque::new(),
+            asked: HashMap::new(),
+            last_ask: 0,
+            last_seq: found.next,
+            out: HashMap::new(),
+            idle: HashMap::new(),
+            guards: HashMap::new(),
+            guarded: SecondaryMap::new(),
+            unrecorded: SecondaryMap::new(),
+            networks: Networks::new(&w.allow_networks, &w.deny_networks),
+            schedule,
+            hung: None,
+            pending: w.pending,
+            waiting: 0,
+            answer_limit: w.callback_answer_ms * 1000,
+            retention: (w.retention_days * 86_400_000_000, w.retention_mb << 20),
+            stopping: None,
+        });
+        let names: Vec<String> = self.second.tenants.iter().map(|(name, _)| name.clone()).collect();
+        names.iter().for_each(|name| self.tell_endpoints(now, name));
+        self.listen(Kind::Webhook, w.listen)?;
+        self.recover(now, found);
+        if durable {
+            self.core.hang(now + RETAIN_SOON, RETAIN);
+        }
+        Ok(())
+    }
+
+    /// Goes on with what the process before left: one row of the crash table for each call.
+    fn recover(&mut self, now: Micros, found: Found) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        for (id, due) in &found.endpoints {
+            if hooks.delivery.health(*id).is_some() {
+                hooks.delivery.handle(now, Input::Stored(*id, *due));
+            } else {
+                hooks.ask(Ask::Purge(*id), Op::Purge(*id, RETAINED));
+            }
+        }
+        self.core.counters.callbacks_unknown += found.unknown;
+        let (mut run, mut refused, mut unknown) = (0, 0, 0);
+        for call in found.calls {
+            let place = Names::place(&self.config.names.classes, &call.class);
+            let tenant = self.second.tenants.same(&call.tenant, call.serial).map(|t| t.id);
+            let job = Job {
+                tenant: call.tenant.clone(),
+                serial: call.serial,
+                webhook_id: call.webhook_id.clone(),
+                class: call.class.clone(),
+                effect: call.effect,
+                function: FunctionId(call.function),
+                order: call.order.clone(),
+            };
+            let id: Rc<str> = call.worker_id.as_str().into();
+            let Some(hooks) = &mut self.second.hooks else { return };
+            let key = hooks.jobs.insert(Held { seq: call.seq, job, id: id.clone() });
+            match (fate(&call, now, found.stepped_back), place, tenant) {
+                (Fate::Run, Some(place), Some(tenant)) => {
+                    run += 1;
+                    if call.effect != Effect::Safe {
+                        hooks.guards.insert(id.clone(), Guard { seq: call.seq, ran: false });
+                    }
+                    let arrival = Arrival {
+                        request: RequestId(0),
+                        class: ClassId(place as u8),
+                        tenant,
+                        function: FunctionId(call.function),
+                        expires: call.expires,
+                        work: call.work,
+                        memory_mb: call.memory_mb,
+                        lanes: call.lanes,
+                        load_time: call.load_time,
+                    };
+                    self.core.call(
+                        now,
+                        Call { origin: Origin::Webhook(key), id, body: call.body.into(), arrival },
+                    );
+                }
+                (Fate::Unknown, ..) => {
+                    unknown += 1;
+                    self.call_back(now, key, &Outcome::Unknown);
+                }
+                // Its class or tenant is gone; it never ran, or may run again.
+                _ => {
+                    refused += 1;
+                    self.call_back(now, key, &Outcome::Answered(Answer::Refused { retry_after: 0 }));
+                }
+            }
+        }
+        if run + refused + unknown + found.unknown > 0 {
+            let callbacks = found.unknown;
+            tracing::info!(run, refused, unknown, callbacks, "went on with the calls of the process before");
+        }
+        if found.stepped_back {
+            tracing::warn!("the clock shows less than when the store was last written");
+        }
+    }
+
+    /// Tells delivery of a tenant's endpoints as they are now.
+    pub(super) fn tell_endpoints(&mut self, now: Micros, tenant: &str) {
+        let (Some(hooks), Some(t)) = (&mut self.second.hooks, self.second.tenants.get(tenant)) else {
+            return;
+        };
+        for e in t.endpoints.values() {
+            hooks.delivery.handle(now, Input::Endpoint(e.id, e.plan(t.serial, &hooks.schedule)));
+        }
+    }
+
+    /// Endpoints are no more.
+    pub(super) fn forget_endpoints(&mut self, now: Micros, ids: &[EndpointId]) {
+        for id in ids {
+            let Some(hooks) = &mut self.second.hooks else { return };
+            hooks.delivery.handle(now, Input::Removed(*id));
+            for key in hooks.idle.remove(id).unwrap_or_default() {
+                self.close(key, Ending::Shutdown);
+            }
+        }
+    }
+
+    // ---- Calls ----
+
+    /// Takes a webhook, or turns it away; none while its answer waits for the store.
+    pub(super) fn take_webhook(
+        &mut self,
+        key: ConnKey,
+        r: &http::Request<'_>,
+        stays: bool,
+        now: Micros,
+    ) -> Option<Vec<u8>> {
+        let tenants = &self.second.tenants;
+        let Some(hooks) = &mut self.second.hooks else { return Some(refuse(&plain(404, "off"), stays)) };
+        if r.method == "GET" {
+            return match hooks.inbound.ask(r, tenants, now) {
+                Ok((serial, id)) => {
+                    let ask = Ask::Call { conn: key, id: id.to_owned() };
+                    hooks.ask(ask, Op::Call(serial, id.to_owned()));
+                    None
+                }
+                Err(bad) => Some(refuse(&bad, stays)),
+            };
+        }
+        // Taken only with room for what follows: what got a 202 is owed a callback.
+        let waiting = if hooks.durable() { 0 } else { hooks.waiting };
+        let full = hooks.jobs.len() + waiting + hooks.asked.len().saturating_sub(MOST_ASKED) >= hooks.pending;
+        let taken = if full || hooks.asked.len() >= MOST_ASKED {
+            Err(plain(503, "too many calls under way"))
+        } else {
+            hooks.inbound.take(r, tenants, &self.config.names, now)
+        };
+        match taken {
+            // Answers on workers' connections are told apart by identity alone.
+            Ok((call, ..)) if self.core.is_open(&call.id) => {
+                Some(refuse(&plain(409, "already taken"), stays))
+            }
+            Ok((call, mark, until)) => {
+                let (seq, job, a) = (hooks.seq(), &call.origin, &call.arrival);
+                let record = CallRecord {
+                    seq,
+                    tenant: job.tenant.clone(),
+                    serial: job.serial,
+                    webhook_id: job.webhook_id.clone(),
+                    worker_id: call.id.to_string(),
+                    class: job.class.clone(),
+                    effect: job.effect,
+                    function: job.function.0,
+                    expires: a.expires,
+                    work: a.work,
+                    memory_mb: a.memory_mb,
+                    lanes: a.lanes,
+                    load_time: a.load_time,
+                    body: call.body.to_vec(),
+                    order: job.order.clone(),
+                    sent: None,
+                };
+                let ask = Ask::Take { conn: key, call: Box::new(call), seq, mark };
+                hooks.ask(ask, Op::Take(Box::new(record), mark, until));
+                None
+            }
+            Err(bad) => {
+                self.core.counters.webhooks_refused += 1;
+                Some(refuse(&bad, stays))
+            }
+        }
+    }
+
+    /// A call is kept, or not: it gets its 202 and goes to the module, or is turned away.
+    fn taken(
+        &mut self,
+        now: Micros,
+        conn: ConnKey,
+        call: Call<Job>,
+        seq: Seq,
+        mark: Mark,
+        kept: Result<Reply, StoreError>,
+    ) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        if let Err(e) = kept {
+            hooks.inbound.replays.forget(&mark);
+            self.core.counters.webhooks_refused += 1;
+            let why = if e == StoreError::Full { "the store is full" } else { "the call cannot be kept" };
+            return self.answer_second(conn, now, |stays| refuse(&plain(503, why), stays));
+        }
+        let kept = if hooks.durable() { "store" } else { "memory" };
+        let id = call.id.clone();
+        if call.origin.effect != Effect::Safe && hooks.durable() {
+            hooks.guards.insert(id.clone(), Guard { seq, ran: false });
+        }
+        let job = hooks.jobs.insert(Held { seq, job: call.origin.clone(), id });
+        self.core.counters.webhooks_taken += 1;
+        self.answer_second(conn, now, |stays| {
+            http::response(202, &format!("X-Kept-In: {kept}\r\n"), b"", stays)
+        });
+        self.core.call(now, call.with(Origin::Webhook(job)));
+    }
+
+    /// An attempt of a call that must not run twice waits until it is recorded that it leaves.
+    pub(super) fn wait_for_record(&mut self, now: Micros, command: &Command<Origin>) -> bool {
+        let Some(hooks) = &mut self.second.hooks else { return false };
+        let Command::Go { attempt, worker, id, class, function, expires, body } = command else {
+            return false;
+        };
+        let Some(guard) = hooks.guards.get(id) else { return false };
+        let seq = guard.seq;
+        let waits = Waits {
+            worker: *worker,
+            id: id.clone(),
+            class: *class,
+            function: *function,
+            expires: *expires,
+            body: body.clone(),
+            since: now,
+        };
+        hooks.guarded.insert(*attempt, id.clone());
+        hooks.unrecorded.insert(*attempt, waits);
+        hooks.ask(Ask::Go(*attempt), Op::Sent(seq, now));
+        true
+    }
+
+    /// Whether an attempt still waited for its record: then it never left.
+    pub(super) fn unrecorded(&mut self, attempt: AttemptKey) -> bool {
+        self.second.hooks.as_mut().is_some_and(|h| h.unrecorded.remove(attempt).is_some())
+    }
+
+    fn recorded(&mut self, now: Micros, attempt: AttemptKey, kept: bool) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        let Some(w) = hooks.unrecorded.remove(attempt) else { return };
+        if !kept || now > w.since + STALE {
+            return self.done.push_back(Done::plain(
+                Open::Attempt(attempt),
+                Ending::Withdrawn,
+                Left::Nothing,
+            ));
+        }
+        self.go(now, attempt, w.worker, w.id, w.class, w.function, w.expires, &w.body);
+    }
+
+    /// An attempt has ended; whether it is proved never to have run.
+    pub(super) fn guarded_ended(&mut self, attempt: AttemptKey, never_ran: bool) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        let Some(id) = hooks.guarded.remove(attempt) else { return };
+        let Some(guard) = hooks.guards.get_mut(&id) else { return };
+        guard.ran |= !never_ran;
+        let (seq, ran) = (guard.seq, guard.ran);
+        if !ran {
+            hooks.ask(Ask::Quiet, Op::Unsent(seq));
+        }
+    }
+
+    /// A webhook's call has its final answer: it is kept with its messages, in place of the call.
+    pub(super) fn call_back(&mut self, now: Micros, job: JobKey, outcome: &Outcome) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        let Some(held) = hooks.jobs.remove(job) else { return };
+        hooks.guards.remove(&held.id);
+        let body = message::event(COMPLETED, now, &message::completed(&held.job, outcome));
+        let tenant = self.second.tenants.same(&held.job.tenant, held.job.serial);
+        let mut messages = Vec::new();
+        for e in tenant.iter().flat_map(|t| t.endpoints.values()).filter(|e| e.wants(COMPLETED)) {
+            let mut m = new_message(hooks.seq(), e, COMPLETED, now, &body);
+            m.id = format!("msg_{}", held.id);
+            (m.tenant, m.serial) = (held.job.tenant.clone(), held.job.serial);
+            m.waiting.effect = held.job.effect;
+            m.call = Some(held.job.webhook_id.clone());
+            m.order = held.job.order.as_ref().filter(|_| e.ordered).map(|k| order(k));
+            messages.push((m, body.clone()));
+        }
+        if messages.is_empty() {
+            self.core.counters.callbacks_undelivered += 1;
+        }
+        hooks.waiting += messages.len();
+        hooks.ask(Ask::Publish, Op::Answer(held.seq, outcome.name().into(), messages));
+    }
+
+    /// An operational event to those of a tenant's endpoints that want it.
+    pub(super) fn tell_tenant(
+        &mut self,
+        now: Micros,
+        tenant: &str,
+        only: Option<&str>,
+        kind: &str,
+        data: &serde_json::Value,
+    ) {
+        let (Some(hooks), Some(t)) = (&mut self.second.hooks, self.second.tenants.get(tenant)) else {
+            return;
+        };
+        let body = message::event(kind, now, data);
+        let mut messages = Vec::new();
+        for (name, e) in &t.endpoints {
+            if only.map_or(e.wants(kind), |only| only == name) {
+                let mut m = new_message(hooks.seq(), e, kind, now, &body);
+                (m.tenant, m.serial) = (tenant.to_owned(), t.serial);
+                messages.push((m, body.clone()));
+            }
+        }
+        if !messages.is_empty() {
+            hooks.waiting += messages.len();
+            hooks.ask(Ask::Publish, Op::Publish(messages));
+        }
+    }
+
+    // ---- The store's replies and delivery's outputs ----
+
+    /// Does one thing that the store or delivery asks for; whether there was one.
+    pub(super) fn step_webhooks(&mut self, now: Micros) -> bool {
+        let Some(hooks) = &mut self.second.hooks else { return false };
+        if let Some((number, reply)) = hooks.replies.pop_front() {
+            if let Some(ask) = hooks.asked.remove(&number) {
+                self.replied(now, ask, reply);
+            }
+            return true;
+        }
+        if let Some(output) = hooks.delivery.output() {
+            self.deliver(now, output);
+            return true;
+        }
+        let next = hooks.delivery.next_deadline();
+        if next != hooks.hung {
+            if let Some(old) = hooks.hung {
+                self.core.unhang(old, DELIVER);
+            }
+            hooks.hung = next;
+            if let Some(at) = next {
+                self.core.hang(at, DELIVER);
+            }
+        }
+        false
+    }
+
+    /// Delivery's own deadline fell due.
+    pub(super) fn tick_webhooks(&mut self, now: Micros) {
+        if let Some(hooks) = &mut self.second.hooks {
+            hooks.hung = None;
+            hooks.delivery.handle(now, Input::Tick);
+        }
+    }
+
+    fn replied(&mut self, now: Micros, ask: Ask, reply: Result<Reply, StoreError>) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        match ask {
+            Ask::Take { conn, call, seq, mark } => self.taken(now, conn, *call, seq, mark, reply),
+            Ask::Go(attempt) => self.recorded(now, attempt, reply.is_ok()),
+            Ask::Publish | Ask::Quiet => self.now_wait(now, reply),
+            Ask::Begin(seq) => match reply {
+                Ok(Reply::Begun(Some(both))) => self.attempt(now, both.0, &both.1),
+                Ok(_) => hooks.delivery.handle(now, Input::Gone(seq)),
+                Err(_) => hooks.delivery.handle(now, Input::Ended(seq, Report::VOID)),
+            },
+            Ask::Fetch(id) => match reply {
+                Ok(Reply::Fetched(all, next)) => hooks.delivery.handle(now, Input::Fetched(id, all, next)),
+                // The disk is sick: asked again after a while, and nothing known is lost by it.
+                _ => hooks.delivery.handle(now, Input::Fetched(id, Vec::new(), Some(now + 1_000_000))),
+            },
+            Ask::Purge(id) => {
+                if matches!(reply, Ok(Reply::More(true))) {
+                    hooks.ask(Ask::Purge(id), Op::Purge(id, RETAINED));
+                }
+            }
+            Ask::Retain => {
+                let (expired, more) = match reply {
+                    Ok(Reply::Retained(expired, more)) => (expired, more),
+                    _ => (Vec::new(), false),
+                };
+                for seq in expired {
+                    hooks.delivery.handle(now, Input::Gone(seq));
+                    self.core.counters.callbacks_undelivered += 1;
+                }
+                self.core.hang(now + if more { RETAIN_SOON } else { RETAIN_LATER }, RETAIN);
+            }
+            Ask::Call { conn, id } => {
+                let body = match reply {
+                    Ok(Reply::Call(state)) => Ok(state),
+                    _ => Err(plain(503, "the store cannot be read")),
+                };
+                self.answer_second(conn, now, |stays| match body {
+                    Ok(Some(state)) => {
+                        let outcome = state.outcome.as_deref().unwrap_or("open");
+                        let body = serde_json::json!({ "call": id, "outcome": outcome }).to_string();
+                        http::response(200, "Content-Type: application/json\r\n", body.as_bytes(), stays)
+                    }
+                    Ok(None) => refuse(&plain(404, "no such call"), stays),
+                    Err(bad) => refuse(&bad, stays),
+                });
+            }
+            Ask::Admin { conn, limit, key } => {
+                let waits = match &reply {
+                    Ok(Reply::Waits(all)) => all.clone(),
+                    _ => Vec::new(),
+                };
+                hooks.waiting += waits.len();
+                self.now_wait(now, Ok(Reply::Waits(waits)));
+                self.answer_asked(now, conn, limit, key, reply);
+            }
+        }
+    }
+
+    fn now_wait(&mut self, now: Micros, reply: Result<Reply, StoreError>) {
+        let (Some(hooks), Ok(Reply::Waits(all))) = (&mut self.second.hooks, reply) else { return };
+        all.into_iter().for_each(|w| hooks.delivery.handle(now, Input::Waits(w)));
+    }
+
+    /// A pass of retention is due.
+    pub(super) fn retain(&mut self, now: Micros) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        let (age, bytes) = hooks.retention;
+        hooks.ask(Ask::Retain, Op::Retain(now, age, bytes, RETAINED));
+    }
+
+    fn deliver(&mut self, now: Micros, output: Output) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        match output {
+            Output::Begin { seq, recorded, .. } => hooks.ask(Ask::Begin(seq), Op::Begin(seq, recorded, now)),
+            Output::Fetch(id, limit) => hooks.ask(Ask::Fetch(id), Op::Fetch(id, limit)),
+            Output::Purge(id) => hooks.ask(Ask::Purge(id), Op::Purge(id, RETAINED)),
+            Output::Keep { message, state, attempt } => {
+                let record = hooks.out.remove(&message.seq);
+                let attempt = attempt.map(|report| AttemptRecord {
+                    at: now,
+                    took: record.as_ref().map_or(0, |r| now.saturating_sub(r.waiting.due)),
+                    ending: report.ending.name().into(),
+                    status: report.status,
+                    may_have_arrived: report.may_have_arrived(),
+                });
+                hooks.ask(Ask::Publish, Op::Ended(Box::new(message), state, attempt));
+                if state.is_over() {
+                    hooks.waiting = hooks.waiting.saturating_sub(1);
+                    self.count(&message, state);
+                    let record = record.filter(|r| r.kind == COMPLETED && matches!(state, State::Dead(_)));
+                    if let Some(r) = record.filter(|_| state != State::Dead(Dead::Gone)) {
+                        let data =
+                            serde_json::json!({ "message": r.id, "call": r.call, "state": state.name() });
+                        self.tell_tenant(now, &r.tenant, None, "message.exhausted", &data);
+                    }
+                }
+            }
+            Output::Disabled(id, why) => {
+                let Some((tenant, name)) = self.second.tenants.disable(id) else { return };
+                tracing::warn!(tenant, endpoint = name, why, "an endpoint is switched off");
+                self.keep_tenants();
+                let data = serde_json::json!({ "endpoint": name, "why": why });
+                self.tell_tenant(now, &tenant, None, "endpoint.disabled", &data);
+            }
+        }
+    }
+
+    fn count(&mut self, message: &Waiting, state: State) {
+        let counters = &mut self.core.counters;
+        match state {
+            State::Delivered => counters.callbacks_delivered += 1,
+            _ if message.ran.is_some() => counters.callbacks_unknown += 1,
+            _ => counters.callbacks_undelivered += 1,
+        }
+    }
+
+    // ---- Connections to portals ----
+
+    /// Makes an attempt at a message, on a connection that is idle or a new one.
+    fn attempt(&mut self, now: Micros, mut record: MessageRecord, body: &[u8]) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        let (seq, id) = (record.waiting.seq, record.waiting.endpoint);
+        let tenant = self.second.tenants.same(&record.tenant, record.serial);
+        let Some((tenant, e)) = tenant.and_then(|t| t.endpoint(id).map(|(_, e)| (t, e))) else {
+            // Removed at this very moment; its end is kept by the removal.
+            return hooks.delivery.handle(now, Input::Ended(seq, Report::VOID));
+        };
+        let (address, secrets) = (e.portal.address, tenant.signing(e, now));
+        let failed = |ending| Report { ending, left: Left::Nothing, status: None, advice: None };
+        if !hooks.networks.allows(address.ip()) || secrets.is_empty() {
+            // Nothing is sent where the operator does not allow it, or unsigned.
+            return hooks.delivery.handle(now, Input::Ended(seq, failed(Ending::NeverUp)));
+        }
+        // One that must not come twice has a connection of its own: an idle one may be at its end unseen.
+        let reuse = record.waiting.effect == Effect::Safe;
+        let bytes = message::request(&e.portal, &record.id, &secrets, now, body, reuse);
+        record.waiting.due = now;
+        hooks.out.insert(seq, Box::new(record));
+        let deadline = now + hooks.answer_limit;
+        let idle = hooks.idle.get_mut(&id).filter(|_| reuse).and_then(Vec::pop);
+        let key = match idle {
+            Some(key) => Ok(key),
+            None => {
+                let link = PortalLink { endpoint: id, address, current: None, status: None };
+                net::connect(address).and_then(|s| self.add(s, false, Role::Portal(link)))
+            }
+        };
+        match key {
+            Ok(key) => {
+                let Some((conn, Role::Portal(link))) = self.conns.get_mut(key) else { return };
+                (link.current, link.status) = (Some((seq, now)), None);
+                conn.out.push(seq.0, bytes);
+                self.set_deadline(key, Some(deadline));
+                self.dirty.push(key);
+            }
+            Err(e) => {
+                let ending = match e.kind() {
+                    io::ErrorKind::ConnectionRefused => Ending::Refused,
+                    // Out of descriptors: nothing is known of the portal.
+                    _ if e.raw_os_error().is_some_and(|n| n == 24 || n == 23) => Ending::Overflow,
+                    _ => Ending::NeverUp,
+                };
+                if let Some(hooks) = &mut self.second.hooks {
+                    hooks.delivery.handle(now, Input::Ended(seq, failed(ending)));
+                }
+            }
+        }
+    }
+
+    /// Something has come from a portal.
+    pub(super) fn on_portal(&mut self, key: ConnKey, now: Micros) {
+        let Some((conn, Role::Portal(link))) = self.conns.get_mut(key) else { return };
+        let Some((seq, _)) = link.current else {
+            // It says something unasked.
+            if !conn.input.bytes().is_empty() {
+                self.close(key, Ending::Malformed);
+            }
+            return;
+        };
+        match answer::read(conn.input.bytes(), now) {
+            Progress::Waits => {}
+            Progress::Status(status, advice) => link.status = Some((status, advice)),
+            Progress::Malformed => self.close(key, Ending::Malformed),
+            Progress::Whole(status, advice, size, keep) => {
+                conn.input.consume(size);
+                (link.current, link.status) = (None, None);
+                let (id, address) = (link.endpoint, link.address);
+                // An answer ahead of the request's end: what is left of it would be read as the next request.
+                let clean = keep && conn.out.is_empty() && conn.input.bytes().is_empty() && !conn.ended;
+                self.portal_ended(now, seq, answered(status, advice));
+                let Some(hooks) = &mut self.second.hooks else { return };
+                let tenants = &self.second.tenants;
+                let same = |e: &Endpoint| e.id == id && e.portal.address == address;
+                let known = tenants.iter().any(|(_, t)| t.endpoint(id).is_some_and(|(_, e)| same(e)));
+                let idle = hooks.idle.entry(id).or_default();
+                if clean && known && idle.len() < MOST_IDLE && hooks.stopping.is_none() {
+                    idle.push(key);
+                    self.set_deadline(key, Some(now + PORTAL_IDLE));
+                } else {
+                    if idle.is_empty() {
+                        hooks.idle.remove(&id);
+                    }
+                    self.close(key, Ending::Closed);
+                }
+            }
+        }
+    }
+
+    /// A portal's connection has ended.
+    pub(super) fn portal_closed(
+        &mut self,
+        now: Micros,
+        key: ConnKey,
+        link: &PortalLink,
+        ending: Ending,
+        untouched: bool,
+    ) {
+        if let Some(hooks) = &mut self.second.hooks {
+            if let Some(idle) = hooks.idle.get_mut(&link.endpoint) {
+                idle.retain(|k| *k != key);
+                if idle.is_empty() {
+                    hooks.idle.remove(&link.endpoint);
+                }
+            }
+        }
+        let Some((seq, _)) = link.current else { return };
+        let report = match link.status {
+            // Its head told the answer; what was missing is of no use to anybody.
+            Some((status, advice)) => answered(status, advice),
+            None => {
+                let left = if untouched { Left::Nothing } else { Left::Some };
+                Report { ending, left, status: None, advice: None }
+            }
+        };
+        self.portal_ended(now, seq, report);
+    }
+
+    fn portal_ended(&mut self, now: Micros, seq: Seq, report: Report) {
+        if let Some(hooks) = &mut self.second.hooks {
+            hooks.delivery.handle(now, Input::Ended(seq, report));
+        }
+    }
+
+    /// Nothing more is begun towards portals: what waits goes on at the next start, what is out ends now and
+    /// follows its class. Without a store all of it is awaited as before.
+    pub(super) fn stop_webhooks(&mut self, now: Micros) {
+        let Some(hooks) = self.second.hooks.as_mut().filter(|h| h.durable()) else { return };
+        hooks.stopping = Some(now);
+        hooks.delivery.handle(now, Input::Stop);
+        let portals: Vec<ConnKey> =
+            self.conns.iter().filter(|(_, (_, r))| matches!(r, Role::Portal(_))).map(|(k, _)| k).collect();
+        portals.into_iter().for_each(|key| self.close(key, Ending::Shutdown));
+    }
+
+    // ---- Clients of the second front ----
+
+    /// Asks the store for an administrator.
+    pub(super) fn ask_for_admin(
+        &mut self,
+        conn: ConnKey,
+        op: Op,
+        key: Option<(String, String)>,
+    ) -> Result<(), Bad> {
+        let hooks = self.second.hooks.as_mut().ok_or(plain(404, "webhooks are off"))?;
+        let limit = match &op {
+            Op::Messages(filter) => Some(filter.limit),
+            _ => None,
+        };
+        hooks.ask(Ask::Admin { conn, limit, key }, op);
+        Ok(())
+    }
+}
+
+fn answered(status: u16, advice: Option<Micros>) -> Report {
+    let ending = if (200..300).contains(&status) { Ending::Served } else { Ending::Failed };
+    Report { ending, left: Left::Some, status: Some(status), advice }
+}
+
+fn order(key: &str) -> u64 {
+    let mark = crate::front::webhook::replay::mark("", key);
+    mark.iter().take(8).fold(0, |n, b| n << 8 | u64::from(*b))
+}
+
+fn new_message(seq: Seq, e: &Endpoint, kind: &str, now: Micros, body: &[u8]) -> MessageRecord {
+    MessageRecord {
+        waiting: Waiting {
+            seq,
+            endpoint: e.id,
+            due: now,
+            effect: Effect::Safe,
+            ran: None,
+            tries: 0,
+            size: body.len() as u32,
+        },
+        state: State::Waiting,
+        tenant: String::new(),
+        serial: 0,
+        id: format!("msg_{:016x}", seq.0),
+        kind: kind.to_owned(),
+        call: None,
+        created: now,
+        order: None,
+        acknowledged: None,
+    }
+}
+
+/// The bytes of a refusal.
+pub(super) fn refuse(bad: &Bad, stays: bool) -> Vec<u8> {
+    let extra = if bad.status == 503 {
+        "Content-Type: text/plain\r\nRetry-After: 1\r\n"
+    } else {
+        "Content-Type: text/plain\r\n"
+    };
+    http::response(bad.status, extra, bad.why.as_bytes(), stays && !bad.fatal)
+}
+
+impl Node {
+    /// Writes the answer that a client of the second front is owed, and reads on.
+    pub(super) fn answer_second(&mut self, key: ConnKey, now: Micros, bytes: impl FnOnce(bool) -> Vec<u8>) {
+        let accepting = !self.listeners.is_empty();
+        let Some((conn, Role::Client { open, keep, .. })) = self.conns.get_mut(key) else { return };
+        *open = None;
+        conn.idle = now;
+        let stays = *keep && accepting;
+        conn.out.push(KEPT_FRAME, bytes(stays));
+        conn.closing = !stays;
+        self.set_deadline(key, Some(now + CLIENT_IDLE));
+        self.dirty.push(key);
+        self.on_second(key, now);
+    }
+}
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -103,6 +103,16 @@
         Disk::with(database, most_bytes, now)
     }
 
+    /// Opens a file again after an error within one process: attempts that had begun are still out, and nothing is
+    /// settled.
+    pub fn reopen(path: &Path, most_bytes: u64) -> Result<Disk, StoreError> {
+        let database = Database::builder().set_cache_size(CACHE).create(path).map_err(opened)?;
+        let write = database.begin_write().map_err(disk)?;
+        let tables = Tables::resume(&mut Transaction(&write), true, most_bytes);
+        write.abort().map_err(disk)?;
+        Ok(Disk { database, tables: tables? })
+    }
+
     /// Opens a store on a backend of the caller's, such as one that fails.
     pub fn open_backend(
         backend: impl StorageBackend,
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -206,7 +206,7 @@
     /// Messages.
     Messages(Vec<MessageRecord>),
     /// One message, its attempts and its body.
-    Message(Option<Box<(MessageRecord, Vec<AttemptRecord>, Vec<u8>)>>),
+    Message(Option<Box<Shown>>),
     /// A call's state.
     Call(Option<CallState>),
     /// Messages that expired while they waited, and whether there may be more to look at.
@@ -215,6 +215,17 @@
     Stat(Stat),
 }
 
+/// All that is kept of one message.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shown {
+    /// The message.
+    pub record: MessageRecord,
+    /// Its latest attempts, in their order.
+    pub attempts: Vec<AttemptRecord>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
 /// Figures of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stat {
--- a/src/store/recovery.rs
+++ b/src/store/recovery.rs
@@ -2,7 +2,7 @@
 //! class. Callbacks whose attempt had begun are settled by [`super::tables::Tables::open`].
 
 use super::records::CallRecord;
-use crate::api::Micros;
+use crate::api::{Effect, Micros};
 use crate::brain::allowed;
 
 /// What is done with a call found at a start.
@@ -16,16 +16,18 @@
     Unknown,
 }
 
-/// Tells a call's fate. With a clock that has stepped back, nobody can tell how long workers have remembered a
-/// keyed call, so it counts as one that must not run twice.
+/// Tells a call's fate. A keyed call that may have run is not run again: the module does not know of the first
+/// attempt, and so not when workers forget it. With a clock that has stepped back nobody can tell that either, and
+/// it counts as one that must not run twice.
 pub fn fate(call: &CallRecord, now: Micros, stepped_back: bool) -> Fate {
-    let mut may = allowed(call.effect, call.sent, now, 0);
-    if stepped_back && call.sent.is_some() && call.effect != crate::api::Effect::Safe {
-        (may.resend, may.refuse) = (false, false);
+    let safe = call.effect == Effect::Safe;
+    if call.sent.is_some() && !safe {
+        let refuse = allowed(call.effect, call.sent, now, 0).refuse && !stepped_back;
+        return if refuse { Fate::Refuse } else { Fate::Unknown };
     }
-    match may {
-        m if m.resend && now < call.expires => Fate::Run,
-        m if m.refuse => Fate::Refuse,
-        _ => Fate::Unknown,
+    if now < call.expires {
+        Fate::Run
+    } else {
+        Fate::Refuse
     }
 }
--- a/src/store/tables.rs
+++ b/src/store/tables.rs
@@ -107,17 +107,8 @@
         most_bytes: u64,
         now: Micros,
     ) -> Result<(Tables, Found), StoreError> {
-        let head = match space.get(Table::Meta, b"head")? {
-            Some(bytes) => unpack::<Head>(&bytes, "a head")?,
-            None if space.scan(Table::Messages, &[], &TOP, 1, false)?.is_empty() => {
-                Head { format: FORMAT, ..Head::default() }
-            }
-            None => return Err(StoreError::Foreign("it has messages and no head".into())),
-        };
-        if head.format > FORMAT {
-            return Err(StoreError::Newer(head.format));
-        }
-        let mut tables = Tables { head, history, most_bytes, cursor: 0 };
+        let mut tables = Tables::resume(space, history, most_bytes)?;
+        let head = tables.head;
         let stepped_back = now < head.latest;
         let mut found =
             Found { next: head.next, forgotten: head.forgotten, stepped_back, ..Found::default() };
@@ -142,6 +133,21 @@
         Ok((tables, found))
     }
 
+    /// The logic over a space that this process has had open before.
+    pub fn resume(space: &mut dyn Space, history: bool, most_bytes: u64) -> Result<Tables, StoreError> {
+        let head = match space.get(Table::Meta, b"head")? {
+            Some(bytes) => unpack::<Head>(&bytes, "a head")?,
+            None if space.scan(Table::Messages, &[], &TOP, 1, false)?.is_empty() => {
+                Head { format: FORMAT, ..Head::default() }
+            }
+            None => return Err(StoreError::Foreign("it has messages and no head".into())),
+        };
+        if head.format > FORMAT {
+            return Err(StoreError::Newer(head.format));
+        }
+        Ok(Tables { head, history, most_bytes, cursor: 0 })
+    }
+
     /// A kill came while an attempt was out: by its class it waits again, or nobody can tell.
     fn settle(
         &mut self,
@@ -278,14 +284,15 @@
             }
             Op::Messages(filter) => Ok(Reply::Messages(self.list(space, &filter, |_| true)?)),
             Op::Message(seq, serial) => {
-                let Some(message) = self.message(space, seq)?.filter(|m| m.serial == serial) else {
+                let Some(record) = self.message(space, seq)?.filter(|m| m.serial == serial) else {
                     return Ok(Reply::Message(None));
                 };
                 let (from, to) = (key(&[seq.0]), key(&[seq.0, u64::MAX]));
                 let pairs = space.scan(Table::Attempts, &from, &to, MOST_ATTEMPTS, false)?;
-                let all = pairs.iter().map(|(_, v)| unpack(v, "an attempt")).collect::<Result<_, _>>()?;
+                let attempts =
+                    pairs.iter().map(|(_, v)| unpack(v, "an attempt")).collect::<Result<_, _>>()?;
                 let body = space.get(Table::Bodies, &key(&[seq.0]))?.unwrap_or_default();
-                Ok(Reply::Message(Some(Box::new((message, all, body)))))
+                Ok(Reply::Message(Some(Box::new(Shown { record, attempts, body }))))
             }
             Op::Call(serial, id) => {
                 let bytes = space.get(Table::ByCall, &call_key(serial, &id))?;
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -82,7 +82,7 @@
         (Effect::Safe, Some(5), 200, Fate::Refuse),
         (Effect::Unsafe, Some(5), 10, Fate::Unknown),
         (Effect::Unsafe, Some(5), 200, Fate::Unknown),
-        (keyed(Group::All), Some(7), 10, Fate::Run),
+        (keyed(Group::All), Some(7), 10, Fate::Refuse),
         (keyed(Group::All), Some(4), 10, Fate::Unknown),
         (keyed(Group::Zone), Some(99), 101, Fate::Unknown),
         (keyed(Group::All), Some(99), 101, Fate::Refuse),
@@ -220,7 +220,7 @@
     assert_eq!((found.unknown, found.endpoints), (1, vec![(EndpointId(0), 2)]));
     let state =
         |t: &mut Tables, space: &mut Memory, seq| match t.apply(space, Op::Message(Seq(seq), 1)).unwrap() {
-            Reply::Message(Some(m)) => (m.0.state, m.1.len()),
+            Reply::Message(Some(m)) => (m.record.state, m.attempts.len()),
             other => panic!("{other:?}"),
         };
     assert_eq!(state(&mut t, &mut space, 1), (State::Dead(Dead::Unknown), 1));
@@ -234,7 +234,7 @@
     );
     assert!(matches!(again(&mut t, &mut space, Some("ops")), Reply::Waits(w) if w.len() == 1));
     let Reply::Message(Some(m)) = t.apply(&mut space, Op::Message(Seq(1), 1)).unwrap() else { panic!() };
-    assert_eq!((m.0.state, m.0.acknowledged.as_deref()), (State::Waiting, Some("ops")));
+    assert_eq!((m.record.state, m.record.acknowledged.as_deref()), (State::Waiting, Some("ops")));
     assert_eq!(
         t.apply(&mut space, Op::Message(Seq(1), 2)).unwrap(),
         Reply::Message(None),
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -11,7 +11,6 @@
 
 use super::disk::Disk;
 use super::records::{Op, Reply, StoreError};
-use crate::api::Micros;
 use crate::clock::Clock;
 
 /// Operations that one commit takes at most.
@@ -19,8 +18,8 @@
 /// How long after an error the file is opened anew.
 const AGAIN: Duration = Duration::from_millis(500);
 
-/// Opens the store anew, at a time.
-pub type Opener = Box<dyn FnMut(Micros) -> Result<Disk, StoreError> + Send>;
+/// Opens the store anew.
+pub type Opener = Box<dyn FnMut() -> Result<Disk, StoreError> + Send>;
 /// Where answers go: the number of the question, and the answer.
 pub type Answered = Box<dyn FnMut(u64, Result<Reply, StoreError>) + Send>;
 
@@ -112,8 +111,7 @@
     }
 
     fn reopen(&mut self) {
-        let now = self.clock.now();
-        match (self.opener)(now) {
+        match (self.opener)() {
             Ok(disk) => {
                 tracing::info!("the store is open again");
                 self.disk = Some(disk);
