Add the lab: crash tool, conformance suite, load, demo and scenario tests of the second front

Need: durability and fairness are to be shown with real processes, SIGKILL and portals that misbehave.

Change: molelug-lab runs the gateway from its own program; stand-in workers, portals and callers; crash balances what was taken, run, told and kept; conformance plays cases from a data file against any receiver or sender; load measures; demo is the newcomer's first command. The crash tool found that SIGTERM ended a gateway with a store at once: the store's thread was begun before signals were heeded. They are now heeded first, which each of its rounds needs.

--- /dev/null
+++ b/lab/src/crash.rs
@@ -0,0 +1,220 @@
+//! `crash`: SIGKILL at random moments, restart on the same store, and the books balanced afterwards.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{Error, Result};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use molelug::delivery::verdict::{Dead, State};
+use molelug::store::disk::Disk;
+use molelug::store::records::{Filter, Op, Reply};
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::stand_in::gateway::{Folder, SAFE, UNSAFE};
+use crate::stand_in::{call_body, secret, secret_text, status, Caller, Gateway, Manner, Portal, Worker};
+
+/// What one round did, for its report.
+#[derive(Debug, Default)]
+struct Round {
+    kills: u32,
+    taken: usize,
+    delivered: usize,
+    unknown_calls: usize,
+    unknown_callbacks: usize,
+}
+
+fn below(random: &mut ChaCha8Rng, n: u64) -> u64 {
+    random.next_u64() % n
+}
+
+/// Plays rounds from a seed; `Err` names what did not balance.
+pub fn run(seed: u64, rounds: u64) -> Result<bool> {
+    let (mut passed, mut failed) = (0, 0);
+    for round in 0..rounds {
+        let seed = seed + round;
+        match play(seed) {
+            Ok(r) => {
+                passed += 1;
+                println!(
+                    "seed {seed}: {} kills, {} calls taken, {} callbacks delivered, {} calls and {} callbacks of \
+                     which nobody can tell",
+                    r.kills, r.taken, r.delivered, r.unknown_calls, r.unknown_callbacks
+                );
+            }
+            Err(e) => {
+                failed += 1;
+                println!("seed {seed}: FAILED: {e}");
+            }
+        }
+    }
+    println!("{passed} passed, {failed} failed");
+    Ok(failed == 0)
+}
+
+fn play(seed: u64) -> Result<Round> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let folder = Folder::new(&format!("crash-{seed}"))?;
+    let delay = |r: &mut ChaCha8Rng| Duration::from_millis(below(r, 12));
+    let workers: Vec<Worker> =
+        (0..3).map(|n| Worker::start(delay(&mut random), [0, 9, 14][n])).collect::<Result<_>>()?;
+    let manners = [Manner::Good, Manner::Cuts(5), Manner::Fails(4), Manner::Slow(15)];
+    let portals: Vec<Portal> = manners.iter().map(|m| Portal::start(secret(1), *m)).collect::<Result<_>>()?;
+    let mut operator = String::from(
+        "[webhooks]\nlisten = \"127.0.0.1:0\"\nstore = \"store\"\ncallback_answer_ms = 2000\n\
+         schedule_s = [0.05, 0.1, 0.2, 0.4, 0.8, 1, 1, 1, 2, 2, 2, 2]\n",
+    );
+    for (n, p) in portals.iter().enumerate() {
+        operator.push_str(&format!(
+            "[[tenants]]\nname = \"t{n}\"\nportal = \"http://{}/in\"\nsecrets = [\"{}\"]\n",
+            p.address,
+            secret_text(1)
+        ));
+    }
+    let mut round = Round::default();
+    // What got a 202; what was sent and got no answer may or may not have been taken.
+    let taken: Arc<Mutex<BTreeMap<String, bool>>> = Arc::default();
+    let mut sent = 0u64;
+    let lives = 2 + below(&mut random, 3);
+    for life in 0..lives {
+        let mut g = Gateway::start(&folder.0, &workers, &operator, 900.0)?;
+        let to = g.webhooks.ok_or_else(|| Error::other("no webhooks"))?;
+        let callers: Vec<_> = (0..4u64)
+            .map(|c| {
+                let (from, mine) = (sent + c * 1000, taken.clone());
+                std::thread::spawn(move || {
+                    let (mut caller, secret) = (Caller::new(to), secret(1));
+                    for n in from..from + 60 {
+                        let unsafe_one = n % 2 == 0;
+                        let text = call_body(if unsafe_one { UNSAFE } else { SAFE }, n % 7, None);
+                        let id = format!("call-{n}");
+                        match caller.call(&format!("t{}", n % 4), &secret, &id, &text) {
+                            Ok(answer) if status(&answer) == 202 => {
+                                if let Ok(mut t) = mine.lock() {
+                                    t.insert(id, unsafe_one);
+                                }
+                            }
+                            Ok(_) => {}
+                            Err(_) => return,
+                        }
+                    }
+                })
+            })
+            .collect();
+        sent += 10_000;
+        if life + 1 < lives {
+            std::thread::sleep(Duration::from_micros(2_000 + below(&mut random, 250_000)));
+            g.kill()?;
+            round.kills += 1;
+        }
+        for caller in callers {
+            caller.join().map_err(|_| Error::other("a caller failed"))?;
+        }
+        if life + 1 == lives {
+            settle(&folder, g)?;
+        }
+    }
+    let taken = taken.lock().map_err(|_| Error::other("a caller failed"))?.clone();
+    round.taken = taken.len();
+    balance(&folder, &taken, &workers, &portals, &mut round)?;
+    Ok(round)
+}
+
+/// Waits until nothing waits in the store any more: the gateway is stopped in order and looked at, and started
+/// again if it left something.
+fn settle(folder: &Folder, mut g: Gateway) -> Result<()> {
+    let end = Instant::now() + Duration::from_secs(60);
+    loop {
+        std::thread::sleep(Duration::from_millis(1500));
+        g.stop()?;
+        let (mut disk, found) = open(folder)?;
+        let Some(Ok(Reply::Stat(stat))) = disk.commit([Op::Stat], now()).map_err(Error::other)?.pop() else {
+            return Err(Error::other("the store has no figures"));
+        };
+        drop(disk);
+        if stat.waiting == 0 && stat.calls == 0 && found == 0 {
+            return Ok(());
+        }
+        if Instant::now() > end {
+            return Err(Error::other(format!("stuck: {stat:?}, {found} calls")));
+        }
+        let read = |name: &str| std::fs::read_to_string(folder.0.join(name));
+        g = Gateway::again(&folder.0, &read("operator.toml")?)?;
+    }
+}
+
+fn now() -> u64 {
+    crate::stand_in::now_s() * 1_000_000
+}
+
+fn open(folder: &Folder) -> Result<(Disk, usize)> {
+    let (disk, found) = Disk::open(&folder.0.join("store"), u64::MAX, now()).map_err(Error::other)?;
+    Ok((disk, found.calls.len()))
+}
+
+/// Compares what was taken with what workers ran, portals got and the store tells.
+fn balance(
+    folder: &Folder,
+    taken: &BTreeMap<String, bool>,
+    workers: &[Worker],
+    portals: &[Portal],
+    round: &mut Round,
+) -> Result<()> {
+    let wrong = |what: String| Err(Error::other(what));
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for w in workers {
+        let all = w.runs.lock().map_err(|_| Error::other("a worker failed"))?;
+        for ((id, class), n) in all.iter().filter(|((_, class), _)| class == UNSAFE) {
+            let n = runs.entry(id.clone()).and_modify(|m| *m += n).or_insert(*n);
+            if *n > 1 {
+                return wrong(format!("{class} {id} ran {n} times"));
+            }
+        }
+    }
+    let mut seen: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+    for s in portals.iter().flat_map(Portal::all) {
+        if !s.signed {
+            return wrong(format!("{} came unsigned", s.id));
+        }
+        if s.outcome == "unknown" {
+            round.unknown_calls += 1;
+        }
+        let count = seen.entry(s.call).or_default();
+        *count = (count.0 + 1, count.1 + u32::from(s.confirmed));
+    }
+    let (mut disk, _) = open(folder)?;
+    let mut answered = BTreeSet::new();
+    for serial in tenants(folder)? {
+        let filter = Filter { serial, limit: usize::MAX / 2, ..Filter::default() };
+        let reply = disk.commit([Op::Messages(filter)], now()).map_err(Error::other)?.pop();
+        let Some(Ok(Reply::Messages(all))) = reply else { return wrong("the store has no list".into()) };
+        for m in all {
+            let call = m.call.clone().unwrap_or_default();
+            let (came, confirmed) = seen.get(&call).copied().unwrap_or_default();
+            if !answered.insert(call.clone()) {
+                return wrong(format!("{call} has two callbacks"));
+            }
+            let unsafe_one = m.waiting.effect != molelug::api::Effect::Safe;
+            match m.state {
+                State::Delivered if confirmed == 0 => return wrong(format!("{call} was never confirmed")),
+                State::Delivered => round.delivered += 1,
+                State::Dead(Dead::Unknown) if unsafe_one => round.unknown_callbacks += 1,
+                other => return wrong(format!("{call} is left {other:?}")),
+            }
+            if unsafe_one && came > 1 {
+                return wrong(format!("the callback of {call} came {came} times"));
+            }
+        }
+    }
+    match taken.keys().find(|id| !answered.contains(*id)) {
+        Some(id) => wrong(format!("{id} was taken and has no callback")),
+        None => Ok(()),
+    }
+}
+
+/// The tenants' numbers, as the gateway gives them to those of an operator's file.
+fn tenants(folder: &Folder) -> Result<Vec<u64>> {
+    let operator = molelug::config::Operator::read(&folder.0.join("operator.toml")).map_err(Error::other)?;
+    let registry = operator.registry(&[]).map_err(Error::other)?;
+    Ok(registry.iter().map(|(_, t)| t.serial).collect())
+}
--- /dev/null
+++ b/lab/src/demo.rs
@@ -0,0 +1,67 @@
+//! `demo`: everything in one go, for a newcomer.
+
+use std::collections::BTreeMap;
+use std::io::{Error, Result};
+use std::time::{Duration, Instant};
+
+use crate::stand_in::gateway::{Folder, SAFE, UNSAFE};
+use crate::stand_in::{
+    body, call_body, secret, secret_text, status, Caller, Gateway, Manner, Portal, Worker, PATIENCE,
+};
+
+/// Starts a gateway, two workers and a portal, sends calls by both fronts, and tells what came of each. `true` if all
+/// were answered.
+pub fn run() -> Result<bool> {
+    let folder = Folder::new("demo")?;
+    let workers = [Worker::start(Duration::from_millis(5), 0)?, Worker::start(Duration::from_millis(5), 0)?];
+    let portal = Portal::start(secret(1), Manner::Good)?;
+    let operator = format!(
+        "[webhooks]\nlisten = \"127.0.0.1:0\"\nstore = \"store\"\n[[tenants]]\nname = \"clinic\"\n\
+         portal = \"http://{}/trips\"\nsecrets = [\"{}\"]\n",
+        portal.address,
+        secret_text(1)
+    );
+    let mut g = Gateway::start(&folder.0, &workers, &operator, 900.0)?;
+    let to = g.webhooks.ok_or_else(|| Error::other("no webhooks"))?;
+    println!(
+        "a gateway on {}, its webhooks on {to}, two workers and a portal on {}",
+        g.platform, portal.address
+    );
+    let mut good = true;
+    println!("\nthe platform's front: a POST each, answered with the worker's body");
+    let mut caller = Caller::new(g.platform);
+    for n in 0..3u64 {
+        let class = if n == 2 { UNSAFE } else { SAFE };
+        let request = format!(
+            "POST /call/{n:016x}/trigger HTTP/1.1\r\nHost: demo\r\nX-Class: {class}\r\nX-Org: franq-bajio\r\n\
+             X-Correlation-Id: {n:016x}\r\nX-Deadline-Ms: 900\r\nContent-Length: 4\r\n\r\ntrip"
+        );
+        let answer = caller.exchange(request.as_bytes())?;
+        good &= status(&answer) == 200;
+        println!("  {class:<20} {} {}", status(&answer), String::from_utf8_lossy(body(&answer)));
+    }
+    println!("\nsigned webhooks: 202 once the call is kept, and its answer as a signed callback");
+    let mut caller = Caller::new(to);
+    let mut sent = BTreeMap::new();
+    for n in 0..4 {
+        let (id, class) = (format!("trip-{n}"), if n % 2 == 0 { SAFE } else { UNSAFE });
+        let answer = caller.call("clinic", &secret(1), &id, &call_body(class, n, None))?;
+        good &= status(&answer) == 202;
+        println!("  {id} {class:<20} {}", status(&answer));
+        sent.insert(id, class);
+    }
+    let end = Instant::now() + PATIENCE;
+    while portal.all().len() < sent.len() && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    for s in portal.all() {
+        let signed = if s.signed { "signed" } else { "NOT SIGNED" };
+        println!("  {} came back: {}, {signed}, under {}", s.call, s.outcome, s.id);
+        good &= s.signed && s.outcome == "served" && sent.remove(&s.call).is_some();
+    }
+    good &= sent.is_empty();
+    let counters = g.stop()?;
+    println!("\nthe gateway ended in order: {} taken, {} served", counters["taken"], counters["served"]);
+    println!("{}", if good { "all were answered" } else { "NOT all were answered" });
+    Ok(good)
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,8 @@
+//! Tools and stand-ins around the gateway: what its tests, measurements and a newcomer's first steps share.
+
+pub mod bench;
+pub mod conformance;
+pub mod crash;
+pub mod demo;
+pub mod load;
+pub mod stand_in;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,3 +1,159 @@
 //! Tools and stand-ins around the gateway.
 
-fn main() {}
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use molelug_lab::{bench, conformance, crash, demo, load};
+
+/// Tools and stand-ins around the molelug gateway; all of it on loopback
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Start a gateway, workers and a portal, send calls by both fronts and show what came of each
+    #[bpaf(command)]
+    Demo,
+    /// Kill gateways at random moments and balance what was taken, run and told
+    #[bpaf(command)]
+    Crash {
+        /// The first round's seed; each round has the next one
+        #[bpaf(long, argument("S"), fallback(1))]
+        seed: u64,
+        /// How many rounds
+        #[bpaf(long, argument("N"), fallback(10))]
+        rounds: u64,
+    },
+    /// Load on the second front, measured
+    #[bpaf(command)]
+    Load(#[bpaf(external(load))] Load),
+    /// The published specification's cases, against any implementation
+    #[bpaf(command)]
+    Conformance(#[bpaf(external(conformance))] Conformance),
+    /// Measure a structure against plain ones
+    #[bpaf(command)]
+    Bench(#[bpaf(external(bench))] Bench),
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Load {
+    /// Calls to many portals, some of them dead or slow
+    #[bpaf(command)]
+    Webhooks {
+        /// Portals, each a tenant's
+        #[bpaf(long, argument("N"), fallback(50))]
+        portals: usize,
+        /// How many of them refuse connections
+        #[bpaf(long, argument("N"), fallback(0))]
+        dead: usize,
+        /// How many of them take two seconds over each answer
+        #[bpaf(long, argument("N"), fallback(0))]
+        slow: usize,
+        /// Calls a second
+        #[bpaf(long, argument("N"), fallback(400))]
+        rate: u64,
+        /// How long
+        #[bpaf(long, argument("S"), fallback(10))]
+        seconds: u64,
+        /// Write the figures there as well
+        #[bpaf(long, argument("FILE"))]
+        json: Option<PathBuf>,
+    },
+    /// Calls as fast as they are taken: with a store, from memory, and with one sync for each call
+    #[bpaf(command)]
+    Accept {
+        /// Callers at once
+        #[bpaf(long, argument("N"), fallback(64))]
+        callers: usize,
+        /// How long each way
+        #[bpaf(long, argument("S"), fallback(5))]
+        seconds: u64,
+        /// Another build of the gateway, to be run from memory in the same session
+        #[bpaf(long, argument("PROGRAM"))]
+        before: Option<PathBuf>,
+    },
+    /// Messages that wait for a dead portal: the gateway's memory, and its start after a kill
+    #[bpaf(command)]
+    Waiting {
+        /// How many
+        #[bpaf(long, argument("N"), fallback(100_000))]
+        messages: u64,
+    },
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Conformance {
+    /// Cases for one who takes signed webhooks
+    #[bpaf(command)]
+    Receiver {
+        /// Start this project's own gateway and test it
+        #[bpaf(long("self"))]
+        own: bool,
+        /// Where the receiver listens
+        #[bpaf(long, argument("ADDRESS"))]
+        target: Option<SocketAddr>,
+        /// The path of its webhooks
+        #[bpaf(long, argument("PATH"), fallback("/".into()))]
+        path: String,
+        /// The secret it knows
+        #[bpaf(long, argument("SECRET"))]
+        secret: Option<String>,
+        /// A body it takes; each case has its own identity
+        #[bpaf(long, argument("TEXT"), fallback("{\"type\":\"test\",\"data\":{}}".into()))]
+        body: String,
+    },
+    /// Cases for one who sends them
+    #[bpaf(command)]
+    Sender {
+        /// Start this project's own gateway and test it
+        #[bpaf(long("self"))]
+        own: bool,
+        /// Where to listen for the sender's webhooks
+        #[bpaf(long, argument("ADDRESS"))]
+        listen: Option<SocketAddr>,
+        /// The secret it signs with
+        #[bpaf(long, argument("SECRET"))]
+        secret: Option<String>,
+    },
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Bench {
+    /// The timer wheel against an ordered set and a heap
+    #[bpaf(command)]
+    Wheel,
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    // The gateway itself, for the tools that start it.
+    if args.get(1).is_some_and(|a| a == "gateway") {
+        return molelug::cli::main_with(&args[2..]);
+    }
+    let result = match command().run() {
+        Command::Demo => demo::run(),
+        Command::Crash { seed, rounds } => crash::run(seed, rounds),
+        Command::Load(Load::Webhooks { portals, dead, slow, rate, seconds, json }) => {
+            load::webhooks(portals, dead, slow, rate, seconds, json.as_deref())
+        }
+        Command::Load(Load::Accept { callers, seconds, before }) => {
+            load::accept(callers, seconds, before.as_deref())
+        }
+        Command::Load(Load::Waiting { messages }) => load::waiting(messages),
+        Command::Conformance(Conformance::Receiver { own, target, path, secret, body }) => {
+            conformance::receiver(own, target, &path, secret.as_deref(), &body)
+        }
+        Command::Conformance(Conformance::Sender { own, listen, secret }) => {
+            conformance::sender(own, listen, secret.as_deref())
+        }
+        Command::Bench(Bench::Wheel) => bench::wheel(),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("molelug-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/stand_in/gateway.rs
@@ -0,0 +1,193 @@
+//! A gateway as a process of its own: this program runs itself with the gateway's command line.
+
+use std::io::{BufRead, BufReader, Error, Result};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{mpsc, OnceLock};
+
+use serde_json::{json, Value};
+
+use super::{Worker, PATIENCE};
+
+/// The class that is safe to repeat.
+pub const SAFE: &str = "disponibilidad";
+/// The class that must never run twice.
+pub const UNSAFE: &str = "confirmar-traslado";
+
+/// The lab's own program, for tests, which are programs of their own.
+pub static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    child: Child,
+    lines: mpsc::Receiver<String>,
+    /// What it has logged that was looked through.
+    pub log: Vec<String>,
+    /// Where the platform's clients connect.
+    pub platform: SocketAddr,
+    /// Where signed webhooks come in.
+    pub webhooks: Option<SocketAddr>,
+}
+
+/// The module's settings for a small site with one class of each kind.
+pub fn settings(deadline_ms: f64) -> Value {
+    let class = |name: &str, repeat: &str| {
+        json!({ "name": name, "repeat": repeat, "aimMs": deadline_ms / 2.0, "hardLimitMs": deadline_ms,
+                "worth": 1.0, "lateWorth": 0.3, "group": "all", "dedupWindowMs": 5000.0 })
+    };
+    json!({
+        "groupSize": 1, "me": 0, "zone": 0, "tickMs": 4.0, "dcs": ["north"],
+        "services": [class(SAFE, "read_like"), class(UNSAFE, "non_idempotent")],
+        "orgs": [{ "name": "franq-bajio", "quotaPerS": 0.0, "fraction": 1.0 }],
+        "caps": { "mostTries": 3, "cancel": true, "connectTimeoutMs": 250.0, "connIdleMs": 30000.0,
+                  "streamsPerConn": 100, "mostHeld": 20000, "maxRetryAfterMs": 500.0 },
+        "familyInfo": { "onMiss": "miss", "mayLoad": true, "keepMs": 8000.0, "orderLimitMs": 10000.0,
+                        "marksCold": true },
+        "obligations": { "graceToAnswerMs": 16.0, "drainGraceMs": 1000.0 },
+        "report": { "via": "inline", "fields": ["rif", "x1", "x0"] },
+    })
+}
+
+/// A folder that is removed with its value.
+#[derive(Debug)]
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    /// Makes one of this name and process below the machine's folder for such.
+    pub fn new(name: &str) -> Result<Folder> {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("molelug-{name}-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&path)?;
+        Ok(Folder(path))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // What is left behind is the machine's to sweep.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+impl Gateway {
+    /// Starts one in a folder, which keeps its files over restarts.
+    pub fn start(folder: &Path, workers: &[Worker], operator: &str, deadline_ms: f64) -> Result<Gateway> {
+        Gateway::with(None, folder, workers, operator, deadline_ms)
+    }
+
+    /// The same with a program of the caller's; this one if none.
+    pub fn with(
+        program: Option<&Path>,
+        folder: &Path,
+        workers: &[Worker],
+        operator: &str,
+        deadline_ms: f64,
+    ) -> Result<Gateway> {
+        let endpoint = |(i, w): (usize, &Worker)| {
+            json!({ "name": format!("s-0000000{i}"), "address": w.address.to_string(), "zone": "north",
+                    "type": "std", "group": 0, "status": "SERVING", "weight": 4, "since_ms": 0 })
+        };
+        let endpoints: Vec<Value> = workers.iter().enumerate().map(endpoint).collect();
+        let known = json!({ "rev": 1, "notices": [
+            { "rev": 1, "pool": { "index": 1, "snapshot": true, "endpoints": endpoints } } ] });
+        let config = json!({ "name": "lab", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "known": known,
+            "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 1024 }, "settings": settings(deadline_ms) });
+        std::fs::write(folder.join("config.json"), config.to_string())?;
+        std::fs::write(folder.join("operator.toml"), operator)?;
+        Gateway::run(program, folder, operator)
+    }
+
+    /// Starts one on the files that are in a folder.
+    pub fn again(folder: &Path, operator: &str) -> Result<Gateway> {
+        Gateway::run(None, folder, operator)
+    }
+
+    fn run(program: Option<&Path>, folder: &Path, operator: &str) -> Result<Gateway> {
+        let mut command = match program {
+            Some(program) => Command::new(program),
+            None => {
+                let mut command = Command::new(match PROGRAM.get() {
+                    Some(program) => program.clone(),
+                    None => std::env::current_exe()?,
+                });
+                command.arg("gateway");
+                command
+            }
+        };
+        command.args(["serve", "--operator"]).arg(folder.join("operator.toml"));
+        command
+            .env("RELAY_CONFIG", folder.join("config.json"))
+            .env_remove("RELAY_NAME")
+            .env_remove("RELAY_LISTEN");
+        let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+        let errors = child.stderr.take().ok_or_else(|| Error::other("no log"))?;
+        let (tell, lines) = mpsc::channel();
+        std::thread::spawn(move || {
+            BufReader::new(errors).lines().map_while(Result::ok).all(|l| tell.send(l).is_ok())
+        });
+        let mut g =
+            Gateway { child, lines, log: Vec::new(), platform: ([0, 0, 0, 0], 0).into(), webhooks: None };
+        g.platform = g.listener("listens on ")?;
+        if operator.contains("[webhooks]") {
+            g.webhooks = Some(g.listener("takes webhooks on ")?);
+        }
+        Ok(g)
+    }
+
+    fn listener(&mut self, what: &str) -> Result<SocketAddr> {
+        let line = self.line(what)?;
+        let address = line.rsplit(' ').next().and_then(|a| a.parse().ok());
+        address.ok_or_else(|| Error::other(format!("no address in '{line}'")))
+    }
+
+    /// The next line of its log that holds this.
+    pub fn line(&mut self, what: &str) -> Result<String> {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE).map_err(|_| {
+                Error::other(format!("the gateway's log lacks '{what}': {}", self.log.join(" | ")))
+            })?;
+            self.log.push(line.clone());
+            if line.contains(what) {
+                return Ok(line);
+            }
+        }
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// SIGTERM, and the counters that it prints at its end.
+    pub fn stop(&mut self) -> Result<Value> {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM)?;
+        let line = self.line("counters ")?;
+        let status = self.child.wait()?;
+        if !status.success() {
+            return Err(Error::other(format!("the gateway ended with {status}")));
+        }
+        let text = line.split_once("counters ").map_or("", |(_, t)| t);
+        serde_json::from_str(text).map_err(Error::other)
+    }
+
+    /// Its resident memory, in KiB.
+    pub fn memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse().ok()).unwrap_or(0)
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -42,9 +42,25 @@
     Version,
 }
 
-/// Runs the command that the arguments name.
+/// Runs the command that the program's arguments name.
 pub fn main() -> ExitCode {
-    let result = match command().run() {
+    run(command().run())
+}
+
+/// Runs the command that these arguments name; for programs that hold this one.
+pub fn main_with(args: &[String]) -> ExitCode {
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    match command().run_inner(args.as_slice()) {
+        Ok(command) => run(command),
+        Err(failure) => {
+            failure.print_message(100);
+            ExitCode::from(failure.exit_code().clamp(0, 255) as u8)
+        }
+    }
+}
+
+fn run(command: Command) -> ExitCode {
+    let result = match command {
         Command::Serve { operator, logging } => {
             logging.begin();
             serve(operator)
@@ -69,8 +85,8 @@
     let name = config.name.clone();
     let operator = operator.map_or_else(|| Ok(Operator::default()), |path| Operator::read(&path))?;
     let mut events = EventLoop::try_new()?;
+    Node::heed_signals(&events.handle())?;
     let mut node = Node::new(config, operator, events.handle(), Clock::system())?;
-    node.heed_signals()?;
     let listeners = [
         ("listens", node.address()),
         ("takes webhooks", node.webhook_address()),
--- a/src/node.rs
+++ b/src/node.rs
@@ -291,13 +291,14 @@
     }
 
     /// Has SIGTERM and SIGINT end the gateway in order, SIGHUP read the configuration anew and SIGUSR1 print the
-    /// counters. To be called before anything is said to be ready: an unheeded signal ends the process.
-    pub fn heed_signals(&self) -> Result<(), NodeError> {
+    /// counters. To be called before anything is said to be ready, as an unheeded signal ends the process, and before
+    /// [`Node::new`]: the store's thread heeds signals as the thread does that it was begun from.
+    pub fn heed_signals(handle: &LoopHandle<'static, Node>) -> Result<(), NodeError> {
         let source = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])?;
         let note = |event: calloop::signals::Event, _: &mut (), node: &mut Node| {
             node.signals.push(event.signal());
         };
-        self.handle.insert_source(source, note).map_err(|e| NodeError::Loop(e.error))?;
+        handle.insert_source(source, note).map_err(|e| NodeError::Loop(e.error))?;
         Ok(())
     }
 
