--- a/src/admin/messages.rs
+++ b/src/admin/messages.rs
@@ -79,6 +79,13 @@
     })
 }
 
+/// A message as `molelug store export` writes it.
+pub fn exported(m: &MessageRecord) -> Value {
+    let mut line = view(m);
+    line["tenant"] = m.tenant.as_str().into();
+    line
+}
+
 fn attempt(a: &AttemptRecord) -> Value {
     json!({ "at": timestamp(a.at), "took_ms": a.took / 1000, "ending": a.ending, "status": a.status,
             "may_have_arrived": a.may_have_arrived })
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,7 +11,11 @@
 use crate::node::Node;
 
 mod log;
+mod store;
+mod webhook;
 pub use log::{Format, Logging};
+pub use store::Store;
+pub use webhook::Webhook;
 
 /// A gateway for functions loaded on demand
 #[derive(Clone, Debug, Bpaf)]
@@ -37,6 +41,20 @@
         #[bpaf(positional("FILE"))]
         file: Option<PathBuf>,
     },
+    /// Sign, check, send and receive signed webhooks by hand
+    #[bpaf(command("webhook"))]
+    Webhook(
+        #[allow(missing_docs)]
+        #[bpaf(external(webhook::webhook))]
+        Webhook,
+    ),
+    /// Look at a store that no gateway holds
+    #[bpaf(command("store"))]
+    Store(
+        #[allow(missing_docs)]
+        #[bpaf(external(store::store))]
+        Store,
+    ),
     /// Print the version
     #[bpaf(command)]
     Version,
@@ -60,7 +78,14 @@
 }
 
 fn run(command: Command) -> ExitCode {
+    let accepted = |good: Result<bool, _>| match good {
+        Ok(true) => Ok(()),
+        Ok(false) => Err("not accepted".into()),
+        Err(e) => Err(e),
+    };
     let result = match command {
+        Command::Webhook(what) => accepted(webhook::run(what)),
+        Command::Store(what) => accepted(store::run(what)),
         Command::Serve { operator, logging } => {
             logging.begin();
             serve(operator)
--- a/src/node/webhooks.rs
+++ b/src/node/webhooks.rs
@@ -661,10 +661,11 @@
                 }
             }
             Ask::Retain => {
-                let (expired, more) = match reply {
-                    Ok(Reply::Retained(expired, more)) => (expired, more),
-                    _ => (Vec::new(), false),
+                let (expired, forward, more) = match reply {
+                    Ok(Reply::Retained(expired, forward, more)) => (expired, forward, more),
+                    _ => (Vec::new(), Vec::new(), false),
                 };
+                forward.into_iter().for_each(|w| hooks.delivery.handle(now, Input::Waits(w)));
                 for seq in expired {
                     hooks.delivery.handle(now, Input::Gone(seq));
                     self.core.counters.callbacks_undelivered += 1;
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -186,6 +186,8 @@
     Retain(Micros, Micros, u64, usize),
     /// Figures.
     Stat,
+    /// All messages after one, the oldest first, so many.
+    Export(Option<Seq>, usize),
 }
 
 /// What the store answers.
@@ -209,8 +211,9 @@
     Message(Option<Box<Shown>>),
     /// A call's state.
     Call(Option<CallState>),
-    /// Messages that expired while they waited, and whether there may be more to look at.
-    Retained(Vec<Seq>, bool),
+    /// Messages that expired while they waited, those that wait in their place, and whether there may be more to
+    /// look at.
+    Retained(Vec<Seq>, Vec<Waiting>, bool),
     /// Figures.
     Stat(Stat),
 }
--- a/src/store/tables.rs
+++ b/src/store/tables.rs
@@ -300,6 +300,12 @@
             }
             Op::Retain(now, age, bytes, limit) => self.retain(space, now, age, bytes, limit),
             Op::Stat => Ok(Reply::Stat(self.head.stat)),
+            Op::Export(after, limit) => {
+                let from = key(&[after.map_or(0, |s| s.0 + 1)]);
+                let page = space.scan(Table::Messages, &from, &TOP, limit, false)?;
+                let all = page.iter().map(|(_, v)| unpack(v, "a message")).collect::<Result<_, _>>()?;
+                Ok(Reply::Messages(all))
+            }
         }
     }
 
@@ -434,7 +440,11 @@
                 space.remove(Table::Waiting, k)?;
                 continue;
             }
-            self.ended(space, w, State::Dead(Dead::Gone), None)?;
+            // Those that come forward in its place are of the same endpoint.
+            let mut over = vec![w];
+            while let Some(w) = over.pop() {
+                over.extend(self.ended(space, w, State::Dead(Dead::Gone), None)?);
+            }
         }
         Ok(Reply::More(pairs.len() == limit))
     }
@@ -525,16 +535,17 @@
         let page = space.scan(Table::Messages, &key(&[self.cursor]), &TOP, limit, false)?;
         let whole = page.len() < limit;
         self.cursor = if whole { 0 } else { page.last().map_or(0, |(k, _)| number(k, 0) + 1) };
-        let mut expired = Vec::new();
-        for (k, v) in page {
+        let (mut expired, mut forward) = (Vec::new(), Vec::new());
+        for (k, _) in page {
             let seq = Seq(number(&k, 0));
-            let m: MessageRecord = unpack(&v, "a message")?;
+            // As it stands now: the one before it in the page may have brought it forward.
+            let Some(m) = self.message(space, seq)? else { continue };
             let old = m.created.saturating_add(age) < now;
             let out = space.get(Table::Begun, &k)?.is_some();
             if m.state.is_over() && (old || self.head.stat.bytes > bytes) {
                 self.delete(space, seq, &m)?;
             } else if old && !m.state.is_over() && !out {
-                self.ended(space, m.waiting, State::Dead(Dead::Expired), None)?;
+                forward.extend(self.ended(space, m.waiting, State::Dead(Dead::Expired), None)?);
                 expired.push(seq);
             }
         }
@@ -550,6 +561,7 @@
             space.remove(Table::ReplayAges, k)?;
             space.remove(Table::Replays, &k[8..])?;
         }
-        Ok(Reply::Retained(expired, !whole || calls.len() == limit || marks.len() == limit))
+        forward.retain(|w| !expired.contains(&w.seq));
+        Ok(Reply::Retained(expired, forward, !whole || calls.len() == limit || marks.len() == limit))
     }
 }
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -188,7 +188,8 @@
                     prop_assert_eq!((found.unknown, found.stepped_back), (0, false));
                 }
                 Step::Retain(age) => {
-                    let Reply::Retained(expired, _) = tables.apply(&mut space, Op::Retain(now, age, BYTES, 1000)).unwrap() else { panic!() };
+                    let Reply::Retained(expired, forward, _) = tables.apply(&mut space, Op::Retain(now, age, BYTES, 1000)).unwrap() else { panic!() };
+                    prop_assert!(forward.iter().all(|w| waits.contains_key(&w.seq.0)));
                     for seq in expired {
                         let (_, order) = waits.remove(&seq.0).unwrap();
                         over += 1;
@@ -207,6 +208,28 @@
     }
 }
 
+/// One of an order key that is let go brings the next forward, which delivery is told of; a removed endpoint's go all.
+#[test]
+fn what_is_let_go_of_does_not_hold_those_behind_it() {
+    let mut space = Memory::default();
+    let (mut t, _) = Tables::open(&mut space, true, BYTES, 0).unwrap();
+    let all = (1..=4).map(|n| {
+        let mut m = message(n, 0, Effect::Safe, Some(7));
+        m.0.created = n * 100;
+        m
+    });
+    t.apply(&mut space, Op::Publish(all.collect())).unwrap();
+    let Reply::Retained(expired, forward, _) = t.apply(&mut space, Op::Retain(350, 100, BYTES, 10)).unwrap()
+    else {
+        panic!()
+    };
+    assert_eq!(expired, [Seq(1), Seq(2)]);
+    assert_eq!(forward.iter().map(|w| w.seq).collect::<Vec<_>>(), [Seq(3)]);
+    t.apply(&mut space, Op::Purge(EndpointId(0), 10)).unwrap();
+    let Reply::Stat(stat) = t.apply(&mut space, Op::Stat).unwrap() else { panic!() };
+    assert_eq!((stat.waiting, stat.messages), (0, 4));
+}
+
 #[test]
 fn a_callback_killed_on_its_way_follows_its_class_and_sending_again_needs_an_acknowledgement() {
     let mut space = Memory::default();
@@ -361,6 +384,53 @@
     }
 }
 
+/// The disk fails under the thread: nothing new is taken, what has happened is kept once the disk is back, and what was
+/// told an error is undone.
+#[test]
+fn a_disk_that_fails_and_comes_back_loses_nothing_that_was_told_done() {
+    use super::writer::Writer;
+    let sick = Sick::new(u64::MAX, false);
+    let (disk, _) = Disk::open_backend(sick.clone(), BYTES, 1).unwrap();
+    let (tell, told) = std::sync::mpsc::channel();
+    let (backend, well) = (sick.clone(), Arc::new(AtomicBool::new(false)));
+    let mended = well.clone();
+    let opener = move || match mended.load(Ordering::SeqCst) {
+        true => Disk::open_backend(backend.after(), BYTES, 2).map(|(disk, _)| disk),
+        false => Err(StoreError::Disk("still sick".into())),
+    };
+    let answered = move |number, reply| tell.send((number, reply)).unwrap();
+    let writer = Writer::start(disk, Box::new(opener), Box::new(answered)).unwrap();
+    let next = || told.recv_timeout(std::time::Duration::from_secs(30)).unwrap();
+    writer.ask(1, Op::Take(call(1, Effect::Unsafe), mark(1), 300));
+    assert_eq!(next(), (1, Ok(Reply::Done)));
+    sick.left.store(0, Ordering::SeqCst);
+    writer.ask(2, Op::Take(call(2, Effect::Safe), mark(2), 300));
+    assert!(matches!(next(), (2, Err(StoreError::Disk(_)))));
+    writer.ask(3, Op::Answer(Seq(1), "served".into(), vec![message(7, 0, Effect::Unsafe, None)]));
+    writer.ask(4, Op::Take(call(3, Effect::Safe), mark(3), 300));
+    assert!(matches!(next(), (4, Err(StoreError::Disk(_)))), "nothing new is taken; the answer waits");
+    well.store(true, Ordering::SeqCst);
+    let (number, reply) = next();
+    assert!(number == 3 && matches!(reply, Ok(Reply::Waits(w)) if w.len() == 1));
+    writer.ask(5, Op::Stat);
+    let (_, Ok(Reply::Stat(stat))) = next() else { panic!() };
+    assert_eq!((stat.calls, stat.messages, stat.waiting), (0, 1, 1), "2 and 3 are undone, 1 is answered");
+}
+
+/// A clock that steps back over a restart is noticed, and identities that may have been forgotten are told.
+#[test]
+fn a_clock_that_steps_back_is_noticed() {
+    let mut space = Memory::default();
+    let (mut t, _) = Tables::open(&mut space, true, BYTES, 1000).unwrap();
+    t.apply(&mut space, Op::Take(call(1, Effect::Safe), mark(1), 1300)).unwrap();
+    t.apply(&mut space, Op::Answer(Seq(1), "served".into(), vec![])).unwrap();
+    t.apply(&mut space, Op::Retain(2000, 1 << 40, BYTES, 10)).unwrap();
+    t.finish(&mut space, 2000).unwrap();
+    let (_, found) = Tables::open(&mut space, true, BYTES, 900).unwrap();
+    assert!(found.stepped_back && found.replays.is_empty());
+    assert_eq!(found.forgotten, 1300, "a stamp that was good until then may have been taken");
+}
+
 #[test]
 fn a_file_that_is_not_ours_or_is_held_is_left_alone() {
     let folder = std::env::temp_dir().join(format!("molelug-store-{}", std::process::id()));
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -182,3 +182,269 @@
     assert_eq!(ask(&g, OPERATOR, "PATCH /v1/tenants", "").0, 405);
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// The OpenAPI file and the routes are the same, with the same roles; its references lead somewhere.
+#[test]
+fn the_openapi_file_has_the_routes() {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/openapi.json");
+    let doc: Value = serde_json::from_str(&std::fs::read_to_string(path).unwrap()).unwrap();
+    let mut told = Vec::new();
+    for (path, methods) in doc["paths"].as_object().unwrap() {
+        let route: Vec<&str> = path.split('/').map(|p| if p.starts_with('{') { "*" } else { p }).collect();
+        for (method, op) in methods.as_object().unwrap() {
+            told.push((method.to_uppercase(), route.join("/"), op["x-role"].as_str().unwrap().to_owned()));
+            if let Some(name) = op["requestBody"]["content"]["application/json"]["schema"]["$ref"].as_str() {
+                let name = name.strip_prefix("#/components/schemas/").unwrap();
+                assert!(doc["components"]["schemas"][name].is_object(), "{name}");
+            }
+        }
+    }
+    let role = |r: Role| if r == Role::Viewer { "viewer" } else { "operator" };
+    let mut real: Vec<_> = molelug::admin::ROUTES
+        .iter()
+        .map(|(m, p, r)| (m.to_string(), p.to_string(), role(*r).to_owned()))
+        .collect();
+    told.sort();
+    real.sort();
+    assert_eq!(told, real);
+}
+
+/// One administrator's session with endpoints and messages: types, versions, keys, switching off and on, rotation,
+/// sending again by class, recovery, removal.
+#[test]
+fn endpoints_and_messages_are_administered() {
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("endpoints-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("bundle.json"), bundle("k1", 7, "jwt-svid")).unwrap();
+    let file = |name: &str| folder.join(name).display().to_string();
+    let key = b"the key of a tenant made later..";
+    let portal = Portal::start(key);
+    let events = Portal::start(key);
+    let secret = format!("whsec_{}", BASE64_STANDARD.encode(key));
+    let operator = format!(
+        "state = {:?}\n[webhooks]\nlisten = \"127.0.0.1:0\"\nstore = {:?}\nschedule_s = [0.05, 0.05]\n\
+         [admin]\nlisten = \"127.0.0.1:0\"\n\
+         trust_domain = \"aurora.example\"\naudience = \"molelug\"\nbundle = {:?}\n\
+         [[admin.callers]]\nspiffe_id = \"{VIEWER}\"\nrole = \"viewer\"\n\
+         [[admin.callers]]\nspiffe_id = \"{OPERATOR}\"\nrole = \"operator\"\n",
+        file("tenants.json"),
+        file("store"),
+        file("bundle.json")
+    );
+    let worker = Worker::start();
+    let workers = [endpoint("s-00000001", worker.address, "SERVING")];
+    let g = Gateway::start(&settings(900.0), &workers, None, Some(&operator));
+    let ask_with = |who: &str, line: &str, more: &str, body: &str| {
+        let t = token("k1", 7, &claims(who, json!("molelug"), u64::from(u32::MAX)));
+        let head = format!("{line} HTTP/1.1\r\nAuthorization: Bearer {t}{more}");
+        let (status, answer) = http(g.admin.unwrap(), &head, body.as_bytes());
+        (status, serde_json::from_slice::<Value>(&answer).unwrap_or(Value::Null))
+    };
+    let ask = |line: &str, body: &str| ask_with(OPERATOR, line, "", body);
+    let spec = json!({ "secrets": [secret] }).to_string();
+    assert_eq!(ask("PUT /v1/tenants/clinic", &spec).0, 201);
+    let first = json!({ "url": format!("http://{}/in", portal.address) }).to_string();
+    let all = json!({ "url": format!("http://{}/in", events.address), "types": ["endpoint.*", "message.exhausted", "secret.rotated"] });
+    assert_eq!(ask("PUT /v1/tenants/clinic/endpoints/main", &first).0, 201);
+    assert_eq!(ask("PUT /v1/tenants/clinic/endpoints/ops", &all.to_string()).0, 201);
+    assert_eq!(ask_with(VIEWER, "PUT /v1/tenants/clinic/endpoints/x", "", &first).0, 403);
+    assert_eq!(ask("PUT /v1/tenants/clinic/endpoints/main", "{\"in_flight\":0}").0, 422);
+    // Two administrators: the one with the old version is told so.
+    let change = "{\"in_flight\":4}";
+    assert_eq!(
+        ask_with(OPERATOR, "PUT /v1/tenants/clinic/endpoints/main", "\r\nIf-Match: \"1\"", change).0,
+        200
+    );
+    assert_eq!(
+        ask_with(OPERATOR, "PUT /v1/tenants/clinic/endpoints/main", "\r\nIf-Match: \"1\"", change).0,
+        412
+    );
+    let (_, shown) = ask_with(VIEWER, "GET /v1/tenants/clinic/endpoints/main", "", "");
+    assert_eq!(
+        (&shown["in_flight"], &shown["version"], &shown["health"]["breaker"]),
+        (&json!(4), &json!(2), &json!("closed"))
+    );
+    let send = |id: &str, class: &str| {
+        let data = json!({ "class": class, "function": "0000000000000001" });
+        let body = json!({ "type": "call.requested", "data": data }).to_string().into_bytes();
+        let stamp =
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_secs().to_string();
+        let signed = signature(key, id, &stamp, &body);
+        let head = format!("POST /webhooks/clinic HTTP/1.1\r\nwebhook-id: {id}\r\nwebhook-timestamp: {stamp}\r\nwebhook-signature: {signed}");
+        http(g.webhooks.unwrap(), &head, &body).0
+    };
+    // A booking whose callback is cut off: nobody can tell, and only an acknowledgement sends it again.
+    portal.drops.store(1, std::sync::atomic::Ordering::SeqCst);
+    assert_eq!(send("booking", "confirmar-traslado"), 202);
+    let mut list = Value::Null;
+    until("it is unknown", || {
+        list = ask("GET /v1/tenants/clinic/messages?state=unknown", "").1;
+        list["messages"].as_array().is_some_and(|a| a.len() == 1)
+    });
+    let message = list["messages"][0]["message"].as_str().unwrap().to_owned();
+    let (_, one) = ask(&format!("GET /v1/tenants/clinic/messages/{message}"), "");
+    assert_eq!(
+        (&one["log"][0]["may_have_arrived"], &one["body"]["data"]["call"]),
+        (&json!(true), &json!("booking"))
+    );
+    let again = format!("POST /v1/tenants/clinic/messages/{message}/again");
+    assert_eq!(ask(&again, "").0, 409);
+    assert_eq!(
+        ask("POST /v1/tenants/clinic/endpoints/main/recover", "{\"since_s\":3600}").1["sent_again"],
+        0
+    );
+    let with_key = "\r\nIdempotency-Key: k-1";
+    let yes = "{\"acknowledge_duplicate\":true}";
+    assert_eq!(ask_with(OPERATOR, &again, with_key, yes).0, 202);
+    assert_eq!(ask_with(OPERATOR, &again, with_key, yes).0, 202, "the same key, the same answer");
+    assert_eq!(ask_with(OPERATOR, &again, with_key, "").0, 409, "the same key for another request");
+    until("it has come again", || portal.by_call()["booking"].len() == 2);
+    until("its end is kept", || {
+        ask(&format!("GET /v1/tenants/clinic/messages/{message}"), "").1["state"] == "delivered"
+    });
+    assert_eq!(ask(&format!("GET /v1/tenants/clinic/messages/{message}"), "").1["acknowledged_by"], OPERATOR);
+    // Safe ones that are given up are recovered, once the portal is well.
+    portal.drops.store(3, std::sync::atomic::Ordering::SeqCst);
+    assert_eq!(send("question", "disponibilidad"), 202);
+    until("it is given up", || {
+        ask("GET /v1/tenants/clinic/messages?state=exhausted", "").1["messages"]
+            .as_array()
+            .is_some_and(|a| a.len() == 1)
+    });
+    let (status, sent) = ask("POST /v1/tenants/clinic/endpoints/main/recover", "{\"since_s\":3600}");
+    assert_eq!((status, &sent["sent_again"]), (202, &json!(1)));
+    until("it arrives", || portal.by_call().get("question").is_some_and(|d| d.len() == 4));
+    // Switched off, what comes waits; switched on, it goes out. A page holds what it says.
+    assert_eq!(ask("POST /v1/tenants/clinic/endpoints/main/disable", "").0, 200);
+    assert_eq!(send("later", "disponibilidad"), 202);
+    until("it waits", || {
+        ask("GET /v1/tenants/clinic/messages?state=waiting", "").1["messages"]
+            .as_array()
+            .is_some_and(|a| a.len() == 1)
+    });
+    assert!(!portal.by_call().contains_key("later"));
+    assert_eq!(ask("POST /v1/tenants/clinic/endpoints/main/enable", "").0, 200);
+    until("it goes out", || portal.by_call().contains_key("later"));
+    let (mut cursor, mut seen) = (String::new(), 0);
+    loop {
+        let (status, page) = ask(&format!("GET /v1/tenants/clinic/messages?limit=2{cursor}"), "");
+        assert_eq!(status, 200);
+        seen += page["messages"].as_array().unwrap().len();
+        let Some(next) = page["cursor"].as_str() else { break };
+        cursor = format!("&cursor={next}");
+    }
+    assert!(seen >= 5, "the three callbacks, and the events of two that were given up: {seen}");
+    assert_eq!(ask("GET /v1/tenants/clinic/messages?limit=0", "").0, 422);
+    // Rotation with an overlap signs with both; the endpoint for operations is told.
+    let fresh = format!("whsec_{}", BASE64_STANDARD.encode(b"the key that comes after it....."));
+    let rotation = json!({ "secret": fresh, "keep_old_s": 60 }).to_string();
+    assert_eq!(ask("POST /v1/tenants/clinic/secrets", &rotation).0, 200);
+    assert_eq!(ask("POST /v1/tenants/clinic/endpoints/main/test", "").0, 202);
+    until("the test event comes", || {
+        portal.seen.lock().unwrap().iter().filter(|d| d.call.is_empty()).count() == 1
+    });
+    assert!(portal.seen.lock().unwrap().iter().all(|d| d.signed), "by the old secret as well");
+    until("operations have heard of it all", || events.count() >= 3);
+    // Removed: what it had is over, and its name is another's.
+    assert_eq!(ask("DELETE /v1/tenants/clinic/endpoints/main", "").0, 204);
+    assert_eq!(ask("GET /v1/tenants/clinic/endpoints/main", "").0, 404);
+    assert_eq!(ask("DELETE /v1/tenants/clinic", "").0, 204);
+    assert_eq!(ask("GET /v1/tenants/clinic/messages", "").0, 404);
+    assert_eq!(ask("PUT /v1/tenants/clinic", &spec).0, 201);
+    let list = ask("GET /v1/tenants/clinic/messages", "").1;
+    assert_eq!(list["messages"], json!([]), "another tenant of the same name sees nothing of the old one");
+    assert!(ask("GET /v1/store", "").1["messages"].as_u64() >= Some(5));
+    g.stop();
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// A tenant is removed, and one of two endpoints of another, with callbacks out, waiting, behind others and switched
+/// off, while a signal to read the configuration anew comes between: every one of them ends, and none sticks.
+#[test]
+fn what_is_removed_with_callbacks_in_every_state_leaves_none_waiting() {
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("removed-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("bundle.json"), bundle("k1", 7, "jwt-svid")).unwrap();
+    let file = |name: &str| folder.join(name).display().to_string();
+    let key = b"the key of a tenant made later..";
+    // One that takes connections and never answers, and one that is well.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let portal = Portal::start(key);
+    let operator = format!(
+        "[webhooks]\nlisten = \"127.0.0.1:0\"\nstore = {:?}\nschedule_s = [0.05]\n\
+         callback_answer_ms = 20000\n[admin]\nlisten = \"127.0.0.1:0\"\ntrust_domain = \"aurora.example\"\n\
+         audience = \"molelug\"\nbundle = {:?}\n[[admin.callers]]\nspiffe_id = \"{OPERATOR}\"\nrole = \"operator\"\n",
+        file("store"),
+        file("bundle.json")
+    );
+    let worker = Worker::start();
+    let workers = [endpoint("s-00000001", worker.address, "SERVING")];
+    let mut g = Gateway::start(&settings(900.0), &workers, None, Some(&operator));
+    let admin = g.admin.unwrap();
+    let ask = |line: &str, body: &str| {
+        let t = token("k1", 7, &claims(OPERATOR, json!("molelug"), u64::from(u32::MAX)));
+        http(admin, &format!("{line} HTTP/1.1\r\nAuthorization: Bearer {t}"), body.as_bytes())
+    };
+    let secret = format!("whsec_{}", BASE64_STANDARD.encode(key));
+    let to = |address: std::net::SocketAddr, name: &str, ordered: bool| json!({ "name": name, "url": format!("http://{address}/in"), "in_flight": 2, "ordered": ordered });
+    let at = silent.local_addr().unwrap();
+    let mut off = to(portal.address, "off", false);
+    off["enabled"] = false.into();
+    let all = [to(at, "stuck", false), to(at, "order", true), off];
+    let gone = json!({ "secrets": [secret], "endpoints": all }).to_string();
+    let stays =
+        json!({ "secrets": [secret], "endpoints": [all[0], to(portal.address, "well", false)] }).to_string();
+    assert_eq!(ask("PUT /v1/tenants/gone", &gone).0, 201);
+    assert_eq!(ask("PUT /v1/tenants/stays", &stays).0, 201);
+    let hooks = g.webhooks.unwrap();
+    let send = |tenant: &str, id: &str, class: &str| {
+        let data = json!({ "class": class, "function": "0000000000000001", "order_key": "k" });
+        let body = json!({ "type": "call.requested", "data": data }).to_string().into_bytes();
+        let stamp =
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_secs().to_string();
+        let signed = signature(key, id, &stamp, &body);
+        let head = format!(
+            "POST /webhooks/{tenant} HTTP/1.1\r\nwebhook-id: {id}\r\nwebhook-timestamp: {stamp}\r\n\
+             webhook-signature: {signed}"
+        );
+        http(hooks, &head, &body).0
+    };
+    for n in 0..6 {
+        let class = if n % 2 == 0 { "confirmar-traslado" } else { "disponibilidad" };
+        assert_eq!(send("gone", &format!("g{n}"), class), 202);
+        assert_eq!(send("stays", &format!("s{n}"), class), 202);
+    }
+    let list = |tenant: &str| {
+        let (status, text) = ask(&format!("GET /v1/tenants/{tenant}/messages?state=waiting"), "");
+        let page: Value = serde_json::from_slice(&text).unwrap();
+        (status, page["messages"].as_array().map_or(0, Vec::len))
+    };
+    until("all are there", || list("gone").1 == 18 && portal.count() == 6);
+    g.signal(rustix::process::Signal::HUP);
+    g.line("the configuration was read anew");
+    assert_eq!(ask("DELETE /v1/tenants/gone", "").0, 204);
+    assert_eq!(ask("DELETE /v1/tenants/stays/endpoints/stuck", "").0, 204);
+    // Only the two that are out still wait for their end; the portal that is well goes on.
+    until("what waited is over", || list("stays").1 <= 2);
+    assert_eq!(send("stays", "later", "disponibilidad"), 202);
+    until("it comes", || portal.count() == 7);
+    let counters = g.stop();
+    assert_eq!(counters["callbacks_delivered"], 7, "{counters}");
+    let out = std::process::Command::new(env!("CARGO_BIN_EXE_molelug"))
+        .args(["store", "export", &file("store")])
+        .output()
+        .unwrap();
+    let mut states: BTreeMap<String, usize> = BTreeMap::new();
+    for line in String::from_utf8(out.stdout).unwrap().lines() {
+        let m: Value = serde_json::from_str(line).unwrap();
+        *states.entry(m["state"].as_str().unwrap().to_owned()).or_default() += 1;
+    }
+    assert_eq!(states.values().sum::<usize>(), 18 + 12 + 1, "{states:?}");
+    assert!(!states.contains_key("waiting"), "{states:?}");
+    assert_eq!(states["delivered"], 7);
+    // What was out to the silent portal and must not come twice: nobody can tell. At most one each place.
+    assert!(states.get("unknown").is_none_or(|n| *n <= 6), "{states:?}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -57,3 +57,48 @@
 fn the_version_is_the_crates() {
     assert_eq!(text(&run(&["version"]).stdout), format!("molelug {}\n", env!("CARGO_PKG_VERSION")));
 }
+
+#[test]
+fn webhooks_are_signed_and_checked_by_hand_and_stores_looked_at() {
+    use std::io::Write;
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("hand-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = |name: &str| folder.join(name).display().to_string();
+    // The specification's own example.
+    std::fs::write(file("secret"), "whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw\n").unwrap();
+    let with_body = |args: &[&str], body: &str| {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_molelug"))
+            .args(args)
+            .stdin(std::process::Stdio::piped())
+            .stdout(std::process::Stdio::piped())
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        child.stdin.take().unwrap().write_all(body.as_bytes()).unwrap();
+        child.wait_with_output().unwrap()
+    };
+    let (secret, id, stamp) = (file("secret"), "msg_p5jXN8AQM9LWM0D4loKWxJek", "1614265330");
+    let common = ["--secret-file", &secret, "--id", id, "--timestamp", stamp];
+    let out = with_body(&[&["webhook", "sign"], &common[..]].concat(), "{\"test\": 2432232314}");
+    let good = "v1,g0hM9SsE+OTPJTGt/tmIKtSyZlE3uFJELVlNIOLJ1OE=";
+    assert!(text(&out.stdout).contains(&format!("webhook-signature: {good}\n")), "{}", text(&out.stdout));
+    for (body, holds) in [("{\"test\": 2432232314}", true), ("{\"test\": 2432232315}", false)] {
+        let out = with_body(&[&["webhook", "verify"], &common[..], &["--signature", good]].concat(), body);
+        assert_eq!(out.status.success(), holds, "{body}");
+        assert!(!text(&out.stderr).contains("MfKQ9"));
+    }
+    let store = file("store");
+    drop(molelug::store::disk::Disk::open(std::path::Path::new(&store), 1 << 20, 1).unwrap());
+    assert_eq!(text(&run(&["store", "check", &store]).stdout), "sound\n");
+    assert!(text(&run(&["store", "stat", &store]).stdout).contains("\"waiting\":0"));
+    assert!(run(&["store", "export", &store]).status.success());
+    assert!(run(&["store", "compact", &store]).status.success());
+    std::fs::write(file("letter"), "not a store").unwrap();
+    for (name, what) in [("letter", "not a store of this program"), ("none", "there is no")] {
+        let out = run(&["store", "stat", &file(name)]);
+        assert!(!out.status.success() && text(&out.stderr).contains(what), "{}", text(&out.stderr));
+    }
+    assert!(!std::path::Path::new(&file("none")).exists(), "a mistyped name makes no store");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
