Balance keyed calls in the crash tool as well, and log attempts at debug level

Need: the crash tool covered two of three classes; an attempt left no trace in the log at any level.

Change: a third class in the lab's site; a debug line for each attempt's end with tenant, message, endpoint.

--- a/lab/src/crash.rs
+++ b/lab/src/crash.rs
@@ -11,7 +11,7 @@
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::stand_in::gateway::{Folder, SAFE, UNSAFE};
+use crate::stand_in::gateway::{Folder, KEYED, SAFE, UNSAFE};
 use crate::stand_in::{call_body, secret, secret_text, status, Caller, Gateway, Manner, Portal, Worker};
 
 /// What one round did, for its report.
@@ -73,7 +73,7 @@
     }
     let mut round = Round::default();
     // What got a 202; what was sent and got no answer may or may not have been taken.
-    let taken: Arc<Mutex<BTreeMap<String, bool>>> = Arc::default();
+    let taken: Arc<Mutex<BTreeSet<String>>> = Arc::default();
     let mut sent = 0u64;
     let lives = 2 + below(&mut random, 3);
     for life in 0..lives {
@@ -85,13 +85,13 @@
                 std::thread::spawn(move || {
                     let (mut caller, secret) = (Caller::new(to), secret(1));
                     for n in from..from + 60 {
-                        let unsafe_one = n % 2 == 0;
-                        let text = call_body(if unsafe_one { UNSAFE } else { SAFE }, n % 7, None);
+                        let class = [SAFE, UNSAFE, KEYED][n as usize % 3];
+                        let text = call_body(class, n % 7, None);
                         let id = format!("call-{n}");
                         match caller.call(&format!("t{}", n % 4), &secret, &id, &text) {
                             Ok(answer) if status(&answer) == 202 => {
                                 if let Ok(mut t) = mine.lock() {
-                                    t.insert(id, unsafe_one);
+                                    t.insert(id);
                                 }
                             }
                             Ok(_) => {}
@@ -155,7 +155,7 @@
 /// Compares what was taken with what workers ran, portals got and the store tells.
 fn balance(
     folder: &Folder,
-    taken: &BTreeMap<String, bool>,
+    taken: &BTreeSet<String>,
     workers: &[Worker],
     portals: &[Portal],
     round: &mut Round,
@@ -194,11 +194,13 @@
             if !answered.insert(call.clone()) {
                 return wrong(format!("{call} has two callbacks"));
             }
-            let unsafe_one = m.waiting.effect != molelug::api::Effect::Safe;
+            let (effect, unsafe_one) = (m.waiting.effect, m.waiting.effect == molelug::api::Effect::Unsafe);
             match m.state {
                 State::Delivered if confirmed == 0 => return wrong(format!("{call} was never confirmed")),
                 State::Delivered => round.delivered += 1,
-                State::Dead(Dead::Unknown) if unsafe_one => round.unknown_callbacks += 1,
+                State::Dead(Dead::Unknown) if effect != molelug::api::Effect::Safe => {
+                    round.unknown_callbacks += 1
+                }
                 other => return wrong(format!("{call} is left {other:?}")),
             }
             if unsafe_one && came > 1 {
@@ -206,7 +208,7 @@
             }
         }
     }
-    match taken.keys().find(|id| !answered.contains(*id)) {
+    match taken.iter().find(|id| !answered.contains(*id)) {
         Some(id) => wrong(format!("{id} was taken and has no callback")),
         None => Ok(()),
     }
--- a/lab/src/stand_in/gateway.rs
+++ b/lab/src/stand_in/gateway.rs
@@ -19,6 +19,9 @@
 /// The lab's own program, for tests, which are programs of their own.
 pub static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
 
+/// A class whose repeats workers drop for five seconds.
+pub const KEYED: &str = "traslado-con-clave";
+
 /// A running gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -40,7 +43,7 @@
     };
     json!({
         "groupSize": 1, "me": 0, "zone": 0, "tickMs": 4.0, "dcs": ["north"],
-        "services": [class(SAFE, "read_like"), class(UNSAFE, "non_idempotent")],
+        "services": [class(SAFE, "read_like"), class(UNSAFE, "non_idempotent"), class(KEYED, "idempotency_key")],
         "orgs": [{ "name": "franq-bajio", "quotaPerS": 0.0, "fraction": 1.0 }],
         "caps": { "mostTries": 3, "cancel": true, "connectTimeoutMs": 250.0, "connIdleMs": 30000.0,
                   "streamsPerConn": 100, "mostHeld": 20000, "maxRetryAfterMs": 500.0 },
--- a/src/node/webhooks.rs
+++ b/src/node/webhooks.rs
@@ -726,6 +726,17 @@
                     status: report.status,
                     may_have_arrived: report.may_have_arrived(),
                 });
+                if let (Some(r), Some(a)) = (&record, &attempt) {
+                    let _span = tracing::debug_span!("delivery", tenant = r.tenant, message = r.id).entered();
+                    let (endpoint, state) = (message.endpoint.0, state.name());
+                    tracing::debug!(
+                        endpoint,
+                        status = a.status,
+                        ending = a.ending,
+                        state,
+                        "an attempt has ended"
+                    );
+                }
                 hooks.ask(Ask::Publish, Op::Ended(Box::new(message), state, attempt));
                 if state.is_over() {
                     hooks.waiting = hooks.waiting.saturating_sub(1);
