Add membership, rumours and trust between instances, no I/O, and the module's one new event

Need: each gateway learns alone that a worker is silent; installations that let instances talk should share it, with no harm from a peer that lies.

Change: src/membership: SWIM with suspicion, refutation and local health; records, accusations and sightings sealed by whose word they are (Ed25519 or keyed BLAKE3); datagrams within one MTU by prost, fresh, with a replay window; rumours as a state-based CRDT; weights by own evidence, a share and a panic threshold; a fixed ceiling of traffic. The module learns of a rumour by one event that reorders its walk or brings a trial forward. Not yet driven by the node.

--- a/src/api.rs
+++ b/src/api.rs
@@ -347,6 +347,14 @@
         /// The worker's report, where one came along.
         report: Option<Report>,
     },
+    /// What others saw of a worker, weighed outside. It may reorder and bring forward, never exclude.
+    Rumour {
+        /// The worker.
+        worker: WorkerId,
+        /// Until when others come before it in every walk; none if it is said to be well: then a trial after an own
+        /// failure may come now.
+        down: Option<Micros>,
+    },
     /// A tenant's share has been set by an operator.
     Share {
         /// The tenant.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -93,6 +93,8 @@
     strikes: u32,
     reset: Micros,
     benched: Micros,
+    /// Until when others come before it, as instances that talk say that it is ill.
+    rumoured: Micros,
     /// When a connect failed last with nothing heard since.
     down: Option<Micros>,
     quiet_since: Micros,
@@ -268,6 +270,7 @@
                 self.on_loaded(now, (w, f), outcome, n)
             }
             Event::Probed { .. } => {}
+            Event::Rumour { worker, down } => self.on_rumour(now, worker, down),
             Event::Share { tenant, quota_per_s } => self.on_share(now, tenant, quota_per_s),
             Event::Wake { .. } => self.on_round(now, out),
         }
@@ -286,6 +289,15 @@
         }
     }
 
+    /// Others' word moves a worker down the walk for a while, or ends a spell on the bench: one trial then tells.
+    fn on_rumour(&mut self, now: Micros, worker: WorkerId, down: Option<Micros>) {
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        match down {
+            Some(until) => w.rumoured = until,
+            None => (w.rumoured, w.benched) = (0, w.benched.min(now)),
+        }
+    }
+
     /// An operator's tenants come and go while it runs; a bucket begins full, as at the start.
     fn on_share(&mut self, now: Micros, tenant: TenantId, quota_per_s: f64) {
         let (place, rate) = (tenant.0 as usize, quota_per_s / f64::from(self.settings.instances.max(1)));
@@ -622,12 +634,15 @@
         let calls = if self.first_cap < 1.0 { CREDIT * f64::from(lone && self.calm) } else { 1.0 };
         let credit = calls * self.mean_all();
         let room = |w: &WorkerId| self.has_slot(now, *w, credit) && self.usable(now, *w, r);
-        let usable = || f.order.iter().copied().filter(room);
+        // Workers of which ill is rumoured come last, each part in the function's own order.
+        let ill = |w: &WorkerId| self.workers.get(w).is_some_and(|s| now < s.rumoured);
+        let walk = || f.order.iter().filter(|w| !ill(w)).chain(f.order.iter().filter(|w| ill(w))).copied();
+        let usable = || walk().filter(room);
         let untried = |c: &Copies| c.own == 0 && past(c.used) && past(c.missed);
         let (patience, many) = (self.load_patience(f), self.settings.instances > 1);
         let loads = |c: &Copies| c.loading.is_some_and(|t| now < t + patience) && c.count == 0;
         let open = |w: &WorkerId| self.workers.get(w).is_some_and(|s| self.cold_room(now, *w, s));
-        let home = f.order.iter().copied().find(|w| sound(w) && open(w));
+        let home = walk().find(|w| sound(w) && open(w));
         // 1. Warm with a free lane. A first home not tried lately is not cold: others may keep copies there.
         let lane = |c: &Copies| warm(c) && c.own < f.lanes * c.count;
         let first = |w: WorkerId| Some(w) == home && many && untried(copy(&w));
--- a/src/core.rs
+++ b/src/core.rs
@@ -294,6 +294,11 @@
         self.feed(now, Event::Share { tenant, quota_per_s });
     }
 
+    /// Tells the module what others saw of a worker; see [`Event::Rumour`].
+    pub fn rumour(&mut self, now: Micros, worker: WorkerId, down: Option<Micros>) {
+        self.feed(now, Event::Rumour { worker, down });
+    }
+
     /// Takes a call; from here on it is owed one answer.
     pub fn call(&mut self, now: Micros, mut call: Call<O>) -> RequestKey {
         self.next_id = self.next_id.wrapping_add(1);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ending;
 pub mod front;
 pub mod identity;
+pub mod membership;
 pub mod names;
 pub mod net;
 pub mod node;
--- /dev/null
+++ b/src/membership/group_tests.rs
@@ -0,0 +1,236 @@
+//! Ten instances and what one that lies can do to nine.
+
+use super::super::keys::tests::each;
+use super::*;
+
+const N: u8 = 10;
+
+fn address(n: u8) -> SocketAddr {
+    ([127, 0, 0, 1], 2000 + u16::from(n)).into()
+}
+
+fn name(n: u8) -> String {
+    char::from(b'a' + n).to_string()
+}
+
+fn settings(n: u8) -> Settings {
+    Settings {
+        name: name(n),
+        address: address(n),
+        bytes_per_s: 8000,
+        datagrams_per_s: 20,
+        swim: swim::Settings::default(),
+        bounds: Bounds::default(),
+    }
+}
+
+/// Instances on a network without delay; the advice that each was given.
+struct World {
+    now: Micros,
+    groups: Vec<Group>,
+    advice: Vec<BTreeMap<WorkerId, Advice>>,
+    first_down: Vec<Option<Micros>>,
+    /// All datagrams that went, for who replays.
+    caught: Vec<Vec<u8>>,
+}
+
+impl World {
+    fn new() -> World {
+        let now = 1_000 * SECOND;
+        let mut groups: Vec<Group> =
+            (0..N).map(|n| Group::new(settings(n), each(n, N), u64::from(n), now)).collect();
+        for g in &mut groups {
+            g.handle(now, Input::Known(Vec::new(), vec![address(0), address(1)]));
+            g.handle(now, Input::Ready((0..12).map(WorkerId).collect()));
+        }
+        let n = groups.len();
+        World { now, groups, advice: vec![BTreeMap::new(); n], first_down: vec![None; n], caught: Vec::new() }
+    }
+
+    fn settle(&mut self) {
+        let mut more = true;
+        while more {
+            more = false;
+            for n in 0..self.groups.len() {
+                while let Some(output) = self.groups[n].output() {
+                    more = true;
+                    match output {
+                        Output::Datagram(to, bytes) => {
+                            if self.caught.len() < 500 {
+                                self.caught.push(bytes.clone());
+                            }
+                            if let Some(at) = (0..N).position(|i| address(i) == to) {
+                                let now = self.now;
+                                self.groups[at].handle(now, Input::Datagram(address(n as u8), &bytes));
+                            }
+                        }
+                        Output::Advice(worker, advice) => {
+                            self.advice[n].insert(worker, advice);
+                            if matches!(advice, Advice::Down(_)) {
+                                self.first_down[n].get_or_insert(self.now);
+                            }
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Seconds go by; each instance tries each worker a few times a second, and sees what `seen` says.
+    fn run(
+        &mut self,
+        seconds: u64,
+        seen: impl Fn(usize, u32) -> Seen,
+        mut each_second: impl FnMut(&mut World),
+    ) {
+        for _ in 0..seconds * 10 {
+            self.now += SECOND / 10;
+            for n in 0..self.groups.len() {
+                let now = self.now;
+                for w in 0..12 {
+                    self.groups[n].handle(now, Input::Outcome(WorkerId(w), seen(n, w)));
+                }
+                if self.groups[n].next_deadline().is_some_and(|t| t <= now) {
+                    self.groups[n].handle(now, Input::Tick);
+                }
+            }
+            self.settle();
+            if self.now.is_multiple_of(SECOND) {
+                each_second(self);
+            }
+        }
+    }
+
+    fn all_alive(&self) -> bool {
+        (0..9).all(|n| {
+            (0..9)
+                .filter(|m| *m != n)
+                .all(|m| self.groups[n].standing(&name(m as u8)) == Some(Standing::Alive))
+        })
+    }
+}
+
+#[test]
+fn one_silent_worker_is_moved_down_by_those_who_have_not_tried_it() {
+    let mut w = World::new();
+    w.run(20, |_, _| Seen::Answered, |_| {});
+    assert!(w.all_alive() && w.advice.iter().all(BTreeMap::is_empty));
+    let begun = w.now;
+    // Three find worker 5 silent; the others see nothing of it themselves.
+    let silent = |n: usize, worker: u32| {
+        if worker == 5 {
+            if n < 3 {
+                Seen::Silent
+            } else {
+                Seen::Failed
+            }
+        } else {
+            Seen::Answered
+        }
+    };
+    w.run(15, silent, |w| {
+        for n in 3..10 {
+            w.groups[n].window.remove(&WorkerId(5));
+        }
+    });
+    let told = w.first_down.iter().skip(3).filter_map(|t| *t).filter(|t| *t < begun + 10 * SECOND).count();
+    assert!(told >= 6, "{:?}", w.first_down.iter().map(|t| t.map(|t| t - begun)).collect::<Vec<_>>());
+    assert!(w.advice.iter().flat_map(BTreeMap::keys).all(|worker| *worker == WorkerId(5)));
+    // It answers again: nothing is left of the rumour when its life is over.
+    w.run(30, |_, _| Seen::Answered, |_| {});
+    w.advice.iter_mut().for_each(BTreeMap::clear);
+    w.run(10, |_, _| Seen::Answered, |_| {});
+    assert!(w.advice.iter().all(BTreeMap::is_empty));
+    assert!(
+        w.groups.iter().all(|g| g.held.len() < 40),
+        "{:?}",
+        w.groups.iter().map(Group::sizes).collect::<Vec<_>>()
+    );
+}
+
+/// The tenth lies in every way at once; the nine keep each other, move no worker, and stay under their ceiling.
+#[test]
+fn a_liar_moves_no_worker_and_kills_no_member() {
+    let mut w = World::new();
+    let all_dead = |n: usize, _| if n == 9 { Seen::Refused } else { Seen::Answered };
+    w.run(20, |_, _| Seen::Answered, |_| {});
+    let before: Vec<u64> = w.groups.iter().map(|g| g.sent_bytes).collect();
+    let keys = each(9, N);
+    let mut forged = 0;
+    w.run(30, all_dead, |w| {
+        let now = w.now;
+        forged += 1;
+        for to in 0..9usize {
+            let victim = name((to as u8 + 1) % 9);
+            // Accusations in its own name, in a huge incarnation and the right one; others' names forged; replays;
+            // garbage; datagrams that are too long.
+            let known = w.groups[to]
+                .swim
+                .members()
+                .find(|m| m.record.name == victim)
+                .map_or(0, |m| m.record.incarnation);
+            let accusations = vec![
+                wire::seal_accusation(&keys, &victim, known, "j"),
+                wire::seal_accusation(&keys, &victim, u64::MAX, "j"),
+            ];
+            let records = vec![wire::seal_record(&keys, &victim, address(9), u64::MAX, true)];
+            let message = Message { say: swim::Say::Sync(true), records, accusations };
+            let ill = Observation { at: now, refused: 3, ..Observation::default() };
+            let seen = (0..12).map(|worker| (WorkerId(worker), ill)).collect();
+            let mut lie = Some(wire::seal_sighting(&keys, "j", now, seen));
+            w.groups[9].number += 1;
+            let number = w.groups[9].number;
+            let sealed = wire::pack(&keys, "j", number, now, &message, MTU, |_| lie.take()).unwrap();
+            let as_other = wire::pack(&keys, &victim, now + forged, now, &message, MTU, |_| None).unwrap();
+            for bytes in [sealed, as_other, vec![7; 900], vec![0; 9000]] {
+                w.groups[to].handle(now, Input::Datagram(address(9), &bytes));
+            }
+            for bytes in w.caught.clone().iter().rev().take(20) {
+                w.groups[to].handle(now, Input::Datagram(address(9), bytes));
+            }
+        }
+        w.settle();
+    });
+    assert!(w.all_alive());
+    assert!(w.advice.iter().take(9).all(BTreeMap::is_empty), "no worker was moved");
+    for (n, g) in w.groups.iter().enumerate().take(9) {
+        assert!(g.trust.weight(w.now, "j") < 0.1, "{}", g.trust.weight(w.now, "j"));
+        let (refused, _) = g.refused();
+        assert!(
+            ["seal", "replayed", "garbled", "too_long", "part"].iter().all(|why| refused.contains_key(why)),
+            "{refused:?}"
+        );
+        assert!((g.sent_bytes - before[n]) / 30 <= 8000, "the ceiling");
+        assert!(g.sizes().0 <= 12 * 10 && g.sizes().1 <= MOST_HELD);
+    }
+}
+
+#[test]
+fn keys_rotate_while_the_group_goes_on() {
+    use super::super::keys::{tests::private, Keys};
+    let mut w = World::new();
+    w.run(20, |_, _| Seen::Answered, |_| {});
+    let public = |n: u8| Keys::public(&private(n)).unwrap();
+    // Instance a changes from key 1 to key 101: first all accept both, then it signs with the new one, then the old
+    // one goes.
+    let accepted = |a: &[u8]| -> BTreeMap<String, Vec<String>> {
+        (0..N)
+            .map(|n| {
+                (name(n), if n == 0 { a.iter().map(|k| public(*k)).collect() } else { vec![public(n + 1)] })
+            })
+            .collect()
+    };
+    for (own, accepted) in [(1, accepted(&[1, 101])), (101, accepted(&[1, 101])), (101, accepted(&[101]))] {
+        for n in 0..N {
+            let key = if n == 0 { own } else { n + 1 };
+            let keys = Keys::each(&name(n), &private(key), &accepted).unwrap();
+            let now = w.now;
+            w.groups[n as usize].handle(now, Input::Keys(keys));
+        }
+        w.run(20, |_, _| Seen::Answered, |_| {});
+        assert!(w.all_alive());
+    }
+    let refused = w.groups[3].refused().0.get("seal").copied().unwrap_or(0);
+    assert_eq!(refused, 0, "no datagram was refused on the way");
+}
--- /dev/null
+++ b/src/membership/trust.rs
@@ -0,0 +1,308 @@
+//! What rumours may do here.
+//!
+//! A rumour never excludes a worker. Together they may move one down the walk for a bounded time, or shorten the
+//! benching after an own failure; never more than a stated share of the ready workers at once, and none at all when
+//! they speak ill of more: then the fault, or the lie, is with those who speak. Each origin counts by its record: what
+//! own attempts contradict costs it weight, which it regains slowly.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use super::rumours::{Observation, Rumours, Says};
+use crate::api::{Micros, WorkerId};
+
+const SECOND: Micros = 1_000_000;
+
+/// Bounds of what rumours may do.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The share of ready workers that may be moved down at once.
+    pub share: f64,
+    /// Ill spoken of more than this share of them: nothing is done.
+    pub panic: f64,
+    /// How long one advice holds.
+    pub hold: Micros,
+    /// The weight of origins that it takes.
+    pub needed: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { share: 0.25, panic: 0.5, hold: 3 * SECOND, needed: 0.9 }
+    }
+}
+
+/// An origin's weight at first, at most, and at least.
+const FIRST: f64 = 0.5;
+const MOST: f64 = 1.0;
+const LEAST: f64 = 0.02;
+/// What a contradicted claim leaves of it, and what a confirmed one adds of what is missing.
+const CONTRADICTED: f64 = 0.6;
+const CONFIRMED: f64 = 0.1;
+/// What it regains a second without contradiction, up to the first weight.
+const REGAINED: f64 = 0.002;
+/// Own attempts that bear a judgement, and for how long they do.
+const OWN_EVIDENCE: u32 = 3;
+const OWN_LIFE: Micros = 5 * SECOND;
+
+/// What the decision module is told of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Advice {
+    /// Walk to others first, until then.
+    Down(Micros),
+    /// A trial after an own failure may come now.
+    Well,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Weight {
+    value: f64,
+    at: Micros,
+}
+
+/// Origins' weights and what is advised now.
+#[derive(Clone, Debug)]
+pub struct Trust {
+    bounds: Bounds,
+    weights: BTreeMap<String, Weight>,
+    own: HashMap<WorkerId, Observation>,
+    /// Claims already held against own evidence, by origin and worker: each counts once.
+    judged: BTreeMap<(String, WorkerId), Micros>,
+    down: BTreeMap<WorkerId, Micros>,
+    /// Times at which rumours spoke ill of too many to be heeded.
+    pub panics: u64,
+}
+
+impl Trust {
+    /// Nothing known of anybody.
+    pub fn new(bounds: Bounds) -> Trust {
+        Trust {
+            bounds,
+            weights: BTreeMap::new(),
+            own: HashMap::new(),
+            judged: BTreeMap::new(),
+            down: BTreeMap::new(),
+            panics: 0,
+        }
+    }
+
+    /// An origin's weight.
+    pub fn weight(&self, now: Micros, origin: &str) -> f64 {
+        let Some(w) = self.weights.get(origin) else { return FIRST };
+        let passed = now.saturating_sub(w.at) as f64 / 1e6;
+        if w.value < FIRST {
+            (w.value + REGAINED * passed).min(FIRST)
+        } else {
+            w.value
+        }
+    }
+
+    /// What own attempts at a worker came to over the last window; it replaces the one before.
+    pub fn observe(&mut self, worker: WorkerId, o: Observation) {
+        self.own.insert(worker, o);
+    }
+
+    /// Lets go of an origin or workers that are there no more.
+    pub fn forget_origin(&mut self, origin: &str) {
+        self.weights.remove(origin);
+        self.judged.retain(|(o, _), _| o != origin);
+    }
+
+    /// Lets go of workers that are not ready any more.
+    pub fn keep_workers(&mut self, ready: &BTreeSet<WorkerId>) {
+        self.own.retain(|w, _| ready.contains(w));
+        self.down.retain(|w, _| ready.contains(w));
+        self.judged.retain(|(_, w), _| ready.contains(w));
+    }
+
+    /// Holds claims against own evidence. Own attempts prove only what they saw: a claim from before them, or about
+    /// what they did not try enough, is neither right nor wrong.
+    fn judge(&mut self, now: Micros, rumours: &Rumours) {
+        let own: Vec<(WorkerId, Observation)> = self
+            .own
+            .iter()
+            .filter(|(_, o)| o.at + OWN_LIFE > now && o.evidence() >= OWN_EVIDENCE)
+            .map(|(w, o)| (*w, *o))
+            .collect();
+        for (worker, mine) in own {
+            let said = mine.says();
+            if said == Says::Nothing {
+                continue;
+            }
+            let claims: Vec<(String, Observation)> =
+                rumours.about(now, worker).map(|(o, x)| (o.to_owned(), x)).collect();
+            for (origin, claim) in claims {
+                let close = claim.at.abs_diff(mine.at) <= OWN_LIFE / 2;
+                let known = self.judged.get(&(origin.clone(), worker)) == Some(&claim.at);
+                if claim.says() == Says::Nothing || !close || known {
+                    continue;
+                }
+                let value = self.weight(now, &origin);
+                let value = if claim.says() == said {
+                    value + CONFIRMED * (MOST - value)
+                } else {
+                    (value * CONTRADICTED).max(LEAST)
+                };
+                self.weights.insert(origin.clone(), Weight { value, at: now });
+                self.judged.insert((origin, worker), claim.at);
+            }
+        }
+    }
+
+    /// What is advised now, given the workers that are ready; only what is new.
+    pub fn advise(
+        &mut self,
+        now: Micros,
+        rumours: &Rumours,
+        ready: &BTreeSet<WorkerId>,
+    ) -> Vec<(WorkerId, Advice)> {
+        self.keep_workers(ready);
+        self.judge(now, rumours);
+        self.down.retain(|_, until| *until > now);
+        let (mut ill, mut advice) = (Vec::new(), Vec::new());
+        for worker in rumours.workers().intersection(ready) {
+            let (mut against, mut for_it, mut origins) = (0.0, 0.0, 0);
+            for (origin, o) in rumours.about(now, *worker) {
+                let weight = self.weight(now, origin);
+                match o.says() {
+                    Says::Ill => {
+                        against += weight;
+                        origins += 1;
+                    }
+                    Says::Well => for_it += weight,
+                    Says::Nothing => {}
+                }
+            }
+            let own = self.own.get(worker).filter(|o| o.at + OWN_LIFE > now);
+            // Own eyes first: a worker that answers here is not moved for what others say.
+            let seen_well = own.is_some_and(|o| o.says() == Says::Well);
+            if against - for_it >= self.bounds.needed && origins >= 2 && !seen_well {
+                ill.push((against - for_it, *worker));
+            } else if for_it - against >= self.bounds.needed && own.is_some_and(|o| o.says() == Says::Ill) {
+                advice.push((*worker, Advice::Well));
+            }
+        }
+        if ill.len() as f64 > self.bounds.panic * ready.len() as f64 {
+            self.panics += 1;
+            return advice;
+        }
+        ill.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let most = (self.bounds.share * ready.len() as f64).floor() as usize;
+        for (_, worker) in ill {
+            if self.down.contains_key(&worker) || self.down.len() >= most {
+                continue;
+            }
+            let until = now + self.bounds.hold;
+            self.down.insert(worker, until);
+            advice.push((worker, Advice::Down(until)));
+        }
+        advice
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const SKEW: Micros = 2 * SECOND;
+
+    fn ready(n: u32) -> BTreeSet<WorkerId> {
+        (0..n).map(WorkerId).collect()
+    }
+
+    fn ill(at: Micros) -> Observation {
+        Observation { at, silent: 5, ..Default::default() }
+    }
+
+    fn well(at: Micros) -> Observation {
+        Observation { at, answered: 10, ..Default::default() }
+    }
+
+    #[test]
+    fn two_origins_move_a_worker_down_one_does_not_and_own_eyes_come_first() {
+        let (mut t, mut r) = (Trust::new(Bounds::default()), Rumours::default());
+        r.merge(10, SKEW, "a", WorkerId(1), ill(10));
+        assert!(t.advise(10, &r, &ready(8)).is_empty(), "one origin alone");
+        r.merge(10, SKEW, "b", WorkerId(1), ill(10));
+        assert_eq!(t.advise(10, &r, &ready(8)), [(WorkerId(1), Advice::Down(10 + 3 * SECOND))]);
+        assert!(t.advise(11, &r, &ready(8)).is_empty(), "said once while it holds");
+        let mut t = Trust::new(Bounds::default());
+        t.observe(WorkerId(1), well(10));
+        assert!(t.advise(10, &r, &ready(8)).is_empty(), "it answers here");
+        assert!(t.weight(10, "a") < FIRST && t.weight(10, "b") < FIRST);
+        assert!((t.weight(10 + 600 * SECOND, "a") - FIRST).abs() < 1e-9, "regained, slowly");
+    }
+
+    #[test]
+    fn a_liar_that_calls_all_dead_moves_nobody_and_loses_its_weight() {
+        let (mut t, mut r, mut now) = (Trust::new(Bounds::default()), Rumours::default(), SECOND);
+        for _ in 0..10 {
+            for w in 0..10 {
+                r.merge(now, SKEW, "liar", WorkerId(w), ill(now));
+                t.observe(WorkerId(w), well(now));
+            }
+            assert!(t.advise(now, &r, &ready(10)).is_empty());
+            now += SECOND;
+        }
+        assert!(t.weight(now, "liar") < 0.05, "{}", t.weight(now, "liar"));
+        // Two liars together, before anything is known of them, meet the panic threshold.
+        let mut t = Trust::new(Bounds::default());
+        for w in 0..10 {
+            r.merge(now, SKEW, "second", WorkerId(w), ill(now));
+            r.merge(now, SKEW, "liar", WorkerId(w), ill(now));
+        }
+        assert!(t.advise(now, &r, &ready(10)).is_empty() && t.panics == 1);
+    }
+
+    #[test]
+    fn a_worker_falsely_called_well_gets_a_trial_and_no_more() {
+        let (mut t, mut r) = (Trust::new(Bounds::default()), Rumours::default());
+        let now = 10 * SECOND;
+        t.observe(WorkerId(3), ill(now));
+        for origin in ["a", "b", "c"] {
+            r.merge(now, SKEW, origin, WorkerId(3), well(now));
+        }
+        // Own evidence contradicts them at once; three contradicted liars weigh 0.9 together, and then less.
+        let first = t.advise(now, &r, &ready(8));
+        assert!(first.is_empty() || first == [(WorkerId(3), Advice::Well)]);
+        for round in 1..4 {
+            let now = now + round * SECOND;
+            t.observe(WorkerId(3), ill(now));
+            for origin in ["a", "b", "c"] {
+                r.merge(now, SKEW, origin, WorkerId(3), well(now));
+            }
+            assert!(t.advise(now, &r, &ready(8)).is_empty(), "round {round}");
+        }
+    }
+
+    proptest! {
+        /// Whatever is said by whomever, never more than the share of ready workers is down, each for a bounded time,
+        /// and only workers that are ready.
+        #[test]
+        fn rumours_never_reach_more_than_the_share(
+            claims in prop::collection::vec((0u8..6, 0u32..20, any::<bool>(), 0u64..8), 0..200), n in 1u32..20,
+        ) {
+            let (mut t, mut r) = (Trust::new(Bounds::default()), Rumours::default());
+            let mut down: BTreeMap<WorkerId, Micros> = BTreeMap::new();
+            let mut now = SECOND;
+            for (origin, w, bad, step) in claims {
+                now += step * SECOND / 4;
+                let o = if bad { ill(now) } else { well(now) };
+                r.merge(now, SKEW, &origin.to_string(), WorkerId(w), o);
+                down.retain(|_, until| *until > now);
+                for (worker, advice) in t.advise(now, &r, &ready(n)) {
+                    prop_assert!(worker.0 < n);
+                    if let Advice::Down(until) = advice {
+                        prop_assert!(until <= now + Bounds::default().hold);
+                        down.insert(worker, until);
+                    }
+                }
+                prop_assert!(down.len() as f64 <= 0.25 * f64::from(n));
+                for origin in 0..6u8 {
+                    let weight = t.weight(now, &origin.to_string());
+                    prop_assert!((LEAST..=MOST).contains(&weight));
+                }
+            }
+        }
+    }
+}
