Drive gossip between instances, off on the platform, and show it beside a liar

Need: the group's state machine had no socket; operators need peers, rotation and a ceiling that they can see.

Exchanges are met once a second for each asker: a flood of them drew the honest to their ceiling.

--- /dev/null
+++ b/lab/src/gossip.rs
@@ -0,0 +1,208 @@
+//! `gossip`: instances as real processes on loopback that talk, and one stand-in peer that lies.
+
+use std::collections::BTreeMap;
+use std::io::{Error, Result};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use molelug::api::WorkerId;
+use molelug::membership::keys::Keys;
+use molelug::membership::rumours::Observation;
+use molelug::membership::swim::{Message, Say};
+use molelug::membership::wire;
+
+use crate::stand_in::gateway::{Folder, SAFE};
+use crate::stand_in::{status, Caller, Gateway, Worker};
+
+/// What each instance may send, as the tool sets it.
+pub const BYTES_PER_S: u32 = 16_384;
+
+fn private(n: usize) -> String {
+    BASE64_STANDARD.encode([n as u8 + 1; 32])
+}
+
+fn name(n: usize) -> String {
+    format!("gw-{n}")
+}
+
+fn now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+}
+
+/// A free port for datagrams.
+fn free() -> Result<SocketAddr> {
+    UdpSocket::bind("127.0.0.1:0")?.local_addr()
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Default)]
+pub struct Ran {
+    /// Calls, and those served.
+    pub calls: u64,
+    /// Calls answered 200.
+    pub served: u64,
+    /// The most bytes a second that any instance sent, over the whole run.
+    pub most_bytes_per_s: f64,
+    /// Instances that held every other one for alive at the end.
+    pub agreeing: usize,
+}
+
+/// The liar: calls every worker dead, accuses everybody, forges, replays, floods and sends garbage.
+fn lie(
+    socket: &UdpSocket,
+    keys: &Keys,
+    me: &str,
+    peers: &[SocketAddr],
+    workers: &[u32],
+    stop: &AtomicBool,
+) -> Result<()> {
+    let mut number = now();
+    let mut caught: Vec<Vec<u8>> = Vec::new();
+    socket.set_nonblocking(true)?;
+    let own = wire::seal_record(keys, me, socket.local_addr()?, now(), false);
+    while !stop.load(Ordering::Relaxed) {
+        let at = now();
+        let mut buffer = [0; 2048];
+        while let Ok((n, _)) = socket.recv_from(&mut buffer) {
+            if caught.len() < 200 {
+                caught.push(buffer[..n].to_vec());
+            }
+        }
+        for (n, peer) in peers.iter().enumerate() {
+            let victim = name((n + 1) % peers.len());
+            let ill = Observation { at, refused: 9, ..Observation::default() };
+            let seen = workers.iter().map(|w| (WorkerId(*w), ill)).collect();
+            let mut sighting = Some(wire::seal_sighting(keys, me, at, seen));
+            let accusations = vec![wire::seal_accusation(keys, &victim, u64::MAX, me)];
+            let records = vec![own.clone(), wire::seal_record(keys, &victim, *peer, u64::MAX, true)];
+            let message = Message { say: Say::Sync(true), records, accusations };
+            number += 1;
+            let sealed = wire::pack(keys, me, number, at, &message, wire::MTU, |_| sighting.take());
+            let forged = wire::pack(keys, &victim, number, at, &message, wire::MTU, |_| None);
+            for bytes in sealed.into_iter().chain(forged).chain([vec![7; 600], vec![0; 4000]]) {
+                // A peer whose queue is full loses it.
+                let _ = socket.send_to(&bytes, peer);
+            }
+            for bytes in caught.iter().rev().take(5) {
+                let _ = socket.send_to(bytes, peer);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    Ok(())
+}
+
+/// Plays instances, `liars` of them lying in place of a gateway, for so long, each with a steady caller.
+pub fn play(instances: usize, liars: usize, seconds: u64, gossip: bool) -> Result<Ran> {
+    if liars >= instances {
+        return Err(Error::other("some instances must be honest"));
+    }
+    let folder = Folder::new("gossip")?;
+    let workers: Vec<Worker> =
+        (0..6).map(|_| Worker::start(Duration::from_millis(2), 0)).collect::<Result<_>>()?;
+    let ports: Vec<SocketAddr> = (0..instances).map(|_| free()).collect::<Result<_>>()?;
+    let accepted: BTreeMap<String, Vec<String>> = (0..instances)
+        .map(|n| Ok((name(n), vec![Keys::public(&private(n)).map_err(Error::other)?])))
+        .collect::<Result<_>>()?;
+    let accepted_text: String = accepted.iter().map(|(n, k)| format!("{n} = {k:?}\n")).collect();
+    let honest = instances - liars;
+    let begun = Instant::now();
+    let mut gateways = Vec::new();
+    for n in 0..honest {
+        let home = folder.0.join(name(n));
+        std::fs::create_dir_all(&home)?;
+        let file = gossip.then(|| home.join("gossip.toml"));
+        if let Some(file) = &file {
+            std::fs::write(home.join("own.key"), private(n))?;
+            std::fs::write(home.join("accepted.toml"), &accepted_text)?;
+            let seeds = &ports[..2.min(honest)];
+            let text = format!(
+                "listen = \"{}\"\nname = \"{}\"\nseeds = {:?}\nbytes_per_s = {BYTES_PER_S}\n\
+                 own_key = \"own.key\"\naccepted = \"accepted.toml\"\nstate = \"members.json\"\n",
+                ports[n],
+                name(n),
+                seeds.iter().map(SocketAddr::to_string).collect::<Vec<_>>()
+            );
+            std::fs::write(file, text)?;
+        }
+        gateways.push(Gateway::talking(&home, &workers, file.as_deref())?);
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let liars: Vec<_> = (honest..instances)
+        .filter(|_| gossip)
+        .map(|n| {
+            let (stop, peers, at) = (stop.clone(), ports[..honest].to_vec(), ports[n]);
+            let accepted = accepted.clone();
+            let ids: Vec<u32> = (0..workers.len() as u32).collect();
+            std::thread::spawn(move || -> Result<()> {
+                let keys = Keys::each(&name(n), &private(n), &accepted).map_err(Error::other)?;
+                lie(&UdpSocket::bind(at)?, &keys, &name(n), &peers, &ids, &stop)
+            })
+        })
+        .collect();
+    let callers: Vec<_> = gateways
+        .iter()
+        .enumerate()
+        .map(|(g, gateway)| {
+            let (to, stop) = (gateway.platform, stop.clone());
+            std::thread::spawn(move || -> Result<(u64, u64)> {
+                let (mut caller, mut calls, mut served) = (Caller::new(to), 0u64, 0);
+                while !stop.load(Ordering::Relaxed) {
+                    let id = ((g as u64) << 48) | calls;
+                    let request = format!(
+                        "POST /call/{:016x}/trigger HTTP/1.1\r\nHost: lab\r\nX-Class: {SAFE}\r\nX-Org: franq-bajio\r\n\
+                         X-Correlation-Id: {id:016x}\r\nX-Deadline-Ms: 900\r\nX-Extras: lanes:4\r\nContent-Length: 0\r\n\r\n",
+                        calls % 24
+                    );
+                    calls += 1;
+                    served += u64::from(caller.exchange(request.as_bytes()).is_ok_and(|a| status(&a) == 200));
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                Ok((calls, served))
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs(seconds));
+    stop.store(true, Ordering::Relaxed);
+    let mut ran = Ran::default();
+    for caller in callers {
+        let (calls, served) = caller.join().map_err(|_| Error::other("a caller failed"))??;
+        (ran.calls, ran.served) = (ran.calls + calls, ran.served + served);
+    }
+    for liar in liars {
+        liar.join().map_err(|_| Error::other("a liar failed"))??;
+    }
+    for gateway in &mut gateways {
+        let counters = gateway.counters()?;
+        let sent = counters["gossip_bytes"].as_f64().unwrap_or(0.0);
+        // A second's worth may have been saved up at the start.
+        let whole = begun.elapsed().as_secs_f64() + 1.0;
+        ran.most_bytes_per_s = ran.most_bytes_per_s.max(sent / whole);
+        ran.agreeing += usize::from(counters["gossip_alive"].as_u64() >= Some(honest as u64 - 1));
+    }
+    for gateway in &mut gateways {
+        gateway.kill()?;
+    }
+    Ok(ran)
+}
+
+/// The run with gossip and a liar beside the one without gossip, and both service ratios.
+pub fn run(instances: usize, liars: usize, seconds: u64) -> Result<bool> {
+    let share = |r: &Ran| 100.0 * r.served as f64 / r.calls.max(1) as f64;
+    let without = play(instances, liars, seconds, false)?;
+    let with = play(instances, liars, seconds, true)?;
+    let honest = instances - liars;
+    println!("{instances} instances, {liars} of them lying, for {seconds} s");
+    println!("without gossip: {} calls, {:.2}% served", without.calls, share(&without));
+    println!("with gossip:    {} calls, {:.2}% served", with.calls, share(&with));
+    println!("most sent by one: {:.0} bytes/s of {BYTES_PER_S}", with.most_bytes_per_s);
+    println!("{} of {honest} hold all the others for alive", with.agreeing);
+    let good = share(&with) >= share(&without) - 3.0
+        && with.most_bytes_per_s <= f64::from(BYTES_PER_S)
+        && with.agreeing == honest;
+    println!("{}", if good { "held" } else { "NOT held" });
+    Ok(good)
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod conformance;
 pub mod crash;
 pub mod demo;
+pub mod gossip;
 pub mod load;
 pub mod stand_in;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use molelug_lab::{bench, conformance, crash, demo, load};
+use molelug_lab::{bench, conformance, crash, demo, gossip, load};
 
 /// Tools and stand-ins around the molelug gateway; all of it on loopback
 #[derive(Clone, Debug, Bpaf)]
@@ -30,6 +30,19 @@
     /// The published specification's cases, against any implementation
     #[bpaf(command)]
     Conformance(#[bpaf(external(conformance))] Conformance),
+    /// Instances that talk on loopback, some of them lying, beside a run without gossip
+    #[bpaf(command)]
+    Gossip {
+        /// Instances, the liars among them
+        #[bpaf(long, argument("N"), fallback(10))]
+        instances: usize,
+        /// How many lie
+        #[bpaf(long, argument("N"), fallback(1))]
+        liars: usize,
+        /// How long each run
+        #[bpaf(long, argument("S"), fallback(60))]
+        seconds: u64,
+    },
     /// Measure a structure against plain ones
     #[bpaf(command)]
     Bench(#[bpaf(external(bench))] Bench),
@@ -133,6 +146,7 @@
     let result = match command().run() {
         Command::Demo => demo::run(),
         Command::Crash { seed, rounds } => crash::run(seed, rounds),
+        Command::Gossip { instances, liars, seconds } => gossip::run(instances, liars, seconds),
         Command::Load(Load::Webhooks { portals, dead, slow, rate, seconds, json }) => {
             load::webhooks(portals, dead, slow, rate, seconds, json.as_deref())
         }
--- a/lab/src/stand_in/gateway.rs
+++ b/lab/src/stand_in/gateway.rs
@@ -54,6 +54,19 @@
     })
 }
 
+/// A gateway's configuration for these workers.
+fn config(workers: &[Worker], deadline_ms: f64) -> Value {
+    let endpoint = |(i, w): (usize, &Worker)| {
+        json!({ "name": format!("s-0000000{i}"), "address": w.address.to_string(), "zone": "north",
+                "type": "std", "group": 0, "status": "SERVING", "weight": 4, "since_ms": 0 })
+    };
+    let endpoints: Vec<Value> = workers.iter().enumerate().map(endpoint).collect();
+    let known = json!({ "rev": 1, "notices": [
+        { "rev": 1, "pool": { "index": 1, "snapshot": true, "endpoints": endpoints } } ] });
+    json!({ "name": "lab", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "known": known,
+        "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 1024 }, "settings": settings(deadline_ms) })
+}
+
 /// A folder that is removed with its value.
 #[derive(Debug)]
 pub struct Folder(pub PathBuf);
@@ -90,26 +103,33 @@
         operator: &str,
         deadline_ms: f64,
     ) -> Result<Gateway> {
-        let endpoint = |(i, w): (usize, &Worker)| {
-            json!({ "name": format!("s-0000000{i}"), "address": w.address.to_string(), "zone": "north",
-                    "type": "std", "group": 0, "status": "SERVING", "weight": 4, "since_ms": 0 })
-        };
-        let endpoints: Vec<Value> = workers.iter().enumerate().map(endpoint).collect();
-        let known = json!({ "rev": 1, "notices": [
-            { "rev": 1, "pool": { "index": 1, "snapshot": true, "endpoints": endpoints } } ] });
-        let config = json!({ "name": "lab", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "known": known,
-            "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 1024 }, "settings": settings(deadline_ms) });
-        std::fs::write(folder.join("config.json"), config.to_string())?;
+        std::fs::write(folder.join("config.json"), config(workers, deadline_ms).to_string())?;
         std::fs::write(folder.join("operator.toml"), operator)?;
         Gateway::run(program, folder, operator)
     }
 
+    /// Starts one without webhooks, with a gossip file if one is given.
+    pub fn talking(folder: &Path, workers: &[Worker], gossip: Option<&Path>) -> Result<Gateway> {
+        std::fs::write(folder.join("config.json"), config(workers, 900.0).to_string())?;
+        std::fs::write(folder.join("operator.toml"), "")?;
+        Gateway::run_with(None, folder, "", gossip)
+    }
+
     /// Starts one on the files that are in a folder.
     pub fn again(folder: &Path, operator: &str) -> Result<Gateway> {
         Gateway::run(None, folder, operator)
     }
 
     fn run(program: Option<&Path>, folder: &Path, operator: &str) -> Result<Gateway> {
+        Gateway::run_with(program, folder, operator, None)
+    }
+
+    fn run_with(
+        program: Option<&Path>,
+        folder: &Path,
+        operator: &str,
+        gossip: Option<&Path>,
+    ) -> Result<Gateway> {
         let mut command = match program {
             Some(program) => Command::new(program),
             None => {
@@ -122,6 +142,9 @@
             }
         };
         command.args(["serve", "--operator"]).arg(folder.join("operator.toml"));
+        if let Some(gossip) = gossip {
+            command.arg("--gossip").arg(gossip);
+        }
         command
             .env("RELAY_CONFIG", folder.join("config.json"))
             .env_remove("RELAY_NAME")
@@ -167,6 +190,15 @@
         Ok(())
     }
 
+    /// The counters as they are.
+    pub fn counters(&mut self) -> Result<Value> {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::USR1)?;
+        let line = self.line("counters ")?;
+        let text = line.split_once("counters ").map_or("", |(_, t)| t);
+        serde_json::from_str(text).map_err(Error::other)
+    }
+
     /// SIGTERM, and the counters that it prints at its end.
     pub fn stop(&mut self) -> Result<Value> {
         let pid = rustix::process::Pid::from_child(&self.child);
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -23,7 +23,8 @@
 const LONGEST_OVERLAP_S: u64 = 30 * 86_400;
 
 /// Method, path and role of every route; `*` stands for a name.
-pub const ROUTES: [(&str, &str, Role); 19] = [
+pub const ROUTES: [(&str, &str, Role); 20] = [
+    ("GET", "/v1/peers", Role::Viewer),
     ("GET", "/v1/counters", Role::Viewer),
     ("GET", "/v1/store", Role::Viewer),
     ("GET", "/v1/tenants", Role::Viewer),
@@ -117,6 +118,8 @@
     pub counters: &'a Counters,
     /// The health of an endpoint, if webhooks are on.
     pub health: &'a dyn Fn(EndpointId) -> Option<crate::delivery::Health>,
+    /// The group of instances; null if it is off.
+    pub peers: Value,
     /// The time.
     pub now: Micros,
 }
@@ -164,6 +167,8 @@
     let now = |handled: Result<Handled, Bad>| handled.map(Done::Now);
     match (r.method, parts.as_slice()) {
         ("GET", ["v1", "counters"]) => Ok(Done::Now(Handled::new(200, json!(cx.counters)))),
+        ("GET", ["v1", "peers"]) if cx.peers.is_null() => Err(plain(404, "gossip is off")),
+        ("GET", ["v1", "peers"]) => Ok(Done::Now(Handled::new(200, cx.peers.take()))),
         ("GET", ["v1", "store"]) => Ok(Done::Ask(Op::Stat)),
         (_, ["v1", "tenants"]) => now(tenants::list(r, cx)),
         (_, ["v1", "tenants", name]) => now(tenants::one(r, cx, name)),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -289,7 +289,7 @@
         }
     }
 
-    /// Others' word moves a worker down the walk for a while, or ends a spell on the bench: one trial then tells.
+    /// Others' word moves a worker down the walk for a while, or ends a spell on the bench: one trial tells.
     fn on_rumour(&mut self, now: Micros, worker: WorkerId, down: Option<Micros>) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
         match down {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError, Operator};
+use crate::membership::config::Gossip;
 use crate::node::Node;
 
 mod log;
@@ -27,6 +28,9 @@
         /// An operator's file: signed webhooks, tenants and the administration API
         #[bpaf(long, argument("FILE"))]
         operator: Option<PathBuf>,
+        /// A gossip file: instances that talk
+        #[bpaf(long, argument("FILE"))]
+        gossip: Option<PathBuf>,
         #[allow(missing_docs)]
         #[bpaf(external(log::logging))]
         logging: Logging,
@@ -86,9 +90,9 @@
     let result = match command {
         Command::Webhook(what) => accepted(webhook::run(what)),
         Command::Store(what) => accepted(store::run(what)),
-        Command::Serve { operator, logging } => {
+        Command::Serve { operator, gossip, logging } => {
             logging.begin();
-            serve(operator)
+            serve(operator, gossip)
         }
         Command::CheckConfig { operator, file } => check(operator, file).map_err(Into::into),
         Command::Version => {
@@ -105,13 +109,14 @@
     }
 }
 
-fn serve(operator: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
+fn serve(operator: Option<PathBuf>, gossip: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
     let config = Config::from_env()?;
     let name = config.name.clone();
     let operator = operator.map_or_else(|| Ok(Operator::default()), |path| Operator::read(&path))?;
+    let gossip = gossip.map(|path| Gossip::read(&path)).transpose()?;
     let mut events = EventLoop::try_new()?;
     Node::heed_signals(&events.handle())?;
-    let mut node = Node::new(config, operator, events.handle(), Clock::system())?;
+    let mut node = Node::new(config, operator, gossip, events.handle(), Clock::system())?;
     let listeners = [
         ("listens", node.address()),
         ("takes webhooks", node.webhook_address()),
--- a/src/core.rs
+++ b/src/core.rs
@@ -336,6 +336,11 @@
         self.drop_finished(key);
     }
 
+    /// The worker of an attempt that is open.
+    pub fn worker_of(&self, key: AttemptKey) -> Option<WorkerId> {
+        self.attempts.get(key).map(|a| a.worker)
+    }
+
     /// An attempt has ended outside. An attempt that is not open any more is passed over: the late answer of
     /// an old attempt must not be taken for that of a new one.
     pub fn ended(&mut self, now: Micros, key: AttemptKey, ending: Ending, left: Left, back: Back) {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -50,6 +50,14 @@
     pub callbacks_undelivered: u64,
     /// Callbacks of which it is not known whether the portal got them.
     pub callbacks_unknown: u64,
+    /// Bytes of datagrams sent to other instances.
+    pub gossip_bytes: u64,
+    /// Datagrams sent to other instances.
+    pub gossip_datagrams: u64,
+    /// Datagrams of other instances, or parts of one, that were refused.
+    pub gossip_refused: u64,
+    /// Other instances held for alive.
+    pub gossip_alive: u64,
     /// How attempts ended.
     pub endings: BTreeMap<&'static str, u64>,
 }
--- a/src/ending.rs
+++ b/src/ending.rs
@@ -2,6 +2,7 @@
 //! the module's [`Outcome`].
 
 use crate::api::Outcome;
+use crate::membership::group::Seen;
 
 /// How a connection, or something that was out on it, ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -70,6 +71,18 @@
         }
     }
 
+    /// What instances that talk are told of a worker by this ending; none where it tells nothing of it.
+    pub fn seen(self, left: Left) -> Option<Seen> {
+        match (self, left) {
+            (Ending::Served | Ending::Missed | Ending::NoRoom | Ending::Over, _) => Some(Seen::Answered),
+            (Ending::Failed, _) => Some(Seen::Failed),
+            (Ending::Refused | Ending::NeverUp, _) => Some(Seen::Refused),
+            (Ending::TimedOut | Ending::CalledOff, Left::Some) => Some(Seen::Silent),
+            (Ending::Reset | Ending::Closed | Ending::Malformed, Left::Some) => Some(Seen::Failed),
+            _ => None,
+        }
+    }
+
     /// A short name for counters and logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -98,6 +111,22 @@
     use super::*;
     use crate::brain::never_ran;
 
+    /// What this side did itself tells others nothing of the worker.
+    #[test]
+    fn others_are_told_only_what_the_worker_did() {
+        use Ending::*;
+        for e in [Withdrawn, Idle, Overflow, Shutdown] {
+            assert!(e.seen(Left::Some).is_none() && e.seen(Left::Nothing).is_none(), "{e:?}");
+        }
+        for e in [TimedOut, CalledOff, Reset, Closed] {
+            assert!(e.seen(Left::Nothing).is_none() && e.seen(Left::Some).is_some(), "{e:?}");
+        }
+        assert_eq!(
+            (Served.seen(Left::Some), NeverUp.seen(Left::Nothing)),
+            (Some(Seen::Answered), Some(Seen::Refused))
+        );
+    }
+
     #[test]
     fn only_what_never_left_or_was_turned_away_is_proved_not_to_have_run() {
         use Ending::*;
--- a/src/membership/group.rs
+++ b/src/membership/group.rs
@@ -176,6 +176,11 @@
         self.swim.members().map(view).collect()
     }
 
+    /// Members held for alive.
+    pub fn alive(&self) -> usize {
+        self.swim.members().filter(|m| m.standing == Standing::Alive).count()
+    }
+
     /// How a member stands.
     pub fn standing(&self, name: &str) -> Option<Standing> {
         self.swim.standing(name)
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -7,6 +7,7 @@
 //! its origin, and an accusation counts as its accuser's. What is relayed keeps its seal.
 
 pub mod budget;
+pub mod config;
 pub mod group;
 pub mod keys;
 pub mod rumours;
--- a/src/membership/swim.rs
+++ b/src/membership/swim.rs
@@ -191,6 +191,8 @@
     suspicion: Option<(Micros, Micros)>,
     /// The last voice against it, which it is told of when it is heard from.
     voice: Option<Accusation>,
+    /// When its wish for an exchange was last met.
+    synced: Micros,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -471,7 +473,12 @@
                 self.send(to, Say::Ping(ours, name));
             }
             Say::Sync(wanted) => {
-                if wanted {
+                // Once a second each: who asks more often costs no more than that.
+                let often = self.members.get(from).is_some_and(|m| now < m.synced + SECOND);
+                if wanted && !often {
+                    if let Some(m) = self.members.get_mut(from) {
+                        m.synced = now;
+                    }
                     // One that is new is told all at once.
                     let pages = if new { self.pages().min(MOST_PAGES) } else { 1 };
                     (0..pages).for_each(|_| self.sync(address, false));
@@ -545,6 +552,7 @@
                     accusers: BTreeSet::new(),
                     suspicion: None,
                     voice: None,
+                    synced: 0,
                 };
                 self.members.insert(name.clone(), member);
                 let at = self.random.next_u64() as usize % (self.round.len() + 1);
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,12 +22,14 @@
 use crate::ending::{Ending, Left};
 use crate::front::http::READ_LIMIT;
 use crate::front::platform::{self, Ask};
+use crate::membership::config::Gossip;
 use crate::names::Names;
 use crate::net::{self, Conn, Stream};
 use crate::worker::{self, Done, Go, Link, Open};
 
 mod clients;
 mod commands;
+mod gossip;
 mod listing;
 mod reload;
 mod second;
@@ -48,6 +50,7 @@
 const BUNDLE_AGAIN: Token = Token { kind: 2, number: 3 };
 const DELIVER: Token = Token { kind: 2, number: 4 };
 const RETAIN: Token = Token { kind: 2, number: 5 };
+const GOSSIP: Token = Token { kind: 2, number: 6 };
 
 /// A client's connection without an open request is closed after this; clients themselves close after 4 s, but
 /// for those that ask once and stay.
@@ -183,6 +186,7 @@
     others: usize,
     most_others: usize,
     second: Second,
+    talk: Option<gossip::Talk>,
     last_rev: u64,
     gap_at: Option<u64>,
     ready: Vec<ConnKey>,
@@ -198,6 +202,7 @@
     pub fn new(
         config: Config,
         operator: Operator,
+        gossip: Option<Gossip>,
         handle: LoopHandle<'static, Node>,
         mut clock: Clock,
     ) -> Result<Node, NodeError> {
@@ -213,6 +218,7 @@
             members.extend(roster.apply(notice).0.into_iter().map(|m| (m.worker, m)));
             last_rev = last_rev.max(notice.rev);
         }
+        let ready = members.values().filter(|m| m.status == Status::Ready).map(|m| m.worker).collect();
         let listed = members.into_values().filter(|m| m.status != Status::Gone).collect();
         core.members(now, ListKind::Cached, listed);
         let sockets = config.limits.sockets;
@@ -239,6 +245,7 @@
             others: 0,
             most_others,
             second: Second::default(),
+            talk: None,
             last_rev,
             gap_at: None,
             ready: Vec::new(),
@@ -250,6 +257,9 @@
         };
         node.listen(Kind::Platform, listen)?;
         node.set_up(now, operator)?;
+        if let Some(g) = &gossip {
+            node.set_up_gossip(now, g, ready)?;
+        }
         Ok(node)
     }
 
@@ -311,7 +321,12 @@
             }
             let now = self.clock.now();
             let wait = match self.core.next_deadline() {
-                _ if !self.ready.is_empty() || self.accept => Some(Duration::ZERO),
+                _ if !self.ready.is_empty()
+                    || self.accept
+                    || self.talk.as_ref().is_some_and(gossip::Talk::busy) =>
+                {
+                    Some(Duration::ZERO)
+                }
                 next => next.map(|t| Duration::from_micros(t.saturating_sub(now))),
             };
             events.dispatch(wait, self)?;
@@ -342,6 +357,9 @@
         }
         self.pump();
         let now = self.clock.now();
+        self.step_gossip(now);
+        // Advice may have moved the module to something.
+        self.pump();
         let hooks = self.second.hooks.as_ref().is_none_or(|h| h.is_idle(now));
         if self.draining && self.listeners.is_empty() && self.clients == 0 && hooks {
             self.stop = true;
@@ -358,11 +376,13 @@
                 DRAIN_OVER => {
                     self.stop_accepting();
                     self.stop_webhooks(now);
+                    self.leave_group(now);
                 }
                 ACCEPT_AGAIN => self.accept = true,
                 BUNDLE_AGAIN => self.load_bundle(now),
                 DELIVER => self.tick_webhooks(now),
                 RETAIN => self.retain(now),
+                GOSSIP => self.tick_gossip(now),
                 Token { number, .. } => self.on_deadline(now, KeyData::from_ffi(number).into()),
             }
         }
--- /dev/null
+++ b/src/node/gossip.rs
@@ -0,0 +1,259 @@
+//! Drives gossip: datagrams from and to the socket, own outcomes and the list of workers in, advice to the module. It
+//! decides nothing.
+
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+use std::path::{Path, PathBuf};
+
+use super::*;
+use crate::config::ConfigError;
+use crate::membership::config::Gossip;
+use crate::membership::group::{Group, Input, Output, Settings};
+use crate::membership::swim::Record;
+use crate::membership::trust::Advice;
+use crate::membership::wire::MTU;
+
+/// Datagrams taken in one turn; the others wait in the socket, and then are lost, as datagrams may be.
+const MOST_IN_TURN: usize = 64;
+/// The list of members is written at most this often.
+const KEEP_PAUSE: Micros = 5_000_000;
+
+struct Udp(Rc<UdpSocket>);
+
+impl std::os::fd::AsFd for Udp {
+    fn as_fd(&self) -> std::os::fd::BorrowedFd<'_> {
+        self.0.as_fd()
+    }
+}
+
+/// Gossip, while it is on.
+#[derive(Debug)]
+pub(super) struct Talk {
+    group: Group,
+    socket: Rc<UdpSocket>,
+    file: PathBuf,
+    name: String,
+    state: Option<PathBuf>,
+    ready: BTreeSet<WorkerId>,
+    readable: bool,
+    hung: Option<Micros>,
+    keep_at: Option<Micros>,
+}
+
+impl Talk {
+    /// Whether datagrams wait to be read.
+    pub(super) fn busy(&self) -> bool {
+        self.readable
+    }
+}
+
+/// A member as the file for the next start keeps it.
+#[derive(serde::Deserialize, serde::Serialize)]
+struct Kept {
+    name: String,
+    address: SocketAddr,
+    incarnation: u64,
+    seal: String,
+}
+
+fn read_members(path: &Path) -> Vec<Record> {
+    use base64::prelude::{Engine, BASE64_STANDARD};
+    // What cannot be read is only a slower start.
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let all: Vec<Kept> = serde_json::from_str(&text).unwrap_or_default();
+    let record = |k: Kept| {
+        let seal = BASE64_STANDARD.decode(k.seal).ok()?;
+        Some(Record { name: k.name, address: k.address, incarnation: k.incarnation, leaving: false, seal })
+    };
+    all.into_iter().filter_map(record).collect()
+}
+
+fn write_members(path: &Path, members: Vec<Record>) -> io::Result<()> {
+    use base64::prelude::{Engine, BASE64_STANDARD};
+    let kept = |r: Record| Kept {
+        name: r.name,
+        address: r.address,
+        incarnation: r.incarnation,
+        seal: BASE64_STANDARD.encode(r.seal),
+    };
+    let all: Vec<Kept> = members.into_iter().map(kept).collect();
+    let text = serde_json::to_string(&all).map_err(io::Error::other)?;
+    let fresh = path.with_extension("new");
+    std::fs::write(&fresh, text)?;
+    std::fs::rename(&fresh, path)
+}
+
+impl Node {
+    /// Begins to talk. Called once the list of workers is known.
+    pub(super) fn set_up_gossip(
+        &mut self,
+        now: Micros,
+        g: &Gossip,
+        ready: BTreeSet<WorkerId>,
+    ) -> Result<(), NodeError> {
+        let name = g.name.clone().unwrap_or_else(|| self.config.name.clone());
+        if !crate::membership::is_name(&name) {
+            return Err(NodeError::Operator(ConfigError::Value("gossip.name", name)));
+        }
+        let keys = g.keys(&name).map_err(NodeError::Operator)?;
+        let fail = |e| NodeError::Listen(g.listen, e);
+        let socket = UdpSocket::bind(g.listen).map_err(fail)?;
+        socket.set_nonblocking(true).map_err(fail)?;
+        let address = g.advertise.map_or_else(|| socket.local_addr(), Ok).map_err(fail)?;
+        let socket = Rc::new(socket);
+        let source = Generic::new(Udp(socket.clone()), Interest::READ, Mode::Edge);
+        let note = |_, _: &mut _, node: &mut Node| {
+            if let Some(talk) = &mut node.talk {
+                talk.readable = true;
+            }
+            Ok(PostAction::Continue)
+        };
+        self.handle.insert_source(source, note).map_err(|e| NodeError::Loop(e.error))?;
+        let settings = Settings {
+            name: name.clone(),
+            address,
+            bytes_per_s: g.bytes_per_s,
+            datagrams_per_s: g.datagrams_per_s,
+            swim: crate::membership::swim::Settings::default(),
+            bounds: crate::membership::trust::Bounds::default(),
+        };
+        let mut group = Group::new(settings, keys, self.config.seed ^ now, now);
+        group.handle(now, Input::Known(g.state.as_deref().map_or(Vec::new(), read_members), g.seeds.clone()));
+        group.handle(now, Input::Ready(ready.clone()));
+        tracing::info!("{name} talks on {address}");
+        self.talk = Some(Talk {
+            group,
+            socket,
+            file: g.file.clone(),
+            name,
+            state: g.state.clone(),
+            ready,
+            readable: true,
+            hung: None,
+            keep_at: None,
+        });
+        Ok(())
+    }
+
+    /// The list of workers has changed.
+    pub(super) fn tell_ready(&mut self, now: Micros, snapshot: bool, members: &[Member]) {
+        let Some(talk) = &mut self.talk else { return };
+        if snapshot {
+            talk.ready.clear();
+        }
+        for m in members {
+            if m.status == Status::Ready {
+                talk.ready.insert(m.worker);
+            } else {
+                talk.ready.remove(&m.worker);
+            }
+        }
+        talk.group.handle(now, Input::Ready(talk.ready.clone()));
+    }
+
+    /// An own attempt at a worker has ended.
+    pub(super) fn tell_outcome(&mut self, now: Micros, worker: Option<WorkerId>, ending: Ending, left: Left) {
+        let (Some(talk), Some(worker), Some(seen)) = (&mut self.talk, worker, ending.seen(left)) else {
+            return;
+        };
+        talk.group.handle(now, Input::Outcome(worker, seen));
+    }
+
+    /// Takes what came, and does what follows.
+    pub(super) fn step_gossip(&mut self, now: Micros) {
+        let Some(talk) = &mut self.talk else { return };
+        if talk.readable {
+            let mut bytes = [0; MTU + 1];
+            talk.readable = false;
+            for n in 0..=MOST_IN_TURN {
+                if n == MOST_IN_TURN {
+                    talk.readable = true;
+                    break;
+                }
+                match talk.socket.recv_from(&mut bytes) {
+                    Ok((size, from)) => talk.group.handle(now, Input::Datagram(from, &bytes[..size])),
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                    // Nothing more; or an error that a datagram of ours drew, which is cleared by having been read.
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                    Err(_) => {}
+                }
+            }
+        }
+        while let Some(output) = talk.group.output() {
+            match output {
+                // One that the machine has no room for is lost, as any may be.
+                Output::Datagram(to, bytes) => drop(talk.socket.send_to(&bytes, to)),
+                Output::Advice(worker, Advice::Down(until)) => self.core.rumour(now, worker, Some(until)),
+                Output::Advice(worker, Advice::Well) => self.core.rumour(now, worker, None),
+                Output::Changed(name, standing) => {
+                    self.core.counters.gossip_alive = talk.group.alive() as u64;
+                    tracing::info!(peer = name, standing = standing.name(), "a peer stands otherwise");
+                }
+                Output::Keep => {
+                    talk.keep_at.get_or_insert(now + KEEP_PAUSE);
+                }
+            }
+        }
+        let counters = &mut self.core.counters;
+        (counters.gossip_bytes, counters.gossip_datagrams) =
+            (talk.group.sent_bytes, talk.group.sent_datagrams);
+        counters.gossip_refused = talk.group.refused().0.values().sum();
+        let next = talk.group.next_deadline();
+        let next = next.map(|t| talk.keep_at.map_or(t, |k| t.min(k)));
+        if next != talk.hung {
+            if let Some(old) = talk.hung {
+                self.core.unhang(old, GOSSIP);
+            }
+            talk.hung = next;
+            if let Some(at) = next {
+                self.core.hang(at, GOSSIP);
+            }
+        }
+    }
+
+    /// Gossip's deadline fell due.
+    pub(super) fn tick_gossip(&mut self, now: Micros) {
+        let Some(talk) = &mut self.talk else { return };
+        talk.hung = None;
+        talk.group.handle(now, Input::Tick);
+        if talk.keep_at.is_some_and(|t| t <= now) {
+            talk.keep_at = None;
+            if let Some(path) = &talk.state {
+                if let Err(e) = write_members(path, talk.group.keep()) {
+                    tracing::warn!(file = %path.display(), "members are not kept: {e}");
+                }
+            }
+        }
+    }
+
+    /// Reads seeds and keys anew; what cannot be used leaves those held.
+    pub(super) fn reload_gossip(&mut self, now: Micros) {
+        let Some(talk) = &mut self.talk else { return };
+        match Gossip::read(&talk.file).and_then(|g| Ok((g.keys(&talk.name)?, g.seeds))) {
+            Ok((keys, seeds)) => {
+                talk.group.handle(now, Input::Keys(keys));
+                talk.group.handle(now, Input::Known(Vec::new(), seeds));
+                tracing::info!("seeds and keys of the group were read anew");
+            }
+            Err(e) => tracing::error!("seeds and keys of the group stay as they are: {e}"),
+        }
+    }
+
+    /// Leaves the group in order.
+    pub(super) fn leave_group(&mut self, now: Micros) {
+        if let Some(talk) = &mut self.talk {
+            talk.group.handle(now, Input::Leave);
+            self.step_gossip(now);
+        }
+    }
+
+    /// What can be seen of the group.
+    pub(super) fn peers(&self, now: Micros) -> serde_json::Value {
+        let Some(talk) = &self.talk else { return serde_json::Value::Null };
+        let (refused, withheld) = talk.group.refused();
+        let (rumours, held) = talk.group.sizes();
+        serde_json::json!({ "name": talk.name, "peers": talk.group.peers(now), "refused": refused,
+            "withheld": withheld, "rumours": rumours, "sightings_held": held,
+            "sent_bytes": talk.group.sent_bytes, "sent_datagrams": talk.group.sent_datagrams })
+    }
+}
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -50,6 +50,7 @@
         for m in &members {
             self.on_member(m);
         }
+        self.tell_ready(now, notice.snapshot, &members);
         for worker in moved {
             self.retire(worker, None);
         }
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -12,6 +12,7 @@
             Err(e) => return tracing::error!("the settings stay as they are: {e}"),
         };
         let now = self.clock.now();
+        self.reload_gossip(now);
         if self.config.fixed() != fresh.fixed() {
             tracing::warn!("only the notice board is taken from the new configuration before a restart");
         }
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -152,10 +152,11 @@
             }
         }
         let before = self.second.tenants.clone();
+        let peers = if r.path == "/v1/peers" { self.peers(now) } else { serde_json::Value::Null };
         let hooks = &self.second.hooks;
         let health = |id| hooks.as_ref().and_then(|h| h.health(id));
         let counters = &self.core.counters;
-        let mut cx = Context { tenants: &mut self.second.tenants, counters, health: &health, now };
+        let mut cx = Context { tenants: &mut self.second.tenants, counters, health: &health, peers, now };
         let handled = admin::handle(r, &who, &mut cx);
         let key = key.map(|key| (who.clone(), key.to_owned()));
         let mut handled = match handled {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -693,3 +693,60 @@
     assert!(text.lines().filter(|l| !l.trim().is_empty()).count() <= 1_000);
     assert!(text.lines().all(|l| l.chars().count() <= 110));
 }
+
+/// A rumour reorders the walk for its time and excludes nobody.
+#[test]
+fn a_rumour_moves_a_worker_down_for_its_time_and_never_out() {
+    let mut rig = Rig::new(settings(), 4);
+    let (first, home) = sent(&rig.ask(7, 0).1)[0];
+    rig.end(first, home, Outcome::Ok, 100_000);
+    let until = rig.now + SECOND;
+    rig.event(Event::Rumour { worker: home, down: Some(until) });
+    let (id, other) = sent(&rig.ask(8, 0).1)[0];
+    rig.end(id, other, Outcome::Ok, 100_000);
+    let homes_of = |rig: &mut Rig, from: u64| -> Vec<WorkerId> {
+        let mut homes = Vec::new();
+        for f in from..from + 20 {
+            let (id, w) = sent(&rig.ask(f, 0).1)[0];
+            rig.end(id, w, Outcome::Ok, 100_000);
+            homes.push(w);
+        }
+        homes
+    };
+    let usual = homes_of(&mut Rig::new(settings(), 4), 20);
+    let moved = homes_of(&mut rig, 20);
+    assert!(usual.contains(&home) && !moved.contains(&home));
+    assert!(usual.iter().zip(&moved).all(|(u, m)| *u == home || u == m), "others keep their homes");
+    rig.now = until;
+    assert!(homes_of(&mut rig, 40).contains(&home), "its time is over");
+    // The only worker there is is used whatever is said of it.
+    let mut one = Rig::new(settings(), 1);
+    one.event(Event::Rumour { worker: WorkerId(1), down: Some(SECOND) });
+    assert_eq!(sent(&one.ask(1, 0).1).len(), 1);
+    one.event(Event::Rumour { worker: WorkerId(99), down: Some(SECOND) });
+}
+
+/// Said to be well, a worker on the bench gets its one trial at once.
+#[test]
+fn a_worker_said_to_be_well_gets_its_trial_early() {
+    let mut rig = Rig::new(settings(), 3);
+    let (id, w) = sent(&rig.ask(1, 0).1)[0];
+    rig.end(id, w, Outcome::ConnectFailed, 1_000);
+    let tried = |rig: &mut Rig, from: u64| {
+        let mut tried = 0;
+        for f in from..from + 12 {
+            for (id, x) in sent(&rig.ask(f, 0).1) {
+                if x == w {
+                    // Its trial stays out.
+                    tried += 1;
+                } else {
+                    rig.end(id, x, Outcome::Ok, 100_000);
+                }
+            }
+        }
+        tried
+    };
+    assert_eq!(tried(&mut rig, 100), 0, "on the bench");
+    rig.event(Event::Rumour { worker: w, down: None });
+    assert_eq!(tried(&mut rig, 200), 1, "one trial, and no more while it is out");
+}
