Wait for the group's agreement in the lab's gossip run instead of a fixed time

Cause: the test looked at one moment; a slower machine would need longer. Change: it asks until all agree or patience ends, with the liar still at work.

--- a/lab/src/gossip.rs
+++ b/lab/src/gossip.rs
@@ -15,7 +15,7 @@
 use molelug::membership::wire;
 
 use crate::stand_in::gateway::{Folder, SAFE};
-use crate::stand_in::{status, Caller, Gateway, Worker};
+use crate::stand_in::{status, Caller, Gateway, Worker, PATIENCE};
 
 /// What each instance may send, as the tool sets it.
 pub const BYTES_PER_S: u32 = 16_384;
@@ -166,8 +166,17 @@
         })
         .collect();
     std::thread::sleep(Duration::from_secs(seconds));
-    stop.store(true, Ordering::Relaxed);
     let mut ran = Ran::default();
+    // Still beside the liars; a slow machine gets its time.
+    let patience = Instant::now() + PATIENCE;
+    while gossip && ran.agreeing < honest && Instant::now() < patience {
+        ran.agreeing = 0;
+        for gateway in &mut gateways {
+            let counters = gateway.counters()?;
+            ran.agreeing += usize::from(counters["gossip_alive"].as_u64() >= Some(honest as u64 - 1));
+        }
+    }
+    stop.store(true, Ordering::Relaxed);
     for caller in callers {
         let (calls, served) = caller.join().map_err(|_| Error::other("a caller failed"))??;
         (ran.calls, ran.served) = (ran.calls + calls, ran.served + served);
@@ -181,7 +190,6 @@
         // A second's worth may have been saved up at the start.
         let whole = begun.elapsed().as_secs_f64() + 1.0;
         ran.most_bytes_per_s = ran.most_bytes_per_s.max(sent / whole);
-        ran.agreeing += usize::from(counters["gossip_alive"].as_u64() >= Some(honest as u64 - 1));
     }
     for gateway in &mut gateways {
         gateway.kill()?;
