Count waiting callbacks in the store itself, so that removal in memory gives places back

Cause: in memory mode a count beside the store was not lowered when a removed tenant's callbacks were purged: places were lost, and SIGTERM waited for callbacks that were gone. Change: the store's own figure is asked. Result: a new test removes a tenant with a callback due in an hour and sees the gateway end in order; it hangs with the change taken out.

--- a/src/node/webhooks.rs
+++ b/src/node/webhooks.rs
@@ -162,13 +162,20 @@
     schedule: Schedule,
     hung: Option<Micros>,
     pending: usize,
-    waiting: usize,
     answer_limit: Micros,
     retention: (Micros, u64),
     stopping: Option<Micros>,
 }
 
 impl Hooks {
+    /// Callbacks that wait in memory; those in a file need no room here.
+    fn waiting(&self) -> usize {
+        match &self.backend {
+            Backend::Memory(both) => both.1.stat().waiting as usize,
+            Backend::Disk(_) => 0,
+        }
+    }
+
     fn durable(&self) -> bool {
         matches!(self.backend, Backend::Disk(_))
     }
@@ -198,7 +205,7 @@
         let kept = if self.durable() {
             self.delivery.out() == 0 && (self.asked.is_empty() || late)
         } else {
-            self.waiting == 0 && self.asked.is_empty()
+            self.waiting() == 0 && self.asked.is_empty()
         };
         self.jobs.is_empty() && kept
     }
@@ -298,7 +305,6 @@
             schedule,
             hung: None,
             pending: w.pending,
-            waiting: 0,
             answer_limit: w.callback_answer_ms * 1000,
             retention: (w.retention_days * 86_400_000_000, w.retention_mb << 20),
             stopping: None,
@@ -426,8 +432,8 @@
             };
         }
         // Taken only with room for what follows: what got a 202 is owed a callback.
-        let waiting = if hooks.durable() { 0 } else { hooks.waiting };
-        let full = hooks.jobs.len() + waiting + hooks.asked.len().saturating_sub(MOST_ASKED) >= hooks.pending;
+        let full = hooks.jobs.len() + hooks.waiting() + hooks.asked.len().saturating_sub(MOST_ASKED)
+            >= hooks.pending;
         let taken = if full || hooks.asked.len() >= MOST_ASKED {
             Err(plain(503, "too many calls under way"))
         } else {
@@ -572,7 +578,6 @@
         if messages.is_empty() {
             self.core.counters.callbacks_undelivered += 1;
         }
-        hooks.waiting += messages.len();
         hooks.ask(Ask::Publish, Op::Answer(held.seq, outcome.name().into(), messages));
     }
 
@@ -598,7 +603,6 @@
             }
         }
         if !messages.is_empty() {
-            hooks.waiting += messages.len();
             hooks.ask(Ask::Publish, Op::Publish(messages));
         }
     }
@@ -692,7 +696,6 @@
                     Ok(Reply::Waits(all)) => all.clone(),
                     _ => Vec::new(),
                 };
-                hooks.waiting += waits.len();
                 self.now_wait(now, Ok(Reply::Waits(waits)));
                 self.answer_asked(now, conn, limit, key, reply);
             }
@@ -739,7 +742,6 @@
                 }
                 hooks.ask(Ask::Publish, Op::Ended(Box::new(message), state, attempt));
                 if state.is_over() {
-                    hooks.waiting = hooks.waiting.saturating_sub(1);
                     self.count(&message, state);
                     let record = record.filter(|r| r.kind == COMPLETED && matches!(state, State::Dead(_)));
                     if let Some(r) = record.filter(|_| state != State::Dead(Dead::Gone)) {
--- a/src/store/tables.rs
+++ b/src/store/tables.rs
@@ -174,6 +174,11 @@
         Ok(!again)
     }
 
+    /// Its figures.
+    pub fn stat(&self) -> Stat {
+        self.head.stat
+    }
+
     /// Keeps what lives beside the tables; the last step of a commit.
     pub fn finish(&mut self, space: &mut dyn Space, now: Micros) -> Result<(), StoreError> {
         self.head.latest = self.head.latest.max(now);
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -448,3 +448,47 @@
     assert!(states.get("unknown").is_none_or(|n| *n <= 6), "{states:?}");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// Without a store as well: callbacks of a tenant that is removed give their places back, and hold up no end in order.
+#[test]
+fn a_tenant_removed_from_memory_leaves_nothing_to_wait_for() {
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("memory-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("bundle.json"), bundle("k1", 7, "jwt-svid")).unwrap();
+    let key = b"the key of a tenant made later..";
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let secret = format!("whsec_{}", BASE64_STANDARD.encode(key));
+    let operator = format!(
+        "[webhooks]\nlisten = \"127.0.0.1:0\"\nreplay_file = {:?}\nschedule_s = [3600]\n[admin]\n\
+         listen = \"127.0.0.1:0\"\ntrust_domain = \"aurora.example\"\naudience = \"molelug\"\nbundle = {:?}\n\
+         [[admin.callers]]\nspiffe_id = \"{OPERATOR}\"\nrole = \"operator\"\n\
+         [[tenants]]\nname = \"clinic\"\nportal = \"http://{closed}/in\"\nsecrets = [\"{secret}\"]\n",
+        folder.join("seen").display().to_string(),
+        folder.join("bundle.json").display().to_string()
+    );
+    let worker = Worker::start();
+    let workers = [endpoint("s-00000001", worker.address, "SERVING")];
+    let g = Gateway::start(&settings(900.0), &workers, None, Some(&operator));
+    let data = json!({ "class": "disponibilidad", "function": "0000000000000001" });
+    let body = json!({ "type": "call.requested", "data": data }).to_string().into_bytes();
+    let stamp =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_secs().to_string();
+    let head = format!(
+        "POST /webhooks/clinic HTTP/1.1\r\nwebhook-id: m1\r\nwebhook-timestamp: {stamp}\r\n\
+         webhook-signature: {}",
+        signature(key, "m1", &stamp, &body)
+    );
+    assert_eq!(http(g.webhooks.unwrap(), &head, &body).0, 202);
+    let ask = |line: &str| {
+        let t = token("k1", 7, &claims(OPERATOR, json!("molelug"), u64::from(u32::MAX)));
+        http(g.admin.unwrap(), &format!("{line} HTTP/1.1\r\nAuthorization: Bearer {t}"), b"")
+    };
+    let waits = || String::from_utf8(ask("GET /v1/store").1).unwrap().contains("\"waiting\":1");
+    until("its callback waits for an hour", waits);
+    assert_eq!(ask("DELETE /v1/tenants/clinic").0, 204);
+    // Ends at once, which the helper waits for no longer than its patience.
+    let counters = g.stop();
+    assert_eq!((&counters["taken"], &counters["callbacks_delivered"]), (&json!(1), &json!(0)));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
