--- a/lab/tests/second_front.rs
+++ b/lab/tests/second_front.rs
@@ -228,3 +228,28 @@
     assert_eq!(came.len(), taken.len(), "and one only");
     g.stop().unwrap();
 }
+
+/// An endpoint that says 410 is switched off, and the tenant's endpoint for operations hears of it. A portal that
+/// listens and never accepts is given up by its deadline, by class.
+#[test]
+fn operations_hear_of_an_endpoint_switched_off_and_one_that_never_accepts_is_given_up() {
+    let gone = Portal::start(secret(1), Manner::Says(410, "")).unwrap();
+    let ops = Portal::start(secret(1), Manner::Good).unwrap();
+    let never = TcpListener::bind("127.0.0.1:0").unwrap();
+    let events = format!(
+        "[[tenants.endpoints]]\nname = \"ops\"\nurl = \"http://{}/in\"\ntypes = [\"endpoint.*\", \"message.exhausted\"]\n\
+         [[tenants.endpoints]]\nname = \"never\"\nurl = \"http://{}/in\"\n",
+        ops.address,
+        never.local_addr().unwrap()
+    );
+    let scene = Scene::new("off", HEAD.to_owned() + &tenant("t", &gone, &events));
+    let mut g = scene.start();
+    assert_eq!(call(&g, "t", "booking", UNSAFE), 202);
+    let heard = |kind: &str| ops.all().iter().filter(|s| s.kind == kind && s.signed).count();
+    until("operations hear that it is off", || heard("endpoint.disabled") == 1);
+    // Both copies of the booking's callback: seen by the one that said 410, perhaps by the one that never accepted.
+    until("and that nobody can tell", || heard("message.exhausted") == 2);
+    assert_eq!(gone.all().len(), 1);
+    let counters = g.stop().unwrap();
+    assert_eq!(counters["callbacks_unknown"], 2, "{counters}");
+}
