Try homes with the call itself at many instances, and keep its last attempt for a sure place

Each miss used up the cold budget's turn at the worker, so the next cold worker counted as the first home, even with a load ordered for the call at the first. - Calls that found no copy waited up to 0.9 s before their load was ordered: one load under way closed the bound on loads, 0.08 * 40 / 4 - 1, floored at 0.5, of one instance. Two at once there are chance, not a crowded store (peak use of the store 0.17 of its capacity).

Ruled out: time in the node (0.4 ms to the first attempt), processor time (10 ms a second at most), a second connection to the same worker (4 of 5,961).

Lines at fault: Brain::choose, the ask of further homes, `first`, `most_loads`, and step 5, which began a load by a call that would only miss. Many instances (caps below one) now go to the next home with the call; not with the last attempt, nor away from a load ordered for it; with one attempt left a load is ordered first. Few instances ask as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -645,7 +645,9 @@
         let home = walk().find(|w| sound(w) && open(w));
         // 1. Warm with a free lane. A first home not tried lately is not cold: others may keep copies there.
         let lane = |c: &Copies| warm(c) && c.own < f.lanes * c.count;
-        let first = |w: WorkerId| Some(w) == home && many && untried(copy(&w));
+        // Not with the last attempt, nor away from a load ordered for this call: three misses are a refusal.
+        let blind = r.attempts + 1 < self.settings.max_attempts && r.waits.is_none();
+        let first = |w: WorkerId| Some(w) == home && many && blind && untried(copy(&w));
         // Rested workers first: else every instance fills the same home before it goes to the next.
         let rested = |w: &WorkerId| self.workers.get(w).is_some_and(|s| s.cap >= 1.0 || s.owes(now) == 0.0);
         let quiet = usable().find(|w| lane(copy(w)) && rested(w) || first(*w));
@@ -659,14 +661,18 @@
         if let Some((w, from)) = r.waits.filter(|(w, _)| loads(copy(w)) && self.usable(now, *w, r)) {
             return if now >= from && self.has_slot(now, w, credit) { Step::Wait(w) } else { Step::Hold };
         }
-        // Further homes are asked what stands there: a call in vain would load a copy that evicts others'.
+        // Further homes are tried before a load in vain evicts others' copies: of few instances by asking, of
+        // many by the call itself: their asks outnumbered their loads three to one, and a miss costs nothing
+        // but one attempt. The last attempt is kept for a copy known or a load ordered.
         if f.asked > 0 && now < f.asked + 2 * ROUND {
             return Step::Hold;
         }
         let misses = f.copies.values().filter(|c| !past(c.missed)).count();
         if self.settings.may_load && many && misses < ASKS {
-            if let Some(w) = usable().find(|w| untried(copy(w)) && past(copy(w).asked)) {
-                return Step::Ask(w);
+            match usable().find(|w| untried(copy(w)) && past(copy(w).asked)) {
+                Some(w) if self.miss_loads() || self.first_cap >= 1.0 => return Step::Ask(w),
+                Some(w) if blind => return Step::Begin(w, 0.0),
+                _ => {}
             }
         }
         // 2. A load under way: wait there, not more than two turns deep.
@@ -686,8 +692,9 @@
             return Step::Warm(w);
         }
         // 5. A cold worker, next in the order; loads under way are bounded, the store is shared. While all
-        // carry much only the first home loads: spreading then evicts others' copies, and all is late.
-        let most_loads = (self.first_cap * self.ready as f64 / 4.0 - 1.0).max(0.5);
+        // carry much only the first home loads: spreading then evicts others' copies, and all is late. One of
+        // many instances may still have a few: two that come together are chance, and the second was late.
+        let most_loads = (self.first_cap * self.ready as f64 / 4.0 - 1.0).max(2.0);
         if any_warm && !self.calm
             || self.loading.values().map(|(_, sure)| sure).sum::<f64>() > most_loads
             || f.copies.values().any(loads) && waited < patience
@@ -696,7 +703,7 @@
         }
         let near = |w: &WorkerId| self.calm || Some(*w) == home;
         match usable().find(|w| near(w) && !warm(copy(w)) && !loads(copy(w))) {
-            Some(w) if !self.miss_loads() && !past(copy(&w).missed) => Step::Order(w),
+            Some(w) if !self.miss_loads() && (!blind || !past(copy(&w).missed)) => Step::Order(w),
             Some(w) => Step::Begin(w, 1.0),
             None => Step::Hold,
         }
--- a/src/core.rs
+++ b/src/core.rs
@@ -160,6 +160,15 @@
     pub report: Option<Report>,
 }
 
+/// A function as the wire names it.
+struct Hex(u64);
+
+impl std::fmt::Display for Hex {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 #[derive(Debug)]
 struct Request<O> {
     brain_id: RequestId,
@@ -322,6 +331,7 @@
         // The module answers by the deadline; this guards the one answer against its oversight.
         self.deadlines.insert((expires + self.grace, Due::Request(key.data().as_ffi())));
         self.counters.taken += 1;
+        tracing::debug!(call = brain_id.0, class = arrival.class.0, function = %Hex(arrival.function.0), "taken");
         self.feed(now, Event::Request(arrival));
         key
     }
@@ -369,6 +379,16 @@
             latency: now.saturating_sub(a.sent),
             report: back.report,
         };
+        tracing::debug!(
+            call = ended.request.0,
+            worker = ended.worker.0,
+            after = ended.latency,
+            how = ending.name(),
+            warmth = ?ended.warmth,
+            crowd = ended.crowd,
+            held = ended.report.and_then(|r| r.inflight),
+            "attempt ended"
+        );
         self.feed(now, Event::Ended(ended));
         self.drop_finished(a.request);
     }
@@ -378,6 +398,7 @@
         let Some((worker, function, at)) = self.orders.remove(key) else { return };
         self.deadlines.remove(&(at, Due::Order(key.data().as_ffi())));
         let outcome = ending.outcome(left);
+        tracing::debug!(worker = worker.0, function = %Hex(function.0), how = ending.name(), copies, "order ended");
         self.feed(now, Event::Loaded { worker, function, outcome, copies });
     }
 
@@ -453,6 +474,7 @@
                 self.deadlines.insert((at, Due::Order(order.data().as_ffi())));
                 self.counters.orders += u64::from(copies > 0);
                 self.counters.asks += u64::from(copies == 0);
+                tracing::debug!(worker = worker.0, function = %Hex(function.0), copies, "order");
                 self.commands.push_back(Command::Stage { order, worker, function, copies });
             }
             Action::Unload { worker, function } => {
@@ -482,6 +504,7 @@
         let attempt = self.attempts.insert(Attempt { request: key, worker, number, sent: now, expires });
         r.out = Some(attempt);
         self.counters.sent += 1;
+        tracing::debug!(call = request.0, worker = worker.0, "sent");
         self.deadlines.insert((expires, Due::Attempt(attempt.data().as_ffi())));
         self.commands.push_back(Command::Go {
             attempt,
@@ -502,6 +525,7 @@
             Answer::Refused { .. } => self.counters.refused += 1,
             _ => self.counters.failed += 1,
         }
+        tracing::debug!(call = request.0, ?answer, "given up");
         self.commands.push_back(Command::Answer { origin: r.call.origin.clone(), answer });
         self.drop_finished(key);
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -433,6 +433,12 @@
                 }
             }
             Role::Worker(mut link) => {
+                tracing::debug!(
+                    worker = link.worker.0,
+                    open = link.open(),
+                    how = ending.name(),
+                    "connection ends"
+                );
                 let mut done = Vec::new();
                 link.end(&conn.out, ending, &mut done);
                 self.done.extend(done);
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -163,7 +163,8 @@
             }
             return Ok(key);
         }
-        if keys.len() >= MOST_LINKS || self.conns.len() >= self.config.limits.sockets.saturating_sub(24) {
+        let keys_held = keys.len();
+        if keys_held >= MOST_LINKS || self.conns.len() >= self.config.limits.sockets.saturating_sub(24) {
             return Err(Ending::Overflow);
         }
         let address = *self.roster.addresses.get(&worker).ok_or(Ending::NeverUp)?;
@@ -174,6 +175,7 @@
         let role = Role::Worker(Link::new(worker, now));
         let key = self.add(stream, false, role).map_err(|_| Ending::NeverUp)?;
         self.core.counters.connects += 1;
+        tracing::debug!(worker = worker.0, links = keys_held + 1, "connects");
         self.links.entry(worker).or_default().push(key);
         self.set_deadline(key, Some(now + self.config.connect_limit));
         Ok(key)
