Try the next home before crowded ones, while a load is under way, and cold homes last

Lines at fault: Brain::choose (`home`, the walk by caps alone), Brain::send, which dropped the load that a call waits for.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,10 @@
 /// Share of the cold budget used: workers differ, and some can do less than the mean worker seen.
 const COLD_SAFETY: f64 = 0.65;
 
+/// Calls held by a worker, as it told last, that make it crowded, and for how long its word holds.
+const CROWD: u32 = FIRST_CAP as u32;
+const FRESH: Micros = 2_000_000;
+
 // ---- State ----
 
 #[derive(Debug, Default)]
@@ -89,6 +93,8 @@
     cut_at: Micros,
     strain: f64,
     heard_ok: Micros,
+    /// What it held in all when it answered last, and when that was.
+    told: (f64, Micros),
     stalled: bool,
     strikes: u32,
     reset: Micros,
@@ -642,20 +648,41 @@
         let (patience, many) = (self.load_patience(f), self.settings.instances > 1);
         let loads = |c: &Copies| c.loading.is_some_and(|t| now < t + patience) && c.count == 0;
         let open = |w: &WorkerId| self.workers.get(w).is_some_and(|s| self.cold_room(now, *w, s));
-        let home = walk().find(|w| sound(w) && open(w));
+        let cold = |w: &WorkerId| {
+            self.workers.get(w).and_then(|s| s.started).is_some_and(|t| now < t + self.settings.cold_time)
+        };
+        let home = walk().find(|w| sound(w) && (self.first_cap < 1.0 || open(w)));
         // 1. Warm with a free lane. A first home not tried lately is not cold: others may keep copies there.
         let lane = |c: &Copies| warm(c) && c.own < f.lanes * c.count;
         // Not with the last attempt, nor away from a load ordered for this call: three misses are a refusal.
-        let blind = r.attempts + 1 < self.settings.max_attempts && r.waits.is_none();
+        let spare = r.attempts + 1 < self.settings.max_attempts;
+        let blind = spare && r.waits.is_none();
         let first = |w: WorkerId| Some(w) == home && many && blind && untried(copy(&w));
+        // One of many instances tries the next home with the call itself, a miss costs it one attempt: while
+        // a load is under way, and before homes that told of a crowd. It knows no second home of most
+        // functions: a few calls each. Cold ones last: their turns are few and they hold little.
+        let tries = self.first_cap < 1.0 && !self.miss_loads() && spare && (blind || r.attempts == 1);
+        let told = |w: &WorkerId| {
+            let s = self.workers.get(w).filter(|s| self.first_cap < 1.0 && now < s.told.1 + FRESH);
+            s.map_or(0, |s| s.told.0 as u32)
+        };
+        let next = || {
+            let worth = |w: &WorkerId| untried(copy(w)) && told(w) < CROWD;
+            usable().filter(worth).min_by_key(cold).filter(|_| tries)
+        };
         // Rested workers first: else every instance fills the same home before it goes to the next.
         let rested = |w: &WorkerId| self.workers.get(w).is_some_and(|s| s.cap >= 1.0 || s.owes(now) == 0.0);
-        let quiet = usable().find(|w| lane(copy(w)) && rested(w) || first(*w));
-        match quiet.or_else(|| usable().find(|w| lane(copy(w)))) {
-            Some(w) if first(w) => return Step::Begin(w, if self.miss_loads() { 0.5 } else { 0.0 }),
+        let quiet = usable().find(|w| (lane(copy(w)) && rested(w) || first(*w)) && told(w) < CROWD);
+        let taken =
+            || usable().filter(|w| lane(copy(w))).min_by_key(|w| if told(w) < CROWD { 0 } else { told(w) });
+        match quiet.or_else(|| taken().map(|w| next().filter(|_| blind).unwrap_or(w))) {
+            Some(w) if !warm(copy(&w)) => return Step::Begin(w, if self.miss_loads() { 0.5 } else { 0.0 }),
             Some(w) => return Step::Warm(w),
             None => {}
         }
+        if let Some(w) = next().filter(|_| r.waits.is_some()) {
+            return Step::Begin(w, 0.0);
+        }
         let rest: Vec<WorkerId> = usable().collect();
         let usable = || rest.iter().copied();
         if let Some((w, from)) = r.waits.filter(|(w, _)| loads(copy(w)) && self.usable(now, *w, r)) {
@@ -671,7 +698,7 @@
         if self.settings.may_load && many && misses < ASKS {
             match usable().find(|w| untried(copy(w)) && past(copy(w).asked)) {
                 Some(w) if self.miss_loads() || self.first_cap >= 1.0 => return Step::Ask(w),
-                Some(w) if blind => return Step::Begin(w, 0.0),
+                Some(w) if blind => return Step::Begin(next().unwrap_or(w), 0.0),
                 _ => {}
             }
         }
@@ -729,7 +756,8 @@
         let function = r.function;
         r.attempts += 1;
         r.out = Some(Attempt { worker, sent: now, cold, cancelled: false });
-        r.waits = None;
+        // A try elsewhere leaves the load ordered for it to come back to, and its head start.
+        r.waits = r.waits.filter(|(w, _)| *w != worker);
         let Some(f) = self.functions.get_mut(&function) else { return };
         let c = f.copies.entry(worker).or_default();
         (c.own, c.used) = (c.own + 1, now);
@@ -777,6 +805,7 @@
         (self.total, self.answers) = (self.total + latency, self.answers + 1.0);
         self.inflow = (self.carried(now) + latency * 4.0 / INTERVAL as f64, now);
         let Some(w) = self.workers.get_mut(&e.worker) else { return };
+        w.told = (load, now);
         if warm && usual > 0.0 && aim > 0.0 {
             // Slow against the function elsewhere, or too slow for the aim: a cap raised until 'full' would
             // fill queues that no answer leaves in time. Rare answers weigh more.
