Go back to a crowded first home before a load is ordered, and believe a crowd while copies are kept

And a gateway sees a worker once in three to four seconds, so a word that held for two was mostly gone when it was needed.

Lines at fault: `next` in Brain::choose and the two seconds of FRESH. A call that missed at the next home now tries the first one before a load is ordered; what a worker told holds as long as a copy is believed to stand (keep, from the settings).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,9 +45,8 @@
 /// Share of the cold budget used: workers differ, and some can do less than the mean worker seen.
 const COLD_SAFETY: f64 = 0.65;
 
-/// Calls held by a worker, as it told last, that make it crowded, and for how long its word holds.
+/// Calls held by a worker that make it crowded, as it told last and not longer ago than copies are kept.
 const CROWD: u32 = FIRST_CAP as u32;
-const FRESH: Micros = 2_000_000;
 
 // ---- State ----
 
@@ -660,15 +659,17 @@
         let first = |w: WorkerId| Some(w) == home && many && blind && untried(copy(&w));
         // One of many instances tries the next home with the call itself, a miss costs it one attempt: while
         // a load is under way, and before homes that told of a crowd. It knows no second home of most
-        // functions: a few calls each. Cold ones last: their turns are few and they hold little.
+        // functions: a few calls each. Cold ones last: their turns are few and they hold little. Then it goes
+        // back to a first home passed over: a crowded copy is better than a load.
         let tries = self.first_cap < 1.0 && !self.miss_loads() && spare && (blind || r.attempts == 1);
         let told = |w: &WorkerId| {
-            let s = self.workers.get(w).filter(|s| self.first_cap < 1.0 && now < s.told.1 + FRESH);
+            let s = self.workers.get(w).filter(|s| self.first_cap < 1.0 && now < s.told.1 + keep);
             s.map_or(0, |s| s.told.0 as u32)
         };
         let next = || {
             let worth = |w: &WorkerId| untried(copy(w)) && told(w) < CROWD;
-            usable().filter(worth).min_by_key(cold).filter(|_| tries)
+            let back = || usable().find(|w| r.attempts == 1 && Some(*w) == home && untried(copy(w)));
+            back().or_else(|| usable().filter(worth).min_by_key(cold)).filter(|_| tries)
         };
         // Rested workers first: else every instance fills the same home before it goes to the next.
         let rested = |w: &WorkerId| self.workers.get(w).is_some_and(|s| s.cap >= 1.0 || s.owes(now) == 0.0);
