--- a/src/brain.rs
+++ b/src/brain.rs
@@ -402,7 +402,12 @@
             return;
         }
         let first = self.functions.get(&function).and_then(|f| f.order.first());
-        if outcome == Outcome::Miss && first == Some(&worker) {
+        // A copy in a crowd is not enough: at a miss the next home, the same for all instances, is told to
+        // hold one too, while this call goes on.
+        let crowd = |w: &WorkerId| self.workers.get(w).is_some_and(|w| self.told(now, w) >= CROWD);
+        let copies = self.functions.get(&function).into_iter().flat_map(|f| &f.copies);
+        let jammed = r.attempts == 1 && copies.filter(|(_, c)| c.count > 0).any(|(w, _)| crowd(w));
+        if outcome == Outcome::Miss && (first == Some(&worker) || jammed) {
             self.order_load(now, (worker, function), id, out);
         }
         if let Some(f) = self.functions.get_mut(&function) {
@@ -531,6 +536,16 @@
         self.inflow.0 * (-((now - self.inflow.1) as f64) * 4.0 / INTERVAL as f64).exp()
     }
 
+    /// Calls that a worker told of; to few instances their own tell enough.
+    fn told(&self, now: Micros, w: &Worker) -> u32 {
+        let counts = self.first_cap < 1.0 && now < w.told.1 + self.settings.keep;
+        if counts {
+            w.told.0 as u32
+        } else {
+            0
+        }
+    }
+
     fn mean_all(&self) -> f64 {
         self.total / self.answers.max(1.0)
     }
@@ -662,10 +677,7 @@
         // functions: a few calls each. Cold ones last: their turns are few and they hold little. Then it goes
         // back to a first home passed over: a crowded copy is better than a load.
         let tries = self.first_cap < 1.0 && !self.miss_loads() && spare && (blind || r.attempts == 1);
-        let told = |w: &WorkerId| {
-            let s = self.workers.get(w).filter(|s| self.first_cap < 1.0 && now < s.told.1 + keep);
-            s.map_or(0, |s| s.told.0 as u32)
-        };
+        let told = |w: &WorkerId| self.workers.get(w).map_or(0, |w| self.told(now, w));
         let next = || {
             let worth = |w: &WorkerId| untried(copy(w)) && told(w) < CROWD;
             let back = || usable().find(|w| r.attempts == 1 && Some(*w) == home && untried(copy(w)));
@@ -853,7 +865,8 @@
     fn order_load(&mut self, now: Micros, (w, f): Home, id: RequestId, out: &mut Vec<Action>) {
         if !self.orders.contains(&(w, f)) {
             let ready = self.workers.get(&w).is_some_and(|w| w.ready);
-            if !self.settings.may_load || !ready || !self.within_ration(now) {
+            let spare = self.requests.get(&id).is_some_and(|r| r.attempts + 1 < self.settings.max_attempts);
+            if !self.settings.may_load || !ready || !self.within_ration(now, spare) {
                 return;
             }
             self.ordered.push_back(now);
@@ -868,6 +881,13 @@
 
     fn on_loaded(&mut self, now: Micros, at: Home, outcome: Outcome, copies: u32) {
         let (worker, function) = at;
+        // A refused connect tells of the worker whatever it was for; few instances see enough of others.
+        let refused = outcome == Outcome::ConnectFailed && self.first_cap < 1.0;
+        if let Some(w) = self.workers.get_mut(&worker).filter(|_| refused) {
+            if w.strikes < STRIKES {
+                (w.strikes, w.down, w.benched) = (STRIKES, Some(now), now + BENCH);
+            }
+        }
         self.orders.remove(&(worker, function));
         self.loading.remove(&(worker, function));
         let Some(f) = self.functions.get_mut(&function) else { return };
@@ -1027,12 +1047,15 @@
     }
 
     /// The ration of load orders, counted at the very order, this one included.
-    fn within_ration(&mut self, now: Micros) -> bool {
+    /// While a call has attempts to spare, many instances leave half of it to calls that have none: what one
+    /// of them orders others do at once, and a call that finds the ration used up is refused.
+    fn within_ration(&mut self, now: Micros, spare: bool) -> bool {
         let Some(ration) = self.settings.ration else { return true };
         // An order on the very edge of the window still counts, a call there no more.
         let orders = recent(&mut self.ordered, now, ration.window + 1) + 1.0;
         let calls = recent(&mut self.taken, now, ration.window);
-        orders <= ration.free + ration.ratio * calls
+        let part = if spare && self.first_cap < 1.0 { 0.5 } else { 1.0 };
+        orders <= part * (ration.free + ration.ratio * calls)
     }
 
     /// Whether a tenant is past this instance's part of its share: a bucket of one second's worth, or of a
