--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -41,6 +41,23 @@
     format!("{}$#{}#{}", &text[..size], &text[line..at], &text[end..])
 }
 
+/// The next connection; one that never comes is a failure that shows how far the script got, not a test that hangs.
+fn accept(listener: &TcpListener, who: &str, so_far: &str) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let end = std::time::Instant::now() + PATIENCE;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).unwrap();
+                return stream;
+            }
+            Err(e) if e.kind() != std::io::ErrorKind::WouldBlock => panic!("{who}: {e}"),
+            Err(_) => assert!(std::time::Instant::now() < end, "nobody connects to the {who}\n{so_far}"),
+        }
+        std::thread::sleep(std::time::Duration::from_millis(2));
+    }
+}
+
 fn play(script: &str) -> String {
     let worker = TcpListener::bind("127.0.0.1:0").unwrap();
     let board = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -59,8 +76,8 @@
         let (who, what) = (&line[..mark], line[mark + 1..].trim());
         let peer = peers.entry(who.to_owned()).or_default();
         let stream = peer.stream.get_or_insert_with(|| match who {
-            "worker" => worker.accept().unwrap().0,
-            "board" => board.accept().unwrap().0,
+            "worker" => accept(&worker, who, &out),
+            "board" => accept(&board, who, &out),
             _ => TcpStream::connect(g.platform).unwrap(),
         });
         match &line[mark..=mark] {
