Open the second address: readiness, figures, bans of workers, and emptying the gateway

Nothing listened there: src/config.rs knew no admin_addr.

Change, as designed in docs/design/operations.md: src/operations (lifecycle, upkeep, figures: no I/O), src/front/line.rs (one line in, one answer), src/node/operations.rs (driver). The lifecycle replaces Node's `draining` and the checks on whether listeners are left, so SIGTERM and a call to empty the gateway go through one place. Bans reach the module as draining workers; after a ban a worker is told as started now. Final answers are counted by class where they become final, and attempts when their last byte has left (the outbox counts marked frames). Accepts are bounded in one turn. An idle connection that is closed is read once more first.

--- a/src/api.rs
+++ b/src/api.rs
@@ -228,7 +228,7 @@
 }
 
 /// One line of the list of workers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Member {
     /// The worker.
     pub worker: WorkerId,
--- a/src/board.rs
+++ b/src/board.rs
@@ -239,6 +239,11 @@
         .into_bytes()
     }
 
+    /// Whether the board has answered.
+    pub fn has_answered(&self) -> bool {
+        self.framing != Framing::Head
+    }
+
     /// Whether the answer has come to its own end.
     pub fn ended(&self) -> bool {
         self.framing == Framing::Ended
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -174,7 +174,7 @@
     first_cap: f64,
     /// Workers ready, and those of them that look healthy.
     ready: usize,
-    fit: usize,
+    pub(crate) fit: usize,
     subscribed: Micros,
     tries: BTreeMap<usize, Micros>,
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -121,6 +121,7 @@
         ("listens", node.address()),
         ("takes webhooks", node.webhook_address()),
         ("is administered", node.admin_address()),
+        ("is asked line by line", node.line_address()),
     ];
     for (what, at) in listeners.iter().filter_map(|(what, at)| at.map(|at| (what, at))) {
         tracing::info!("{name} {what} on {at}");
--- a/src/config.rs
+++ b/src/config.rs
@@ -72,6 +72,7 @@
 struct Raw {
     name: Option<String>,
     listen: Option<String>,
+    admin_addr: Option<String>,
     #[serde(default)]
     seed: Value,
     #[serde(default)]
@@ -99,6 +100,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where staff and the platform ask line by line; none if it is not to be.
+    pub admin_addr: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Limits.
@@ -128,7 +131,11 @@
     pub fn from_env() -> Result<Config, ConfigError> {
         let var = |name| std::env::var(name).ok().filter(|v| !v.is_empty());
         let path = var("RELAY_CONFIG").ok_or(ConfigError::Missing("RELAY_CONFIG"))?;
-        Config::read(Path::new(&path), var("RELAY_NAME"), var("RELAY_LISTEN"))
+        let mut config = Config::read(Path::new(&path), var("RELAY_NAME"), var("RELAY_LISTEN"))?;
+        if let Some(text) = var("RELAY_ADMIN_ADDR") {
+            config.admin_addr = Some(address("RELAY_ADMIN_ADDR", &text)?);
+        }
+        Ok(config)
     }
 
     /// Reads a file; `name` and `listen` win over what it says.
@@ -157,11 +164,9 @@
     pub fn parse(text: &str, name: Option<String>, listen: Option<String>) -> Result<Config, ConfigError> {
         let raw: Raw = serde_json::from_str(text)
             .map_err(|e| ConfigError::Parse(PathBuf::from("configuration"), e.to_string()))?;
-        let address = |what, text: &str| -> Result<SocketAddr, ConfigError> {
-            text.parse().map_err(|_| ConfigError::Value(what, text.to_owned()))
-        };
         let listen = listen.or(raw.listen).ok_or(ConfigError::Missing("RELAY_LISTEN"))?;
         let board = raw.board.filter(|b| !b.is_empty());
+        let admin = raw.admin_addr.filter(|a| !a.is_empty());
         let facts = settings::nested(&raw.settings);
         let (mut module, _) = settings::from_facts(&facts);
         if module.classes.is_empty() {
@@ -189,6 +194,7 @@
             file: None,
             name: name.or(raw.name).unwrap_or_default(),
             listen: address("RELAY_LISTEN", &listen)?,
+            admin_addr: admin.map(|a| address("admin_addr", &a)).transpose()?,
             seed: seed(&raw.seed)?,
             limits: raw.limits,
             board: board.map(|b| address("board", &b)).transpose()?,
@@ -204,6 +210,10 @@
     }
 }
 
+fn address(what: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::Value(what, text.to_owned()))
+}
+
 /// A seed comes as 16 hex digits; a number will do too.
 fn seed(value: &Value) -> Result<u64, ConfigError> {
     match value {
--- a/src/core.rs
+++ b/src/core.rs
@@ -10,7 +10,7 @@
 
 use crate::api::*;
 use crate::brain::Brain;
-use crate::counters::Counters;
+use crate::counters::{Counters, Ends, Final};
 use crate::ending::{Ending, Left};
 
 new_key_type! {
@@ -219,7 +219,8 @@
     /// A core that knows only the settings.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Core<O> {
         let (grace, order_limit) = (settings.answer_grace, settings.order_limit);
-        let safe = settings.classes.iter().map(|c| c.effect == Effect::Safe).collect();
+        let safe: Vec<bool> = settings.classes.iter().map(|c| c.effect == Effect::Safe).collect();
+        let counters = Counters { ends: vec![Ends::default(); safe.len()], ..Counters::default() };
         Core {
             brain: Brain::new(settings, seed, now),
             grace,
@@ -236,7 +237,7 @@
             actions: Vec::new(),
             commands: VecDeque::new(),
             next_id: 0,
-            counters: Counters::default(),
+            counters,
         }
     }
 
@@ -245,6 +246,17 @@
         self.requests.values().filter(|r| !r.answered).count()
     }
 
+    /// A call is refused before the module hears of it; its one answer counts as any other.
+    pub fn turned_away(&mut self, class: ClassId) {
+        self.counters.taken += 1;
+        self.counters.answered(class, Final::Refused);
+    }
+
+    /// Workers that the module would send to now.
+    pub fn fit(&self) -> usize {
+        self.brain.fit
+    }
+
     /// Whether a request under this identity has no answer yet, or an attempt out. Another call under it is not to
     /// be taken: answers on workers' connections are told apart by identity alone.
     pub fn is_open(&self, id: &str) -> bool {
@@ -364,7 +376,7 @@
         let first = outcome == Outcome::Ok && !r.answered;
         if first {
             r.answered = true;
-            self.counters.served += 1;
+            self.counters.answered(r.call.arrival.class, Final::Served);
             let origin = r.call.origin.clone();
             self.commands.push_back(Command::Answer { origin, answer: Answer::Served(back.body) });
         }
@@ -414,13 +426,12 @@
         let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
         r.answered = true;
         let safe = self.safe.get(r.call.arrival.class.0 as usize).copied().unwrap_or(false);
-        let answer = if (safe || !r.may_have_run) && r.out.is_none() {
-            self.counters.refused += 1;
-            Answer::Refused { retry_after: 0 }
+        let (answer, how) = if (safe || !r.may_have_run) && r.out.is_none() {
+            (Answer::Refused { retry_after: 0 }, Final::Refused)
         } else {
-            self.counters.failed += 1;
-            Answer::Failed
+            (Answer::Failed, Final::Failed)
         };
+        self.counters.answered(r.call.arrival.class, how);
         self.counters.overdue += 1;
         self.commands.push_back(Command::Answer { origin: r.call.origin.clone(), answer });
         self.drop_finished(key);
@@ -521,10 +532,8 @@
         let Some(&key) = self.by_id.get(&request) else { return };
         let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
         r.answered = true;
-        match answer {
-            Answer::Refused { .. } => self.counters.refused += 1,
-            _ => self.counters.failed += 1,
-        }
+        let refused = matches!(answer, Answer::Refused { .. });
+        self.counters.answered(r.call.arrival.class, if refused { Final::Refused } else { Final::Failed });
         tracing::debug!(call = request.0, ?answer, "given up");
         self.commands.push_back(Command::Answer { origin: r.call.origin.clone(), answer });
         self.drop_finished(key);
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -3,8 +3,20 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use crate::api::ClassId;
 use crate::ending::Ending;
 
+/// Final answers to the calls of one class. A call whose client left first has none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Ends {
+    /// Answered with a worker's body.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+}
+
 /// What has happened since the start.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct Counters {
@@ -22,6 +34,8 @@
     pub overdue: u64,
     /// Attempts sent.
     pub sent: u64,
+    /// Attempts whose last byte was written to a worker.
+    pub written: u64,
     /// Orders to load.
     pub orders: u64,
     /// Questions what stands.
@@ -60,9 +74,34 @@
     pub gossip_alive: u64,
     /// How attempts ended.
     pub endings: BTreeMap<&'static str, u64>,
+    /// Final answers by class, in the order of the settings.
+    pub ends: Vec<Ends>,
+}
+
+/// The three kinds of final answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// With a worker's body.
+    Served,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
 }
 
 impl Counters {
+    /// Counts the one final answer to a call, in all and in its class.
+    pub fn answered(&mut self, class: ClassId, how: Final) {
+        let mut unknown = Ends::default();
+        let ends = self.ends.get_mut(usize::from(class.0)).unwrap_or(&mut unknown);
+        let (all, own) = match how {
+            Final::Served => (&mut self.served, &mut ends.served),
+            Final::Refused => (&mut self.refused, &mut ends.refused),
+            Final::Failed => (&mut self.failed, &mut ends.failed),
+        };
+        (*all, *own) = (*all + 1, *own + 1);
+    }
+
     /// Counts the end of an attempt.
     pub fn ended(&mut self, ending: Ending) {
         *self.endings.entry(ending.name()).or_default() += 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod names;
 pub mod net;
 pub mod node;
+pub mod operations;
 pub mod settings;
 pub mod store;
 pub mod tenancy;
--- a/src/net.rs
+++ b/src/net.rs
@@ -103,6 +103,8 @@
     tag: u64,
     bytes: Vec<u8>,
     sent: usize,
+    /// Whether it is counted once it has left whole.
+    counts: bool,
 }
 
 /// Frames that wait to be written.
@@ -110,6 +112,7 @@
 pub struct Outbox {
     frames: VecDeque<Frame>,
     bytes: usize,
+    whole: u64,
 }
 
 /// A tag for frames that are never taken back.
@@ -118,8 +121,22 @@
 impl Outbox {
     /// Queues a frame.
     pub fn push(&mut self, tag: u64, bytes: Vec<u8>) {
-        self.bytes += bytes.len();
-        self.frames.push_back(Frame { tag, bytes, sent: 0 });
+        self.queue(Frame { tag, bytes, sent: 0, counts: false });
+    }
+
+    /// Queues a frame that is counted once its last byte has left; see [`Outbox::take_whole`].
+    pub fn push_counted(&mut self, tag: u64, bytes: Vec<u8>) {
+        self.queue(Frame { tag, bytes, sent: 0, counts: true });
+    }
+
+    fn queue(&mut self, frame: Frame) {
+        self.bytes += frame.bytes.len();
+        self.frames.push_back(frame);
+    }
+
+    /// How many counted frames have left whole since this was last asked.
+    pub fn take_whole(&mut self) -> u64 {
+        std::mem::take(&mut self.whole)
     }
 
     /// Takes a frame back whole, if not one byte of it has left. Guards against half a frame: one that has
@@ -159,6 +176,7 @@
                         let part = n.min(f.bytes.len() - f.sent);
                         (f.sent, n, self.bytes) = (f.sent + part, n - part, self.bytes - part);
                         if f.sent == f.bytes.len() {
+                            self.whole += u64::from(f.counts);
                             self.frames.pop_front();
                         }
                     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -21,6 +21,7 @@
 use crate::core::{Answer, AttemptKey, Command, Core, OrderKey, ProbeKey, RequestKey, Token};
 use crate::ending::{Ending, Left};
 use crate::front::http::READ_LIMIT;
+use crate::front::line;
 use crate::front::platform::{self, Ask};
 use crate::membership::config::Gossip;
 use crate::names::Names;
@@ -31,9 +32,11 @@
 mod commands;
 mod gossip;
 mod listing;
+mod operations;
 mod reload;
 mod second;
 mod webhooks;
+use operations::Ops;
 use second::Second;
 use webhooks::{JobKey, PortalLink};
 
@@ -51,6 +54,7 @@
 const DELIVER: Token = Token { kind: 2, number: 4 };
 const RETAIN: Token = Token { kind: 2, number: 5 };
 const GOSSIP: Token = Token { kind: 2, number: 6 };
+const LINE_AGAIN: Token = Token { kind: 2, number: 7 };
 
 /// A client's connection without an open request is closed after this; clients themselves close after 4 s, but
 /// for those that ask once and stay.
@@ -62,8 +66,10 @@
 const CLIENT_YIELDS: Micros = 150_000;
 /// Descriptors kept for all that is not a client: workers, the board, portals, files, the event loop itself.
 const RESERVED: usize = 56;
-/// How long connections are accepted after SIGTERM: they keep coming for 0.4 s, requests for 0.2 s more.
-const DRAIN: Micros = 900_000;
+/// Connections accepted from one listener in one turn.
+const MOST_ACCEPTS: usize = 256;
+/// How long a connection that is to be closed may go on with a request that has begun to come.
+const LAST_LOOK: Micros = 200_000;
 /// Answers larger than this are counted against what may wait for slow clients in all.
 const LARGE: usize = 16 << 10;
 const MOST_WAITING: usize = 48 << 20;
@@ -144,9 +150,15 @@
 
 #[derive(Debug)]
 enum Role {
-    Client { kind: Kind, open: Option<Owed>, keep: bool },
+    Client {
+        kind: Kind,
+        open: Option<Owed>,
+        keep: bool,
+    },
     Worker(Link),
     Board(Feed),
+    /// A caller of the second address.
+    Line,
     Portal(PortalLink),
 }
 
@@ -187,13 +199,13 @@
     most_others: usize,
     second: Second,
     talk: Option<gossip::Talk>,
+    ops: Ops,
     last_rev: u64,
     gap_at: Option<u64>,
     ready: Vec<ConnKey>,
     dirty: Vec<ConnKey>,
     done: VecDeque<Done>,
     signals: Vec<Signal>,
-    draining: bool,
     stop: bool,
 }
 
@@ -209,13 +221,16 @@
         let now = clock.now();
         let mut core = Core::new(config.settings.clone(), config.seed, now);
         let mut roster = Roster::default();
+        let mut ops = Ops::default();
         let mut last_rev = config.known_rev;
         let mut members: BTreeMap<WorkerId, Member> = BTreeMap::new();
         for notice in &config.known {
             if notice.snapshot {
                 members.clear();
             }
-            members.extend(roster.apply(notice).0.into_iter().map(|m| (m.worker, m)));
+            let lines = notice.endpoints.iter().map(|e| e.name.as_str()).zip(roster.apply(notice).0);
+            let told = ops.upkeep.list(notice.snapshot, lines);
+            members.extend(told.into_iter().map(|m| (m.worker, m)));
             last_rev = last_rev.max(notice.rev);
         }
         let ready = members.values().filter(|m| m.status == Status::Ready).map(|m| m.worker).collect();
@@ -246,16 +261,18 @@
             most_others,
             second: Second::default(),
             talk: None,
+            ops,
             last_rev,
             gap_at: None,
             ready: Vec::new(),
             dirty: Vec::new(),
             done: VecDeque::new(),
             signals: Vec::new(),
-            draining: false,
             stop: false,
         };
         node.listen(Kind::Platform, listen)?;
+        node.set_up_line()?;
+        node.ops.life.start();
         node.set_up(now, operator)?;
         if let Some(g) = &gossip {
             node.set_up_gossip(now, g, ready)?;
@@ -264,21 +281,43 @@
     }
 
     fn listen(&mut self, kind: Kind, address: SocketAddr) -> Result<(), NodeError> {
+        let (socket, token) = self.listening(address, |node| node.accept = true)?;
+        self.listeners.push(Listener { kind, socket, token });
+        Ok(())
+    }
+
+    /// Binds an address and has those who connect noted.
+    fn listening(
+        &self,
+        address: SocketAddr,
+        note: fn(&mut Node),
+    ) -> Result<(Rc<TcpListener>, RegistrationToken), NodeError> {
         let fail = |e| NodeError::Listen(address, e);
         let socket = TcpListener::bind(address).map_err(fail)?;
         // The library's queue of 128 overflows in a flood, and a connect that is dropped comes again after a
         // second only.
         rustix::net::listen(&socket, BACKLOG_CONNECTS).map_err(|e| fail(e.into()))?;
-        socket.set_nonblocking(true).map_err(fail)?;
+        self.watched(socket, note).map_err(|e| match e {
+            NodeError::Loop(calloop::Error::IoError(e)) => fail(e),
+            e => e,
+        })
+    }
+
+    /// Has those who connect to a listening socket noted.
+    fn watched(
+        &self,
+        socket: TcpListener,
+        note: fn(&mut Node),
+    ) -> Result<(Rc<TcpListener>, RegistrationToken), NodeError> {
+        socket.set_nonblocking(true).map_err(|e| NodeError::Loop(e.into()))?;
         let socket = Rc::new(socket);
         let source = Generic::new(Fd(socket.clone()), Interest::READ, Mode::Edge);
-        let note = |_, _: &mut _, node: &mut Node| {
-            node.accept = true;
+        let noted = move |_, _: &mut _, node: &mut Node| {
+            note(node);
             Ok(PostAction::Continue)
         };
-        let token = self.handle.insert_source(source, note).map_err(|e| NodeError::Loop(e.error))?;
-        self.listeners.push(Listener { kind, socket, token });
-        Ok(())
+        let token = self.handle.insert_source(source, noted).map_err(|e| NodeError::Loop(e.error))?;
+        Ok((socket, token))
     }
 
     fn address_of(&self, kind: Kind) -> Option<SocketAddr> {
@@ -323,6 +362,7 @@
             let wait = match self.core.next_deadline() {
                 _ if !self.ready.is_empty()
                     || self.accept
+                    || self.ops.is_busy()
                     || self.talk.as_ref().is_some_and(gossip::Talk::busy) =>
                 {
                     Some(Duration::ZERO)
@@ -348,6 +388,7 @@
                 _ => self.drain(),
             }
         }
+        self.serve_line();
         for key in std::mem::take(&mut self.ready) {
             self.on_ready(key);
         }
@@ -361,7 +402,7 @@
         // Advice may have moved the module to something.
         self.pump();
         let hooks = self.second.hooks.as_ref().is_none_or(|h| h.is_idle(now));
-        if self.draining && self.listeners.is_empty() && self.clients == 0 && hooks {
+        if self.ops.life.is_ending() && self.listeners.is_empty() && self.clients == 0 && hooks {
             self.stop = true;
         }
     }
@@ -374,7 +415,7 @@
             match token {
                 BOARD_AGAIN => self.open_board(now),
                 DRAIN_OVER => {
-                    self.stop_accepting();
+                    self.stop_accepting(now);
                     self.stop_webhooks(now);
                     self.leave_group(now);
                 }
@@ -383,6 +424,7 @@
                 DELIVER => self.tick_webhooks(now),
                 RETAIN => self.retain(now),
                 GOSSIP => self.tick_gossip(now),
+                LINE_AGAIN => self.accept_lines_again(),
                 Token { number, .. } => self.on_deadline(now, KeyData::from_ffi(number).into()),
             }
         }
@@ -432,6 +474,7 @@
                     self.core.caller_gone(now, request);
                 }
             }
+            Role::Line => self.ops.line_closed(key),
             Role::Worker(mut link) => {
                 tracing::debug!(
                     worker = link.worker.0,
@@ -471,6 +514,7 @@
             Role::Portal(_) => crate::front::webhook::answer::READ_LIMIT,
             Role::Worker(_) => worker::READ_LIMIT,
             Role::Board(_) => board::READ_LIMIT,
+            Role::Line => line::READ_LIMIT,
         };
         let read = conn.read(limit);
         if !was_up {
@@ -502,6 +546,7 @@
             Role::Client { kind: Kind::Platform, .. } => self.on_client(key, now),
             Role::Client { .. } => self.on_second(key, now),
             Role::Portal(_) => self.on_portal(key, now),
+            Role::Line => self.on_line(key, now),
             Role::Worker(link) => {
                 let mut done = Vec::new();
                 let result = link.input(now, &mut conn.input, &mut done);
@@ -552,13 +597,7 @@
         conn.deadline = None;
         match role {
             Role::Client { open: Some(_), .. } => {}
-            Role::Client { .. } => {
-                if !conn.input.bytes().is_empty() && conn.out.is_empty() {
-                    conn.out.push(net::KEPT_FRAME, platform::turn_away(&platform::too_slow(), false));
-                    let _ = conn.flush();
-                }
-                self.close(key, Ending::Idle);
-            }
+            Role::Client { .. } => self.end_idle(key, now),
             Role::Worker(_) if !conn.up => self.close(key, Ending::NeverUp),
             // Guards what waits behind an answer that stopped short: nothing after it can be told apart.
             Role::Worker(link) if link.partial.is_some_and(|since| now >= since + ANSWER_SLOW) => {
@@ -578,6 +617,7 @@
                 self.set_deadline(key, Some(next));
             }
             Role::Portal(link) if link.is_idle() => self.close(key, Ending::Idle),
+            Role::Line => self.close(key, Ending::Idle),
             Role::Board(_) | Role::Portal(_) => {
                 let ending = if conn.up { Ending::TimedOut } else { Ending::NeverUp };
                 self.close(key, ending)
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -11,8 +11,13 @@
     }
 
     pub(super) fn accept_from(&mut self, at: usize) {
-        while let Some(listener) = self.listeners.get(at) {
+        let now = self.clock.now();
+        for _ in 0..MOST_ACCEPTS {
+            let Some(listener) = self.listeners.get(at) else { return };
             let kind = listener.kind;
+            if !self.ops.life.accepts(now) {
+                return;
+            }
             // What is not accepted waits in the machine's queue until a connection has ended. The platform's
             // clients keep their room whatever comes to the other listeners.
             let room = match kind {
@@ -32,7 +37,8 @@
                     self.others += usize::from(kind != Kind::Platform);
                     self.core.counters.accepted += 1;
                     let now = self.clock.now();
-                    self.set_deadline(key, Some(now + CLIENT_SLOW));
+                    let by = self.ops.life.first_request_by(now).unwrap_or(now + CLIENT_SLOW);
+                    self.set_deadline(key, Some(by));
                     self.on_ready(key);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -47,6 +53,8 @@
                 }
             }
         }
+        // Guards all others against a flood: who is left waits for the next turn.
+        self.accept = true;
     }
 
     /// All places are taken: closes the connection that has had nothing open for longest. Guards the places
@@ -108,11 +116,12 @@
             // A whole request came: the time for the next one begins anew.
             self.set_deadline(key, Some(now + CLIENT_IDLE));
             let Some((conn, Role::Client { keep, .. })) = self.conns.get_mut(key) else { return };
-            let stays = taken.keep && !self.listeners.is_empty();
+            let stays = taken.keep && self.ops.life.keeps(now);
             *keep = stays;
             match taken.ask {
-                Ok(Ask::Call(_)) if self.core.open() >= self.config.most_held => {
+                Ok(Ask::Call(call)) if self.core.open() >= self.config.most_held => {
                     // As the platform does beyond `mostHeld`: turned away before the module.
+                    self.core.turned_away(call.arrival.class);
                     let answer = Answer::Refused { retry_after: 1_000_000 };
                     conn.out.push(net::KEPT_FRAME, platform::answer(&answer, stays));
                     conn.closing = !stays;
@@ -134,7 +143,8 @@
                     return;
                 }
                 Ok(Ask::Ping) => {
-                    conn.out.push(net::KEPT_FRAME, crate::front::http::response(200, "", b"", stays));
+                    let status = if self.ops.life.is_emptied() { 503 } else { 200 };
+                    conn.out.push(net::KEPT_FRAME, crate::front::http::response(status, "", b"", stays));
                     conn.closing = !stays;
                     self.dirty.push(key);
                 }
@@ -150,7 +160,7 @@
 
     pub(super) fn answer_client(&mut self, key: ConnKey, answer: &Answer) {
         let now = self.clock.now();
-        let accepting = !self.listeners.is_empty();
+        let accepting = self.ops.life.keeps(now);
         if let Answer::Served(body) = answer {
             // Guards memory against clients that ask for much and read nothing.
             let waiting = || self.conns.values().map(|(c, _)| c.out.len()).sum::<usize>();
@@ -170,30 +180,72 @@
         self.on_client(key, now);
     }
 
+    /// SIGTERM.
     pub(super) fn drain(&mut self) {
-        if !self.draining {
-            self.draining = true;
-            let at = self.clock.now() + DRAIN;
-            self.core.hang(at, DRAIN_OVER);
+        let now = self.clock.now();
+        if self.ops.life.end(now, self.is_taken_over()) {
+            self.core.hang(self.ops.life.accepts_until().unwrap_or(now), DRAIN_OVER);
+            self.thin_out(now);
         }
     }
 
-    pub(super) fn stop_accepting(&mut self) {
+    pub(super) fn stop_accepting(&mut self, now: Micros) {
         self.accept_all();
         for listener in std::mem::take(&mut self.listeners) {
             self.handle.remove(listener.token);
         }
-        let idle = |(_, (conn, role)): &(ConnKey, &(Conn, Role))| {
-            matches!(role, Role::Client { open: None, .. }) && conn.out.is_empty()
-        };
-        let idle: Vec<ConnKey> = self.conns.iter().filter(idle).map(|(key, _)| key).collect();
-        for key in idle {
-            self.close(key, Ending::Shutdown);
-        }
-        for (conn, role) in self.conns.values_mut() {
-            if let Role::Client { open: None, .. } = role {
-                conn.closing = true;
+        self.thin_out(now);
+    }
+
+    /// Gives idle connections the time by which they are closed, if they are to be, the longest idle first.
+    pub(super) fn thin_out(&mut self, now: Micros) {
+        let mut idle: Vec<(Micros, ConnKey)> = Vec::new();
+        let leaves = self.ops.life.idle_until(now, 0, 1).is_some();
+        for (key, (conn, role)) in self.conns.iter_mut() {
+            match role {
+                Role::Client { open: None, .. } if conn.out.is_empty() => idle.push((conn.idle, key)),
+                Role::Client { open: None, .. } => conn.closing |= leaves,
+                _ => {}
             }
         }
+        idle.sort();
+        let all = idle.len();
+        for (rank, (since, key)) in idle.into_iter().enumerate() {
+            let by = self.ops.life.idle_until(now, rank, all);
+            self.set_deadline(key, Some(by.unwrap_or(since.max(now) + CLIENT_IDLE)));
+        }
+    }
+
+    /// A client's connection has been idle, or within a request, for as long as it may.
+    pub(super) fn end_idle(&mut self, key: ConnKey, now: Micros) {
+        if self.last_look(key, now) {
+            return;
+        }
+        let Some((conn, _)) = self.conns.get_mut(key) else { return };
+        if !conn.input.bytes().is_empty() && conn.out.is_empty() {
+            conn.out.push(net::KEPT_FRAME, platform::turn_away(&platform::too_slow(), false));
+            let _ = conn.flush();
+        }
+        self.close(key, Ending::Idle);
+    }
+
+    /// An idle connection is about to be closed: what has come on it by now still counts. Tells whether the
+    /// connection stays for it.
+    fn last_look(&mut self, key: ConnKey, now: Micros) -> bool {
+        let Some((conn, _)) = self.conns.get_mut(key) else { return false };
+        // One that has had its time for the rest of a request gets no more of it.
+        if conn.closing || !conn.input.bytes().is_empty() {
+            return false;
+        }
+        if conn.read(READ_LIMIT).is_err() || conn.input.bytes().is_empty() {
+            return false;
+        }
+        self.on_input(key, now);
+        let Some((conn, Role::Client { open, .. })) = self.conns.get_mut(key) else { return true };
+        if open.is_none() && !conn.closing && !conn.input.bytes().is_empty() {
+            // Half a request: it may come whole yet, soon.
+            self.set_deadline(key, Some(now + LAST_LOOK));
+        }
+        true
     }
 }
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -15,7 +15,9 @@
             } else if self.step_webhooks(now) {
             } else if let Some(key) = self.dirty.pop() {
                 let Some((conn, _)) = self.conns.get_mut(key) else { continue };
-                match conn.flush() {
+                let flushed = conn.flush();
+                self.core.counters.written += conn.out.take_whole();
+                match flushed {
                     Ok(true) if conn.closing && (!conn.linger || conn.hang_up()) => {
                         self.close(key, Ending::Closed)
                     }
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -46,7 +46,9 @@
             return false;
         }
         (self.last_rev, self.gap_at) = (notice.rev, None);
-        let (members, moved) = self.roster.apply(notice);
+        let (listed, moved) = self.roster.apply(notice);
+        let lines = notice.endpoints.iter().map(|e| e.name.as_str()).zip(listed);
+        let members = self.ops.upkeep.list(notice.snapshot, lines);
         for m in &members {
             self.on_member(m);
         }
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -82,7 +82,7 @@
                 return;
             }
             let kind = *kind;
-            let accepting = !self.listeners.is_empty();
+            let accepting = self.ops.life.keeps(now);
             // The request borrows the connection's buffer, which is put back once it is answered.
             let mut input = std::mem::take(&mut conn.input);
             let (size, bytes, stays, malformed) = match http::request(input.bytes()) {
--- a/src/node/webhooks.rs
+++ b/src/node/webhooks.rs
@@ -973,7 +973,7 @@
 impl Node {
     /// Writes the answer that a client of the second front is owed, and reads on.
     pub(super) fn answer_second(&mut self, key: ConnKey, now: Micros, bytes: impl FnOnce(bool) -> Vec<u8>) {
-        let accepting = !self.listeners.is_empty();
+        let accepting = self.ops.life.keeps(now);
         let Some((conn, Role::Client { open, keep, .. })) = self.conns.get_mut(key) else { return };
         *open = None;
         conn.idle = now;
--- /dev/null
+++ b/src/operations/upkeep.rs
@@ -0,0 +1,242 @@
+//! Workers that staff have taken out: the list's word and the operator's of each worker, told as one.
+//!
+//! Bounds: what is listed, and [`MOST_SEEN`] names that were; bans can only be on those.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::api::{Member, Micros, Status};
+
+/// Names that are remembered after they have left the list, the oldest forgotten first.
+pub const MOST_SEEN: usize = 1024;
+/// Bytes that a name may have to be remembered.
+pub const LONGEST_NAME: usize = 128;
+
+/// A worker that was never listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NeverListed;
+
+/// What the list and the operator say of the workers.
+#[derive(Debug, Default)]
+pub struct Upkeep {
+    /// The list's last word.
+    listed: BTreeMap<String, Member>,
+    banned: BTreeSet<String>,
+    seen: BTreeSet<String>,
+    /// The names seen, in the order in which they came.
+    order: VecDeque<String>,
+}
+
+impl Upkeep {
+    /// Takes a notice's lines over; returns what the module is to be told of them.
+    pub fn list<'a>(
+        &mut self,
+        whole: bool,
+        lines: impl IntoIterator<Item = (&'a str, Member)>,
+    ) -> Vec<Member> {
+        if whole {
+            self.listed.clear();
+        }
+        let mut told = Vec::new();
+        for (name, member) in lines {
+            self.see(name);
+            told.push(self.overlay(name, member.clone()));
+            if member.status == Status::Gone {
+                self.listed.remove(name);
+            } else {
+                self.listed.insert(name.to_owned(), member);
+            }
+        }
+        told
+    }
+
+    /// Remembers a name as listed once.
+    pub fn see(&mut self, name: &str) {
+        if name.len() > LONGEST_NAME || !self.seen.insert(name.to_owned()) {
+            return;
+        }
+        self.order.push_back(name.to_owned());
+        // What is banned or listed is not forgotten, and comes to the end of the row again.
+        for _ in 0..self.order.len() {
+            if self.order.len() <= MOST_SEEN {
+                return;
+            }
+            let Some(oldest) = self.order.pop_front() else { return };
+            if self.banned.contains(&oldest) || self.listed.contains_key(&oldest) {
+                self.order.push_back(oldest);
+            } else {
+                self.seen.remove(&oldest);
+            }
+        }
+    }
+
+    fn overlay(&self, name: &str, mut member: Member) -> Member {
+        if member.status == Status::Ready && self.banned.contains(name) {
+            member.status = Status::Draining;
+        }
+        member
+    }
+
+    /// Whether this name was listed at any time that is still remembered.
+    pub fn knows(&self, name: &str) -> bool {
+        self.seen.contains(name) || self.banned.contains(name)
+    }
+
+    /// Takes a worker out; returns what the module is to be told, if anything changes for it.
+    pub fn exclude(&mut self, name: &str) -> Result<Option<Member>, NeverListed> {
+        if !self.knows(name) {
+            return Err(NeverListed);
+        }
+        let new = self.banned.insert(name.to_owned());
+        let listed = self.listed.get(name).filter(|_| new).cloned();
+        Ok(listed.map(|m| self.overlay(name, m)))
+    }
+
+    /// Puts a worker back, however often it was taken out. Meanwhile it was restarted, this instant at the latest:
+    /// it is told as started now, so that it is not pushed over.
+    pub fn include(&mut self, name: &str, now: Micros) -> Result<Option<Member>, NeverListed> {
+        if !self.knows(name) {
+            return Err(NeverListed);
+        }
+        if !self.banned.remove(name) {
+            return Ok(None);
+        }
+        Ok(self.listed.get_mut(name).map(|m| {
+            m.started = Some(m.started.unwrap_or(0).max(now));
+            m.clone()
+        }))
+    }
+
+    /// Whether this worker is taken out.
+    pub fn is_banned(&self, name: &str) -> bool {
+        self.banned.contains(name)
+    }
+
+    /// The workers taken out.
+    pub fn banned(&self) -> &BTreeSet<String> {
+        &self.banned
+    }
+
+    /// The names remembered, oldest first.
+    pub fn seen(&self) -> impl Iterator<Item = &str> {
+        self.order.iter().map(String::as_str)
+    }
+
+    /// Workers in the list.
+    pub fn listed(&self) -> usize {
+        self.listed.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::{CellId, WorkerId, ZoneId};
+    use proptest::prelude::*;
+
+    fn member(id: u32, status: Status) -> Member {
+        Member {
+            worker: WorkerId(id),
+            zone: ZoneId(0),
+            cell: CellId(0),
+            status,
+            capacity: 1.0,
+            started: None,
+        }
+    }
+
+    fn list(u: &mut Upkeep, whole: bool, name: &str, status: Status) -> Status {
+        u.list(whole, [(name, member(1, status))]).remove(0).status
+    }
+
+    #[test]
+    fn a_ban_outlives_whatever_the_list_says_and_one_call_ends_it() {
+        let mut u = Upkeep::default();
+        assert!(u.exclude("s-1") == Err(NeverListed) && u.include("s-1", 1) == Err(NeverListed));
+        assert_eq!(list(&mut u, true, "s-1", Status::Ready), Status::Ready);
+        assert_eq!(u.exclude("s-1").unwrap().unwrap().status, Status::Draining);
+        assert!(u.exclude("s-1").unwrap().is_none(), "again is harmless, and nothing new");
+        assert_eq!(list(&mut u, false, "s-1", Status::Ready), Status::Draining);
+        assert_eq!(list(&mut u, false, "s-1", Status::Gone), Status::Gone);
+        assert_eq!(list(&mut u, true, "s-2", Status::Ready), Status::Ready, "a whole new list without it");
+        assert_eq!(list(&mut u, false, "s-1", Status::Ready), Status::Draining, "listed anew");
+        let back = u.include("s-1", 77).unwrap().unwrap();
+        assert_eq!((back.status, back.started), (Status::Ready, Some(77)), "it comes back cold");
+        assert!(u.include("s-1", 80).unwrap().is_none());
+        assert_eq!(list(&mut u, false, "s-1", Status::Ready), Status::Ready);
+    }
+
+    #[test]
+    fn one_that_was_listed_and_is_gone_may_be_banned_and_one_that_drains_stays_so() {
+        let mut u = Upkeep::default();
+        list(&mut u, true, "s-1", Status::Ready);
+        list(&mut u, false, "s-1", Status::Gone);
+        assert!(u.exclude("s-1").unwrap().is_none() && u.is_banned("s-1"));
+        list(&mut u, false, "s-2", Status::Draining);
+        u.exclude("s-2").unwrap();
+        assert_eq!(u.include("s-2", 9).unwrap().unwrap().status, Status::Draining);
+    }
+
+    #[test]
+    fn names_are_forgotten_oldest_first_but_never_one_that_is_banned_or_listed() {
+        let mut u = Upkeep::default();
+        list(&mut u, true, "banned", Status::Ready);
+        u.exclude("banned").unwrap();
+        list(&mut u, false, "banned", Status::Gone);
+        list(&mut u, false, "listed", Status::Ready);
+        for n in 0..3 * MOST_SEEN {
+            let name = format!("s-{n}");
+            list(&mut u, false, &name, Status::Ready);
+            list(&mut u, false, &name, Status::Gone);
+        }
+        assert!(u.order.len() <= MOST_SEEN && u.seen.len() == u.order.len());
+        assert!(u.is_banned("banned") && u.knows("listed") && u.knows("s-3000") && !u.knows("s-1"));
+        u.see(&"x".repeat(LONGEST_NAME + 1));
+        assert!(!u.knows(&"x".repeat(LONGEST_NAME + 1)));
+    }
+
+    proptest! {
+        /// Against a plain model: told as ready only if the list says so and no ban holds.
+        #[test]
+        fn told_is_the_list_and_the_operator_together(
+            steps in proptest::collection::vec((0..6u8, 0..4usize), 0..60),
+        ) {
+            let names = ["a", "b", "c", "d"];
+            let mut u = Upkeep::default();
+            let (mut ready, mut banned, mut ever) = ([false; 4], [false; 4], [false; 4]);
+            let mut told = [false; 4];
+            for (what, n) in steps {
+                let out = match what {
+                    0..=2 => {
+                        let status = [Status::Ready, Status::Draining, Status::Gone][what as usize];
+                        (ready[n], ever[n]) = (what == 0, true);
+                        u.list(false, [(names[n], member(n as u32, status))])
+                    }
+                    3 => {
+                        ready = [false; 4];
+                        (ready[n], ever[n]) = (true, true);
+                        told = [false; 4];
+                        u.list(true, [(names[n], member(n as u32, Status::Ready))])
+                    }
+                    4 => {
+                        let got = u.exclude(names[n]);
+                        prop_assert_eq!(got.is_ok(), ever[n]);
+                        banned[n] |= ever[n];
+                        got.ok().flatten().into_iter().collect()
+                    }
+                    _ => {
+                        let got = u.include(names[n], 5);
+                        prop_assert_eq!(got.is_ok(), ever[n]);
+                        banned[n] = false;
+                        got.ok().flatten().into_iter().collect()
+                    }
+                };
+                for m in out {
+                    told[m.worker.0 as usize] = m.status == Status::Ready;
+                }
+                for n in 0..4 {
+                    prop_assert_eq!(told[n], ready[n] && !banned[n]);
+                }
+            }
+        }
+    }
+}
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -220,7 +220,10 @@
         let tag = self.next_tag;
         self.next_tag += 1;
         self.open.insert(id, (what, tag));
-        out.push(tag, bytes);
+        match what {
+            Open::Attempt(_) => out.push_counted(tag, bytes),
+            _ => out.push(tag, bytes),
+        }
     }
 
     /// Sends an attempt.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -47,6 +47,7 @@
     pub platform: SocketAddr,
     pub webhooks: Option<SocketAddr>,
     pub admin: Option<SocketAddr>,
+    pub line: Option<SocketAddr>,
 }
 
 impl Gateway {
@@ -62,11 +63,28 @@
 
     /// The same with limits of descriptors: the one it is told, and the one that the machine sets.
     pub fn start_with(
+        settings: &Value,
+        workers: &[Value],
+        board: Option<SocketAddr>,
+        operator: Option<&str>,
+        limits: (usize, usize),
+    ) -> Gateway {
+        Gateway::launch(settings, workers, board, operator, limits, &[])
+    }
+
+    /// The same with a second address.
+    pub fn start_daily(settings: &Value, workers: &[Value], board: Option<SocketAddr>) -> Gateway {
+        let second = [("RELAY_ADMIN_ADDR", "127.0.0.1:0")];
+        Gateway::launch(settings, workers, board, None, (1024, 1024), &second)
+    }
+
+    pub fn launch(
         settings: &Value,
         workers: &[Value],
         board: Option<SocketAddr>,
         operator: Option<&str>,
         (sockets, files): (usize, usize),
+        variables: &[(&str, &str)],
     ) -> Gateway {
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{n}", std::process::id()));
@@ -82,6 +100,7 @@
         command.args(["-c", line.as_str(), env!("CARGO_BIN_EXE_molelug"), "serve"]);
         command.env("RELAY_CONFIG", folder.join("config.json")).env("RELAY_NAME", "g0");
         command.env("RELAY_LISTEN", "127.0.0.1:0").stderr(Stdio::piped()).stdin(Stdio::null());
+        command.envs(variables.iter().copied());
         if let Some(text) = operator {
             std::fs::write(folder.join("operator.toml"), text).expect("a file");
             command.arg("--operator").arg(folder.join("operator.toml"));
@@ -90,8 +109,9 @@
         let (tell, lines) = mpsc::channel();
         let errors = BufReader::new(child.stderr.take().expect("its log"));
         std::thread::spawn(move || errors.lines().map_while(Result::ok).all(|l| tell.send(l).is_ok()));
+        let nowhere = ([0, 0, 0, 0], 0).into();
         let mut g =
-            Gateway { child, lines, folder, platform: ([0, 0, 0, 0], 0).into(), webhooks: None, admin: None };
+            Gateway { child, lines, folder, platform: nowhere, webhooks: None, admin: None, line: None };
         g.platform = g.listener("listens on ");
         if operator.is_some_and(|t| t.contains("[webhooks]")) {
             g.webhooks = Some(g.listener("takes webhooks on "));
@@ -99,6 +119,9 @@
         if operator.is_some_and(|t| t.contains("[admin]")) {
             g.admin = Some(g.listener("is administered on "));
         }
+        if variables.iter().any(|(name, _)| *name == "RELAY_ADMIN_ADDR") {
+            g.line = Some(g.listener("is asked line by line on "));
+        }
         g
     }
 
@@ -110,6 +133,23 @@
         std::fs::rename(self.folder.join("new.json"), path).expect("a file");
     }
 
+    /// One call at the second address; all that came until the connection ended.
+    pub fn ask(&self, bytes: &[u8]) -> String {
+        let mut s = TcpStream::connect(self.line.expect("a second address")).expect("it listens");
+        s.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        s.write_all(bytes).and_then(|()| s.shutdown(Shutdown::Write)).expect("it reads");
+        let mut all = String::new();
+        s.read_to_string(&mut all).expect("it answers and closes");
+        all
+    }
+
+    /// One figure of the second address.
+    pub fn figure(&self, name: &str) -> u64 {
+        let all = self.ask(b"telemetry\n");
+        let line = all.lines().find_map(|l| l.strip_prefix(&format!("app.{name}:")));
+        line.and_then(|l| l.split('|').next()?.parse().ok()).unwrap_or_else(|| panic!("no {name} in {all}"))
+    }
+
     fn listener(&mut self, what: &str) -> SocketAddr {
         let line = self.line(what);
         line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
@@ -126,6 +166,10 @@
         }
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: rustix::process::Signal) {
         let pid = rustix::process::Pid::from_child(&self.child);
         rustix::process::kill_process(pid, signal).expect("it lives");
