Take the clients' socket from RELAY_FD and hand bans over between two processes

Ruled out that the platform's address had changed: the log line named the same one.

A new process takes connections once the board has answered and its list is as new as the others'; on SIGTERM the old one looks once more, stops accepting at once if another is ready, and closes idle connections within 0.6 s. Clients' places and descriptors are halved while two live.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,6 +11,7 @@
 use crate::membership::config::Gossip;
 use crate::node::Node;
 
+mod inherited;
 mod log;
 mod store;
 mod webhook;
@@ -22,7 +23,8 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
-    /// Run the gateway in the foreground; RELAY_CONFIG, RELAY_NAME and RELAY_LISTEN tell it what it is
+    /// Run the gateway in the foreground; RELAY_CONFIG, RELAY_NAME, RELAY_LISTEN, RELAY_ADMIN_ADDR and RELAY_FD tell
+    /// it what it is
     #[bpaf(command)]
     Serve {
         /// An operator's file: signed webhooks, tenants and the administration API
@@ -110,13 +112,14 @@
 }
 
 fn serve(operator: Option<PathBuf>, gossip: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
+    let socket = inherited::take()?;
     let config = Config::from_env()?;
     let name = config.name.clone();
     let operator = operator.map_or_else(|| Ok(Operator::default()), |path| Operator::read(&path))?;
     let gossip = gossip.map(|path| Gossip::read(&path)).transpose()?;
     let mut events = EventLoop::try_new()?;
     Node::heed_signals(&events.handle())?;
-    let mut node = Node::new(config, operator, gossip, events.handle(), Clock::system())?;
+    let mut node = Node::new(config, operator, gossip, socket, events.handle(), Clock::system())?;
     let listeners = [
         ("listens", node.address()),
         ("takes webhooks", node.webhook_address()),
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,7 +2,7 @@
 //!
 //! Callbacks only note what is ready; all work is done after them, in [`Node::turn`].
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -31,6 +31,7 @@
 mod clients;
 mod commands;
 mod gossip;
+mod handover;
 mod listing;
 mod operations;
 mod reload;
@@ -55,6 +56,7 @@
 const RETAIN: Token = Token { kind: 2, number: 5 };
 const GOSSIP: Token = Token { kind: 2, number: 6 };
 const LINE_AGAIN: Token = Token { kind: 2, number: 7 };
+const HANDOVER: Token = Token { kind: 2, number: 8 };
 
 /// A client's connection without an open request is closed after this; clients themselves close after 4 s, but
 /// for those that ask once and stay.
@@ -196,6 +198,7 @@
     most_clients: usize,
     /// Clients that are not the platform's.
     others: usize,
+    has_others: bool,
     most_others: usize,
     second: Second,
     talk: Option<gossip::Talk>,
@@ -215,39 +218,21 @@
         config: Config,
         operator: Operator,
         gossip: Option<Gossip>,
+        inherited: Option<TcpListener>,
         handle: LoopHandle<'static, Node>,
         mut clock: Clock,
     ) -> Result<Node, NodeError> {
         let now = clock.now();
-        let mut core = Core::new(config.settings.clone(), config.seed, now);
-        let mut roster = Roster::default();
-        let mut ops = Ops::default();
-        let mut last_rev = config.known_rev;
-        let mut members: BTreeMap<WorkerId, Member> = BTreeMap::new();
-        for notice in &config.known {
-            if notice.snapshot {
-                members.clear();
-            }
-            let lines = notice.endpoints.iter().map(|e| e.name.as_str()).zip(roster.apply(notice).0);
-            let told = ops.upkeep.list(notice.snapshot, lines);
-            members.extend(told.into_iter().map(|m| (m.worker, m)));
-            last_rev = last_rev.max(notice.rev);
-        }
-        let ready = members.values().filter(|m| m.status == Status::Ready).map(|m| m.worker).collect();
-        let listed = members.into_values().filter(|m| m.status != Status::Gone).collect();
-        core.members(now, ListKind::Cached, listed);
-        let sockets = config.limits.sockets;
-        let most_clients = sockets.saturating_sub(RESERVED).max(sockets / 2).max(8);
-        core.hang(now, BOARD_AGAIN);
-        let most_others =
-            if operator.webhooks.is_some() || operator.admin.is_some() { most_clients / 4 } else { 0 };
+        let core = Core::new(config.settings.clone(), config.seed, now);
+        let has_others = operator.webhooks.is_some() || operator.admin.is_some();
+        let last_rev = config.known_rev;
         let listen = config.listen;
         let mut node = Node {
             handle,
             clock,
             config,
             core,
-            roster,
+            roster: Roster::default(),
             conns: SlotMap::with_key(),
             links: BTreeMap::new(),
             attempts: SecondaryMap::new(),
@@ -256,12 +241,13 @@
             listeners: Vec::new(),
             accept: true,
             clients: 0,
-            most_clients,
+            most_clients: 0,
             others: 0,
-            most_others,
+            has_others,
+            most_others: 0,
             second: Second::default(),
             talk: None,
-            ops,
+            ops: Ops::default(),
             last_rev,
             gap_at: None,
             ready: Vec::new(),
@@ -270,9 +256,22 @@
             signals: Vec::new(),
             stop: false,
         };
-        node.listen(Kind::Platform, listen)?;
+        match inherited {
+            None => {
+                node.listen(Kind::Platform, listen)?;
+                node.ops.life.start();
+            }
+            Some(socket) => {
+                let (socket, token) = node.watched(socket, |node| node.accept = true)?;
+                node.listeners.push(Listener { kind: Kind::Platform, socket, token });
+                node.begin_handover(now);
+                node.core.hang(now, HANDOVER);
+            }
+        }
+        let ready = node.take_known(now);
+        node.share_limits(now);
+        node.core.hang(now, BOARD_AGAIN);
         node.set_up_line()?;
-        node.ops.life.start();
         node.set_up(now, operator)?;
         if let Some(g) = &gossip {
             node.set_up_gossip(now, g, ready)?;
@@ -280,6 +279,36 @@
         Ok(node)
     }
 
+    /// Takes over the notices known at the start; returns the workers that are ready.
+    fn take_known(&mut self, now: Micros) -> BTreeSet<WorkerId> {
+        let mut members: BTreeMap<WorkerId, Member> = BTreeMap::new();
+        for notice in &self.config.known {
+            if notice.snapshot {
+                members.clear();
+            }
+            let lines = notice.endpoints.iter().map(|e| e.name.as_str()).zip(self.roster.apply(notice).0);
+            let told = self.ops.upkeep.list(notice.snapshot, lines);
+            members.extend(told.into_iter().map(|m| (m.worker, m)));
+            self.last_rev = self.last_rev.max(notice.rev);
+        }
+        let ready = members.values().filter(|m| m.status == Status::Ready).map(|m| m.worker).collect();
+        let listed = members.into_values().filter(|m| m.status != Status::Gone).collect();
+        self.core.members(now, ListKind::Cached, listed);
+        ready
+    }
+
+    /// How many places there are: this process's part, while others of the same gateway live.
+    fn share_limits(&mut self, _now: Micros) {
+        let sockets = self.sockets();
+        self.most_clients = sockets.saturating_sub(RESERVED).max(sockets / 2).max(8);
+        self.most_others = if self.has_others { self.most_clients / 4 } else { 0 };
+    }
+
+    /// Descriptors that this process may hold.
+    fn sockets(&self) -> usize {
+        self.config.limits.sockets / self.processes()
+    }
+
     fn listen(&mut self, kind: Kind, address: SocketAddr) -> Result<(), NodeError> {
         let (socket, token) = self.listening(address, |node| node.accept = true)?;
         self.listeners.push(Listener { kind, socket, token });
@@ -425,6 +454,7 @@
                 RETAIN => self.retain(now),
                 GOSSIP => self.tick_gossip(now),
                 LINE_AGAIN => self.accept_lines_again(),
+                HANDOVER => self.look_at_others(now),
                 Token { number, .. } => self.on_deadline(now, KeyData::from_ffi(number).into()),
             }
         }
@@ -574,12 +604,16 @@
                 let mut events = Vec::new();
                 let result = feed.input(&mut conn.input, &mut events);
                 let ended = feed.ended();
+                let answered = feed.has_answered();
                 self.set_deadline(key, Some(now + BOARD_SILENT));
                 for event in events {
                     if !self.on_event(now, &event) {
                         return self.close(key, Ending::Malformed);
                     }
                 }
+                if answered {
+                    self.heard_board(now);
+                }
                 if let Err(e) = result {
                     self.core.counters.unreadable += 1;
                     tracing::warn!("{e}");
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -183,13 +183,17 @@
     /// SIGTERM.
     pub(super) fn drain(&mut self) {
         let now = self.clock.now();
+        // Another process may have become ready since the last look.
+        self.look(now);
         if self.ops.life.end(now, self.is_taken_over()) {
             self.core.hang(self.ops.life.accepts_until().unwrap_or(now), DRAIN_OVER);
             self.thin_out(now);
+            self.write_word(now);
         }
     }
 
     pub(super) fn stop_accepting(&mut self, now: Micros) {
+        // What came before still counts; `accepts` has become false where another process takes it.
         self.accept_all();
         for listener in std::mem::take(&mut self.listeners) {
             self.handle.remove(listener.token);
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -166,7 +166,7 @@
             return Ok(key);
         }
         let keys_held = keys.len();
-        if keys_held >= MOST_LINKS || self.conns.len() >= self.config.limits.sockets.saturating_sub(24) {
+        if keys_held >= MOST_LINKS || self.conns.len() >= self.sockets().saturating_sub(24) {
             return Err(Ending::Overflow);
         }
         let address = *self.roster.addresses.get(&worker).ok_or(Ending::NeverUp)?;
--- a/src/node/operations.rs
+++ b/src/node/operations.rs
@@ -2,11 +2,12 @@
 
 use std::fs::File;
 
+use super::handover::Handover;
 use super::*;
 use crate::front::line::{self, Ask};
 use crate::operations::figures::{self, Gauges};
 use crate::operations::lifecycle::Lifecycle;
-use crate::operations::upkeep::{NeverListed, Upkeep};
+use crate::operations::upkeep::{Refusal, Upkeep};
 
 /// Callers of the second address at once; beyond it the longest silent one yields.
 const MOST_LINES: usize = 16;
@@ -23,6 +24,7 @@
     pub(super) life: Lifecycle,
     pub(super) upkeep: Upkeep,
     line: Option<LineSide>,
+    pub(super) handover: Option<Handover>,
 }
 
 /// The second address, while it is on.
@@ -156,7 +158,7 @@
                 line::figures(&figures::text(classes, &counters.ends, counters.written, self.gauges()))
             }
             Ask::Exclude(name) => {
-                let change = self.ops.upkeep.exclude(&name);
+                let change = self.ops.upkeep.exclude(&name, now);
                 self.keep_upkeep(now, &name, change)
             }
             Ask::Include(name) => {
@@ -182,26 +184,22 @@
     }
 
     /// What staff changed of a worker is told to all that asks for the list; then the answer may say so.
-    fn keep_upkeep(
-        &mut self,
-        now: Micros,
-        name: &str,
-        change: Result<Option<Member>, NeverListed>,
-    ) -> Vec<u8> {
+    fn keep_upkeep(&mut self, now: Micros, name: &str, change: Result<Option<Member>, Refusal>) -> Vec<u8> {
         match change {
-            Err(NeverListed) => line::answer(false, "no worker of that name was ever listed"),
+            Err(refusal) => line::answer(false, refusal),
             Ok(change) => {
                 let out = self.ops.upkeep.is_banned(name);
                 tracing::info!(worker = name, out, changed = change.is_some(), "upkeep");
                 if let Some(member) = change {
                     self.tell_member(now, member);
                 }
+                self.write_word(now);
                 line::answer(true, if out { "gets nothing new" } else { "may be used" })
             }
         }
     }
 
-    fn tell_member(&mut self, now: Micros, member: Member) {
+    pub(super) fn tell_member(&mut self, now: Micros, member: Member) {
         self.on_member(&member);
         self.tell_ready(now, false, std::slice::from_ref(&member));
         self.core.members(now, ListKind::Delta, vec![member]);
@@ -211,9 +209,4 @@
         let members = self.ops.upkeep.listed();
         Gauges { pending: self.core.open(), members, unavailable: members.saturating_sub(self.core.fit()) }
     }
-
-    /// Whether another process takes the connections once this one stops.
-    pub(super) fn is_taken_over(&self) -> bool {
-        false
-    }
 }
--- /dev/null
+++ b/src/operations/handover.rs
@@ -0,0 +1,277 @@
+//! What two processes of one gateway tell each other while a new version takes over: each writes one small text
+//! of its own and reads the others'. Nobody waits for anybody, and whoever dies at any step leaves a text that is
+//! whole or none.
+//!
+//! ```text
+//! molelug-handover 1
+//! gateway n3
+//! state ready
+//! rev 41
+//! ban s-00c41f7a 1764620000000000
+//! free s-1b 1764620001000000
+//! seen s-2c
+//! sum 6f0c…
+//! ```
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use super::upkeep::{LONGEST_NAME, MOST_SEEN};
+use crate::api::Micros;
+
+/// The form that this version writes and reads.
+const VERSION: &str = "1";
+/// Bytes that a text may have.
+pub const MOST_BYTES: usize = 2 * MOST_SEEN * (LONGEST_NAME + 32);
+/// A text of a dead process that is older than this was not left by an upgrade.
+pub const LONG_DEAD: Micros = 60_000_000;
+/// A process that has nothing new to tell writes its text again after this, as a sign that it is not old.
+pub const REFRESH: Micros = 5_000_000;
+
+/// What a process says of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum State {
+    /// It takes no connection yet.
+    #[default]
+    Starting,
+    /// It takes connections.
+    Ready,
+    /// It takes none any more.
+    Ending,
+}
+
+const STATES: [(State, &str); 3] =
+    [(State::Starting, "starting"), (State::Ready, "ready"), (State::Ending, "ending")];
+
+/// What one process tells.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Word {
+    /// The gateway that it is a process of.
+    pub gateway: String,
+    /// What it does.
+    pub state: State,
+    /// The number of the last notice that it has taken over.
+    pub rev: u64,
+    /// Workers that staff have taken out (or put back), and when.
+    pub bans: BTreeMap<String, (bool, Micros)>,
+    /// Names that were listed once.
+    pub seen: Vec<String>,
+}
+
+/// Why a text cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HandoverError {
+    /// It is not a text of this kind, or was written by another version.
+    Version(String),
+    /// Its sum does not fit: it is damaged or not whole.
+    Damaged,
+    /// It is larger than one can be.
+    TooLarge,
+    /// A line has no meaning.
+    Line(String),
+    /// It is of another gateway.
+    Foreign(String),
+    /// Its process has been dead for so long that it cannot be an upgrade's.
+    LongDead,
+}
+
+impl fmt::Display for HandoverError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HandoverError::Version(line) => write!(f, "'{line}' is not the form that this version reads"),
+            HandoverError::Damaged => write!(f, "its sum does not fit"),
+            HandoverError::TooLarge => write!(f, "it is too large"),
+            HandoverError::Line(line) => write!(f, "the line '{line}' has no meaning"),
+            HandoverError::Foreign(name) => write!(f, "it is of the gateway '{name}'"),
+            HandoverError::LongDead => write!(f, "its process died long ago"),
+        }
+    }
+}
+
+impl std::error::Error for HandoverError {}
+
+fn sum(text: &str) -> String {
+    blake3::hash(text.as_bytes()).to_hex().as_str()[..32].to_owned()
+}
+
+fn usable(name: &str) -> bool {
+    !name.is_empty() && name.len() <= LONGEST_NAME && name.bytes().all(|b| (0x21..0x7f).contains(&b))
+}
+
+impl Word {
+    /// The text; names that cannot stand in a line of their own are left out.
+    pub fn text(&self) -> String {
+        let state = STATES.iter().find(|(s, _)| *s == self.state).map_or("", |(_, word)| word);
+        let mut text = format!(
+            "molelug-handover {VERSION}\ngateway {}\nstate {state}\nrev {}\n",
+            self.gateway, self.rev
+        );
+        for (name, (banned, at)) in self.bans.iter().filter(|(n, _)| usable(n)) {
+            text += &format!("{} {name} {at}\n", if *banned { "ban" } else { "free" });
+        }
+        for name in self.seen.iter().filter(|n| usable(n)) {
+            text += &format!("seen {name}\n");
+        }
+        let sum = sum(&text);
+        text + &format!("sum {sum}\n")
+    }
+
+    /// Reads a text that another process of the gateway `name` has left `age` ago; `alive` if it still runs.
+    pub fn read(bytes: &[u8], name: &str, alive: bool, age: Micros) -> Result<Word, HandoverError> {
+        if bytes.len() > MOST_BYTES {
+            return Err(HandoverError::TooLarge);
+        }
+        let text = std::str::from_utf8(bytes).map_err(|_| HandoverError::Damaged)?;
+        let (first, _) = text.split_once('\n').ok_or(HandoverError::Damaged)?;
+        if first.strip_prefix("molelug-handover ") != Some(VERSION) {
+            return Err(HandoverError::Version(first.chars().take(40).collect()));
+        }
+        let body = text.strip_suffix('\n').and_then(|t| t.rsplit_once("\nsum "));
+        let (body, stated) = body.ok_or(HandoverError::Damaged)?;
+        let whole = format!("{body}\n");
+        if sum(&whole) != stated {
+            return Err(HandoverError::Damaged);
+        }
+        let mut word = Word::default();
+        for line in whole.lines().skip(1) {
+            word.line(line).ok_or_else(|| HandoverError::Line(line.chars().take(40).collect()))?;
+        }
+        if word.gateway != name {
+            return Err(HandoverError::Foreign(word.gateway));
+        }
+        if !alive && age > LONG_DEAD {
+            return Err(HandoverError::LongDead);
+        }
+        Ok(word)
+    }
+
+    fn line(&mut self, line: &str) -> Option<()> {
+        let (what, rest) = line.split_once(' ')?;
+        match what {
+            "gateway" => self.gateway = rest.to_owned(),
+            "state" => self.state = STATES.iter().find(|(_, word)| *word == rest)?.0,
+            "rev" => self.rev = rest.parse().ok()?,
+            "ban" | "free" => {
+                let (name, at) = rest.split_once(' ')?;
+                self.bans
+                    .insert(Some(name).filter(|n| usable(n))?.to_owned(), (what == "ban", at.parse().ok()?));
+            }
+            "seen" => self.seen.push(Some(rest).filter(|n| usable(n))?.to_owned()),
+            _ => return None,
+        }
+        Some(())
+    }
+}
+
+/// The other processes of this gateway that live.
+#[derive(Debug, Default)]
+pub struct Others {
+    living: BTreeMap<u32, Word>,
+}
+
+impl Others {
+    /// A living process has told this.
+    pub fn heard(&mut self, pid: u32, word: Word) {
+        self.living.insert(pid, word);
+    }
+
+    /// These are all that live; what others told counts no more. One that lives and has told nothing yet counts
+    /// as starting. Tells whether their number has changed.
+    pub fn only(&mut self, living: &BTreeSet<u32>) -> bool {
+        let before = self.living.len();
+        self.living.retain(|pid, _| living.contains(pid));
+        let left = self.living.len();
+        for pid in living {
+            self.living.entry(*pid).or_default();
+        }
+        before != left || left != self.living.len()
+    }
+
+    /// Processes of this gateway, this one counted in.
+    pub fn processes(&self) -> usize {
+        1 + self.living.len()
+    }
+
+    /// Whether another process takes connections.
+    pub fn take_over(&self) -> bool {
+        self.living.values().any(|w| w.state == State::Ready)
+    }
+
+    /// The last notice that any other has taken over.
+    pub fn rev(&self) -> u64 {
+        self.living.values().map(|w| w.rev).max().unwrap_or(0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn word() -> Word {
+        let bans = [("s-1".to_owned(), (true, 7)), ("s-2".to_owned(), (false, 9))];
+        let seen = vec!["s-1".into(), "s-2".into(), "s-3".into()];
+        Word { gateway: "n3".into(), state: State::Ready, rev: 41, bans: bans.into(), seen }
+    }
+
+    #[test]
+    fn what_is_written_is_read_and_every_damage_is_told() {
+        let text = word().text();
+        assert_eq!(Word::read(text.as_bytes(), "n3", true, 0), Ok(word()));
+        for cut in 0..text.len() {
+            assert!(Word::read(&text.as_bytes()[..cut], "n3", true, 0).is_err(), "cut at {cut}");
+        }
+        for at in 0..text.len() {
+            let mut bad = text.clone().into_bytes();
+            bad[at] ^= 1;
+            assert!(Word::read(&bad, "n3", true, 0).is_err(), "changed at {at}");
+        }
+        let read = |text: &str, name, alive, age| Word::read(text.as_bytes(), name, alive, age).unwrap_err();
+        assert_eq!(read(&text, "n4", true, 0), HandoverError::Foreign("n3".into()));
+        assert_eq!(read(&text, "n3", false, LONG_DEAD + 1), HandoverError::LongDead);
+        assert!(Word::read(text.as_bytes(), "n3", true, LONG_DEAD + 1).is_ok(), "a living one's counts");
+        assert!(Word::read(text.as_bytes(), "n3", false, LONG_DEAD).is_ok(), "one just killed, too");
+        let newer = text.replace("handover 1", "handover 2");
+        assert!(matches!(read(&newer, "n3", true, 0), HandoverError::Version(_)));
+        let body = "molelug-handover 1\ngateway n3\nlanes 4\n";
+        let odd = format!("{body}sum {}\n", sum(body));
+        assert_eq!(read(&odd, "n3", true, 0), HandoverError::Line("lanes 4".into()));
+        assert_eq!(Word::read(&vec![b'a'; MOST_BYTES + 1], "n3", true, 0), Err(HandoverError::TooLarge));
+    }
+
+    #[test]
+    fn names_that_would_break_a_line_are_left_out_and_the_largest_text_can_be_read() {
+        let mut w = word();
+        w.bans.insert("a b".into(), (true, 1));
+        w.seen.push("x\ny".into());
+        assert_eq!(Word::read(w.text().as_bytes(), "n3", true, 0), Ok(word()));
+        let name = |n: usize| format!("{n:0>LONGEST_NAME$}");
+        w.seen = (0..MOST_SEEN).map(name).collect();
+        w.bans = (0..MOST_SEEN).map(|n| (name(n), (true, Micros::MAX))).collect();
+        assert!(Word::read(w.text().as_bytes(), "n3", true, 0).is_ok());
+    }
+
+    #[test]
+    fn another_process_takes_over_only_once_it_is_ready_and_while_it_lives() {
+        let mut others = Others::default();
+        let living = BTreeSet::from([8]);
+        assert!(others.only(&living) && !others.only(&living));
+        assert_eq!((others.processes(), others.take_over()), (2, false), "it has told nothing yet");
+        others.heard(8, Word { state: State::Starting, ..word() });
+        assert!(!others.take_over());
+        others.heard(8, word());
+        assert!(others.take_over() && others.rev() == 41);
+        others.heard(8, Word { state: State::Ending, ..word() });
+        assert!(!others.take_over());
+        others.heard(8, word());
+        assert!(others.only(&BTreeSet::new()));
+        assert_eq!((others.processes(), others.take_over(), others.rev()), (1, false, 0));
+    }
+
+    proptest! {
+        #[test]
+        fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+            prop_assert!(Word::read(&bytes, "n3", true, 0).is_err());
+        }
+    }
+}
--- a/src/operations/mod.rs
+++ b/src/operations/mod.rs
@@ -2,5 +2,6 @@
 //! `front::line`; how it is used stands in `docs/operators/daily.md`.
 
 pub mod figures;
+pub mod handover;
 pub mod lifecycle;
 pub mod upkeep;
--- a/src/operations/upkeep.rs
+++ b/src/operations/upkeep.rs
@@ -3,6 +3,7 @@
 //! Bounds: what is listed, and [`MOST_SEEN`] names that were; bans can only be on those.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
 
 use crate::api::{Member, Micros, Status};
 
@@ -11,16 +12,33 @@
 /// Bytes that a name may have to be remembered.
 pub const LONGEST_NAME: usize = 128;
 
-/// A worker that was never listed.
+/// Why a worker cannot be taken out or put back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NeverListed;
+pub enum Refusal {
+    /// It was never listed.
+    NeverListed,
+    /// As many as are remembered are out already.
+    TooMany,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::NeverListed => "no worker of that name was ever listed",
+            Refusal::TooMany => "too many workers are out",
+        })
+    }
+}
+
+impl std::error::Error for Refusal {}
 
 /// What the list and the operator say of the workers.
 #[derive(Debug, Default)]
 pub struct Upkeep {
     /// The list's last word.
     listed: BTreeMap<String, Member>,
-    banned: BTreeSet<String>,
+    /// The operator's last word, and when it was given. One that ended a ban stays for other processes to hear.
+    bans: BTreeMap<String, (bool, Micros)>,
     seen: BTreeSet<String>,
     /// The names seen, in the order in which they came.
     order: VecDeque<String>,
@@ -61,16 +79,17 @@
                 return;
             }
             let Some(oldest) = self.order.pop_front() else { return };
-            if self.banned.contains(&oldest) || self.listed.contains_key(&oldest) {
+            if self.is_banned(&oldest) || self.listed.contains_key(&oldest) {
                 self.order.push_back(oldest);
             } else {
                 self.seen.remove(&oldest);
+                self.bans.remove(&oldest);
             }
         }
     }
 
     fn overlay(&self, name: &str, mut member: Member) -> Member {
-        if member.status == Status::Ready && self.banned.contains(name) {
+        if member.status == Status::Ready && self.is_banned(name) {
             member.status = Status::Draining;
         }
         member
@@ -78,42 +97,60 @@
 
     /// Whether this name was listed at any time that is still remembered.
     pub fn knows(&self, name: &str) -> bool {
-        self.seen.contains(name) || self.banned.contains(name)
+        self.seen.contains(name)
     }
 
     /// Takes a worker out; returns what the module is to be told, if anything changes for it.
-    pub fn exclude(&mut self, name: &str) -> Result<Option<Member>, NeverListed> {
+    pub fn exclude(&mut self, name: &str, now: Micros) -> Result<Option<Member>, Refusal> {
+        self.call(name, true, now)
+    }
+
+    /// Puts a worker back, however often it was taken out.
+    pub fn include(&mut self, name: &str, now: Micros) -> Result<Option<Member>, Refusal> {
+        self.call(name, false, now)
+    }
+
+    fn call(&mut self, name: &str, ban: bool, now: Micros) -> Result<Option<Member>, Refusal> {
         if !self.knows(name) {
-            return Err(NeverListed);
+            return Err(Refusal::NeverListed);
         }
-        let new = self.banned.insert(name.to_owned());
-        let listed = self.listed.get(name).filter(|_| new).cloned();
-        Ok(listed.map(|m| self.overlay(name, m)))
+        if ban && !self.is_banned(name) && self.bans.values().filter(|(b, _)| *b).count() >= MOST_SEEN {
+            return Err(Refusal::TooMany);
+        }
+        // Later than all that was said before, whatever another process's clock shows.
+        let at = self.bans.get(name).map_or(now, |(_, at)| now.max(at + 1));
+        Ok(self.merge(name, ban, at, now))
     }
 
-    /// Puts a worker back, however often it was taken out. Meanwhile it was restarted, this instant at the latest:
-    /// it is told as started now, so that it is not pushed over.
-    pub fn include(&mut self, name: &str, now: Micros) -> Result<Option<Member>, NeverListed> {
-        if !self.knows(name) {
-            return Err(NeverListed);
+    /// Takes over what was said of a worker at a time, here or by another process: the last word counts, of two at
+    /// the same time the ban. Any order of merging leads to the same. Returns what the module is to be told.
+    pub fn merge(&mut self, name: &str, ban: bool, at: Micros, now: Micros) -> Option<Member> {
+        self.see(name);
+        if !self.knows(name) || self.bans.get(name).is_some_and(|(b, t)| (*t, *b) >= (at, ban)) {
+            return None;
+        }
+        let before = self.is_banned(name);
+        self.bans.insert(name.to_owned(), (ban, at));
+        if before == ban {
+            return None;
         }
-        if !self.banned.remove(name) {
-            return Ok(None);
+        let member = self.listed.get_mut(name)?;
+        if !ban {
+            // Meanwhile it was restarted, this instant at the latest: told as started now, it is not pushed over.
+            member.started = Some(member.started.unwrap_or(0).max(now));
         }
-        Ok(self.listed.get_mut(name).map(|m| {
-            m.started = Some(m.started.unwrap_or(0).max(now));
-            m.clone()
-        }))
+        let member = member.clone();
+        Some(self.overlay(name, member))
     }
 
     /// Whether this worker is taken out.
     pub fn is_banned(&self, name: &str) -> bool {
-        self.banned.contains(name)
+        self.bans.get(name).is_some_and(|(banned, _)| *banned)
     }
 
-    /// The workers taken out.
-    pub fn banned(&self) -> &BTreeSet<String> {
-        &self.banned
+    /// The operator's last word on each worker, and when it was given.
+    pub fn bans(&self) -> &BTreeMap<String, (bool, Micros)> {
+        &self.bans
     }
 
     /// The names remembered, oldest first.
@@ -151,10 +188,11 @@
     #[test]
     fn a_ban_outlives_whatever_the_list_says_and_one_call_ends_it() {
         let mut u = Upkeep::default();
-        assert!(u.exclude("s-1") == Err(NeverListed) && u.include("s-1", 1) == Err(NeverListed));
+        let never = Err(Refusal::NeverListed);
+        assert!(u.exclude("s-1", 5) == never && u.include("s-1", 1) == never);
         assert_eq!(list(&mut u, true, "s-1", Status::Ready), Status::Ready);
-        assert_eq!(u.exclude("s-1").unwrap().unwrap().status, Status::Draining);
-        assert!(u.exclude("s-1").unwrap().is_none(), "again is harmless, and nothing new");
+        assert_eq!(u.exclude("s-1", 5).unwrap().unwrap().status, Status::Draining);
+        assert!(u.exclude("s-1", 5).unwrap().is_none(), "again is harmless, and nothing new");
         assert_eq!(list(&mut u, false, "s-1", Status::Ready), Status::Draining);
         assert_eq!(list(&mut u, false, "s-1", Status::Gone), Status::Gone);
         assert_eq!(list(&mut u, true, "s-2", Status::Ready), Status::Ready, "a whole new list without it");
@@ -170,9 +208,9 @@
         let mut u = Upkeep::default();
         list(&mut u, true, "s-1", Status::Ready);
         list(&mut u, false, "s-1", Status::Gone);
-        assert!(u.exclude("s-1").unwrap().is_none() && u.is_banned("s-1"));
+        assert!(u.exclude("s-1", 5).unwrap().is_none() && u.is_banned("s-1"));
         list(&mut u, false, "s-2", Status::Draining);
-        u.exclude("s-2").unwrap();
+        u.exclude("s-2", 5).unwrap();
         assert_eq!(u.include("s-2", 9).unwrap().unwrap().status, Status::Draining);
     }
 
@@ -180,7 +218,7 @@
     fn names_are_forgotten_oldest_first_but_never_one_that_is_banned_or_listed() {
         let mut u = Upkeep::default();
         list(&mut u, true, "banned", Status::Ready);
-        u.exclude("banned").unwrap();
+        u.exclude("banned", 5).unwrap();
         list(&mut u, false, "banned", Status::Gone);
         list(&mut u, false, "listed", Status::Ready);
         for n in 0..3 * MOST_SEEN {
@@ -195,6 +233,29 @@
     }
 
     proptest! {
+        /// Two processes that hear the same words in any order, some twice, hold the same bans.
+        #[test]
+        fn merging_knows_no_order(
+            words in proptest::collection::vec((0..3usize, any::<bool>(), 0..6u64), 0..20),
+            turn in any::<prop::sample::Index>(),
+        ) {
+            let names = ["a", "b", "c"];
+            let heard = |words: &[(usize, bool, u64)]| {
+                let mut u = Upkeep::default();
+                for (n, ban, at) in words {
+                    u.merge(names[*n], *ban, *at, 9);
+                }
+                u.bans().clone()
+            };
+            let mut other = words.clone();
+            if !other.is_empty() {
+                let by = turn.index(other.len());
+                other.rotate_left(by);
+                other.extend_from_within(..by);
+            }
+            prop_assert_eq!(heard(&words), heard(&other));
+        }
+
         /// Against a plain model: told as ready only if the list says so and no ban holds.
         #[test]
         fn told_is_the_list_and_the_operator_together(
@@ -218,7 +279,7 @@
                         u.list(true, [(names[n], member(n as u32, Status::Ready))])
                     }
                     4 => {
-                        let got = u.exclude(names[n]);
+                        let got = u.exclude(names[n], 5);
                         prop_assert_eq!(got.is_ok(), ever[n]);
                         banned[n] |= ever[n];
                         got.ok().flatten().into_iter().collect()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -43,7 +43,10 @@
 pub struct Gateway {
     child: Child,
     lines: mpsc::Receiver<String>,
-    folder: PathBuf,
+    pub folder: PathBuf,
+    shares: bool,
+    /// What it said while an address was waited for.
+    said: String,
     pub platform: SocketAddr,
     pub webhooks: Option<SocketAddr>,
     pub admin: Option<SocketAddr>,
@@ -86,6 +89,12 @@
         (sockets, files): (usize, usize),
         variables: &[(&str, &str)],
     ) -> Gateway {
+        let folder = Gateway::configure(settings, workers, board, sockets);
+        Gateway::spawn(folder, operator, files, variables, None)
+    }
+
+    /// A folder with a configuration.
+    fn configure(settings: &Value, workers: &[Value], board: Option<SocketAddr>, sockets: usize) -> PathBuf {
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{n}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
@@ -95,12 +104,59 @@
             "limits": { "cores": 1.0, "memory_mb": 192, "sockets": sockets },
             "board": board.map_or(String::new(), |b| b.to_string()), "settings": settings });
         std::fs::write(folder.join("config.json"), config.to_string()).expect("a file");
+        folder
+    }
+
+    /// A process that is handed its clients' socket as descriptor 7; `beside` is a gateway whose file and folder it
+    /// shares.
+    pub fn handed(socket: &TcpListener, workers: &[Value], beside: Option<&Gateway>) -> Gateway {
+        let folder = match beside {
+            Some(g) => g.folder.clone(),
+            None => Gateway::configure(&settings(2500.0), workers, None, 1024),
+        };
+        let tmp = folder.join("tmp");
+        std::fs::create_dir_all(&tmp).expect("a folder");
+        let tmp = tmp.display().to_string();
+        let variables = [("RELAY_ADMIN_ADDR", "127.0.0.1:0"), ("RELAY_FD", "7"), ("TMPDIR", tmp.as_str())];
+        Gateway::spawn(folder, None, 1024, &variables, Some(socket))
+    }
+
+    /// One in a folder that holds a configuration already, and what it said before it listened.
+    pub fn handed_in(socket: &TcpListener, folder: &std::path::Path) -> (String, Gateway) {
+        let tmp = folder.join("tmp").display().to_string();
+        let variables = [("RELAY_ADMIN_ADDR", "127.0.0.1:0"), ("RELAY_FD", "7"), ("TMPDIR", tmp.as_str())];
+        let mut g = Gateway::spawn(folder.into(), None, 1024, &variables, Some(socket));
+        (std::mem::take(&mut g.said), g)
+    }
+
+    /// Other processes of this gateway that live, as their locks tell.
+    pub fn others(&self) -> usize {
+        let folder = self.folder.join("tmp/molelug-handover");
+        let own = format!("{}.", self.pid());
+        let names = std::fs::read_dir(folder)
+            .expect("a folder")
+            .filter_map(|f| f.ok()?.file_name().into_string().ok());
+        names.filter(|n| n.ends_with(".lock") && !n.starts_with(&own)).count()
+    }
+
+    fn spawn(
+        folder: PathBuf,
+        operator: Option<&str>,
+        files: usize,
+        variables: &[(&str, &str)],
+        socket: Option<&TcpListener>,
+    ) -> Gateway {
         let mut command = Command::new("/bin/sh");
-        let line = format!("ulimit -n {files} && exec \"$0\" \"$@\"");
+        let hand = if socket.is_some() { "exec 7<&0 </dev/null && " } else { "" };
+        let line = format!("{hand}ulimit -n {files} && exec \"$0\" \"$@\"");
         command.args(["-c", line.as_str(), env!("CARGO_BIN_EXE_molelug"), "serve"]);
         command.env("RELAY_CONFIG", folder.join("config.json")).env("RELAY_NAME", "g0");
         command.env("RELAY_LISTEN", "127.0.0.1:0").stderr(Stdio::piped()).stdin(Stdio::null());
         command.envs(variables.iter().copied());
+        if let Some(socket) = socket {
+            // The standard input is how a descriptor gets to a child without unsafe code.
+            command.stdin(std::os::fd::OwnedFd::from(socket.try_clone().expect("a descriptor")));
+        }
         if let Some(text) = operator {
             std::fs::write(folder.join("operator.toml"), text).expect("a file");
             command.arg("--operator").arg(folder.join("operator.toml"));
@@ -110,8 +166,17 @@
         let errors = BufReader::new(child.stderr.take().expect("its log"));
         std::thread::spawn(move || errors.lines().map_while(Result::ok).all(|l| tell.send(l).is_ok()));
         let nowhere = ([0, 0, 0, 0], 0).into();
-        let mut g =
-            Gateway { child, lines, folder, platform: nowhere, webhooks: None, admin: None, line: None };
+        let mut g = Gateway {
+            child,
+            lines,
+            folder,
+            shares: socket.is_some(),
+            said: String::new(),
+            platform: nowhere,
+            webhooks: None,
+            admin: None,
+            line: None,
+        };
         g.platform = g.listener("listens on ");
         if operator.is_some_and(|t| t.contains("[webhooks]")) {
             g.webhooks = Some(g.listener("takes webhooks on "));
@@ -163,6 +228,7 @@
             if line.contains(what) {
                 return line;
             }
+            self.said += &(line + "\n");
         }
     }
 
@@ -175,6 +241,12 @@
         rustix::process::kill_process(pid, signal).expect("it lives");
     }
 
+    /// SIGKILL.
+    pub fn kill(mut self) {
+        self.child.kill().expect("it lives");
+        self.child.wait().expect("it ends");
+    }
+
     /// SIGTERM, and the counters that it prints at its end.
     pub fn stop(self) -> Value {
         self.signal(rustix::process::Signal::TERM);
@@ -194,7 +266,10 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
+        // Kept while another process of the same gateway may need it.
+        if !self.shares {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
