Have a new process use cold workers from its first seconds, and part limits between two

Ruled out: the door (0 requests ended there), readiness (0.0 s), late bans. Lines at fault: Brain::survey divides what was served by a whole INTERVAL, also two seconds after the start, so `bears` is a tenth of the truth, the cold budget falls below one call and a new process sends each cold worker one call in several seconds.

Change: a new instance divides by the time since its first answer (not less than the fall window), less two standard deviations of the count, so that few calls prove nothing. While two processes live, each gets half of the free load orders and of the fall multiple (Event::Limits, computed in operations::handover).

Tests: both fail with the old rule (2 calls instead of 11) and without the deduction (15 instead of 11).

--- a/src/api.rs
+++ b/src/api.rs
@@ -362,6 +362,14 @@
         /// Calls a second over all instances; 0 where none is stated.
         quota_per_s: f64,
     },
+    /// What this instance may use of the load ration and of a cold worker has changed: while a new version starts
+    /// beside an old one, each has its part.
+    Limits {
+        /// The ration from now on; what was ordered and taken before still counts.
+        ration: Option<LoadRation>,
+        /// In place of [`Settings::fall_multiple`].
+        fall_multiple: f64,
+    },
     /// A timer set by [`Action::Wake`] is due.
     Wake {
         /// The token given with it.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -271,12 +271,15 @@
             // A stream that flows belongs to the client: no deadline, no call-back, no answer of ours.
             Event::Streaming { request: id } => drop(self.requests.entry(id).and_modify(|r| r.done = true)),
             Event::ClientGone { request } => self.on_client_gone(request, out),
-            Event::Loaded { worker: w, function: f, outcome, copies: n } => {
-                self.on_loaded(now, (w, f), outcome, n)
+            Event::Loaded { worker: w, function: f, outcome: o, copies } => {
+                self.on_loaded(now, (w, f), o, copies)
             }
             Event::Probed { .. } => {}
             Event::Rumour { worker, down } => self.on_rumour(now, worker, down),
             Event::Share { tenant, quota_per_s } => self.on_share(now, tenant, quota_per_s),
+            Event::Limits { ration, fall_multiple } => {
+                (self.settings.ration, self.settings.fall_multiple) = (ration, fall_multiple)
+            }
             Event::Wake { .. } => self.on_round(now, out),
         }
         self.release(now, out);
@@ -465,8 +468,11 @@
         self.fit = self.workers.values().filter(|w| w.ready && w.healthy(now)).count();
         let ready = self.ready.max(1) as f64;
         let served = recent(&mut self.served, now, INTERVAL);
-        // The best seen: a budget cut by the very loss it should mend would never recover.
-        self.bears = self.bears.max(served / INTERVAL as f64 / ready);
+        // The best seen: a budget cut by the very loss it should mend would never recover. A new instance
+        // goes by what is sure of its first calls: it would send cold workers next to nothing at first.
+        let span = self.served.front().map_or(INTERVAL, |t| (now - t).max(self.settings.fall_window));
+        let sure = (served - 2.0 * served.sqrt()) / span.max(ROUND) as f64;
+        self.bears = self.bears.max(sure.max(served / INTERVAL as f64) / ready);
         let caps: f64 = self.workers.values().filter(|w| w.ready).map(|w| w.cap).sum();
         self.calm = self.carried(now) < CALM * caps;
         self.pressed = self.carried(now) > PRESSED * caps.max(self.first_cap * ready);
@@ -539,11 +545,7 @@
     /// Calls that a worker told of; to few instances their own tell enough.
     fn told(&self, now: Micros, w: &Worker) -> u32 {
         let counts = self.first_cap < 1.0 && now < w.told.1 + self.settings.keep;
-        if counts {
-            w.told.0 as u32
-        } else {
-            0
-        }
+        u32::from(counts) * w.told.0 as u32
     }
 
     fn mean_all(&self) -> f64 {
@@ -879,8 +881,7 @@
         self.requests.entry(id).and_modify(|r| (r.waits, r.avoid) = (Some((w, from)), None));
     }
 
-    fn on_loaded(&mut self, now: Micros, at: Home, outcome: Outcome, copies: u32) {
-        let (worker, function) = at;
+    fn on_loaded(&mut self, now: Micros, (worker, function): Home, outcome: Outcome, copies: u32) {
         // A refused connect tells of the worker whatever it was for; few instances see enough of others.
         let refused = outcome == Outcome::ConnectFailed && self.first_cap < 1.0;
         if let Some(w) = self.workers.get_mut(&worker).filter(|_| refused) {
--- a/src/core.rs
+++ b/src/core.rs
@@ -315,6 +315,11 @@
         self.feed(now, Event::Share { tenant, quota_per_s });
     }
 
+    /// Sets this instance's part of the load ration and of what cold workers bear.
+    pub fn limits(&mut self, now: Micros, ration: Option<LoadRation>, fall_multiple: f64) {
+        self.feed(now, Event::Limits { ration, fall_multiple });
+    }
+
     /// Tells the module what others saw of a worker; see [`Event::Rumour`].
     pub fn rumour(&mut self, now: Micros, worker: WorkerId, down: Option<Micros>) {
         self.feed(now, Event::Rumour { worker, down });
--- a/src/node.rs
+++ b/src/node.rs
@@ -298,7 +298,11 @@
     }
 
     /// How many places there are: this process's part, while others of the same gateway live.
-    fn share_limits(&mut self, _now: Micros) {
+    fn share_limits(&mut self, now: Micros) {
+        if let Some(handover) = &self.ops.handover {
+            let (ration, fall_multiple) = handover.limits(&self.config.settings);
+            self.core.limits(now, ration, fall_multiple);
+        }
         let sockets = self.sockets();
         self.most_clients = sockets.saturating_sub(RESERVED).max(sockets / 2).max(8);
         self.most_others = if self.has_others { self.most_clients / 4 } else { 0 };
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -32,6 +32,12 @@
     board: bool,
 }
 
+impl Handover {
+    pub(super) fn limits(&self, settings: &Settings) -> (Option<LoadRation>, f64) {
+        self.others.limits(settings)
+    }
+}
+
 fn begin(folder: PathBuf, pid: u32) -> io::Result<(PathBuf, File)> {
     fs::create_dir_all(&folder)?;
     // Locked before it gets its name: another process takes a file without a lock for a dead one's.
--- a/src/operations/handover.rs
+++ b/src/operations/handover.rs
@@ -17,7 +17,7 @@
 use std::fmt;
 
 use super::upkeep::{LONGEST_NAME, MOST_SEEN};
-use crate::api::Micros;
+use crate::api::{LoadRation, Micros, Settings};
 
 /// The form that this version writes and reads.
 const VERSION: &str = "1";
@@ -192,6 +192,14 @@
         1 + self.living.len()
     }
 
+    /// This process's part of what one gateway may order and send to a cold worker. The part of the ration that
+    /// follows from calls taken is not split: each process counts its own.
+    pub fn limits(&self, settings: &Settings) -> (Option<LoadRation>, f64) {
+        let n = self.processes() as f64;
+        let ration = settings.ration.map(|r| LoadRation { free: r.free / n, ..r });
+        (ration, settings.fall_multiple / n)
+    }
+
     /// Whether another process takes connections.
     pub fn take_over(&self) -> bool {
         self.living.values().any(|w| w.state == State::Ready)
@@ -268,6 +276,17 @@
         assert_eq!((others.processes(), others.take_over(), others.rev()), (1, false, 0));
     }
 
+    /// Guards the rules on loads and cold workers, which see one gateway in two processes.
+    #[test]
+    fn two_processes_have_the_limits_of_one_together() {
+        let ration = LoadRation { window: 10, free: 3.0, ratio: 0.3 };
+        let settings = Settings { ration: Some(ration), fall_multiple: 3.0, ..Settings::default() };
+        let mut others = Others::default();
+        assert_eq!(others.limits(&settings), (Some(ration), 3.0));
+        others.only(&BTreeSet::from([8, 9]));
+        assert_eq!(others.limits(&settings), (Some(LoadRation { free: 1.0, ..ration }), 1.0));
+    }
+
     proptest! {
         #[test]
         fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -257,6 +257,61 @@
     assert_eq!(sent(&rig.wake()).len(), 1);
 }
 
+/// What a fresh instance sends to a cold worker at once, after a second and a half of calls served by a warm one.
+fn sent_to_a_cold_one(calls: u64, fall_multiple: f64) -> usize {
+    let mut rig = Rig::new(Settings { instances: 3, ..settings() }, 1);
+    for _ in 0..calls {
+        rig.now += SECOND * 3 / 2 / calls;
+        let (id, actions) = rig.ask(7, 0);
+        let (_, worker) = sent(&actions)[0];
+        rig.end(id, worker, Outcome::Ok, 10_000);
+    }
+    rig.event(Event::Limits { ration: None, fall_multiple });
+    let members = vec![member(1, Status::Draining, None), member(2, Status::Ready, Some(rig.now))];
+    rig.event(Event::Members { kind: ListKind::Delta, members });
+    let one = |f: u64| {
+        let (id, actions) = rig.ask(100 + f, 0);
+        let sent = sent(&actions);
+        sent.iter().for_each(|(_, worker)| drop(rig.end(id, *worker, Outcome::Ok, 10_000)));
+        sent.len()
+    };
+    (0..40).map(one).sum()
+}
+
+/// Upgrades beside a release: each new process sent the cold workers one call a window, as it divided what it had
+/// seen by a whole interval, and a fifth of all calls was refused until that had passed. What few calls tell is not
+/// sure: many instances that each took two in a moment for a rate would push a cold worker over.
+#[test]
+fn a_fresh_instance_goes_by_what_is_sure_of_its_first_calls() {
+    // 60 calls in 1.5 s are 29 a second for sure: times 2, times 0.3 of full capacity, times 0.65 for safety.
+    assert_eq!(sent_to_a_cold_one(60, 2.0), 11);
+    assert!(sent_to_a_cold_one(4, 2.0) <= 1, "four calls prove nothing");
+}
+
+/// Two processes of one gateway during an upgrade: each has its part of the cold budget and of the ration.
+#[test]
+fn limits_can_be_parted_and_given_back() {
+    assert_eq!(sent_to_a_cold_one(60, 1.0), 5);
+    let ration = Some(LoadRation { window: 5 * SECOND, free: 4.0, ratio: 0.0 });
+    let mut rig = Rig::new(Settings { ration, ..settings() }, 12);
+    let mut orders = |rig: &mut Rig| {
+        (0..6)
+            .map(|_| {
+                let function = u64::from(rig.next);
+                let (id, actions) = rig.ask(function, 0);
+                let (_, worker) = sent(&actions)[0];
+                let actions = rig.end(id, worker, Outcome::Miss, 1_000);
+                actions.iter().filter(|a| matches!(a, Action::Load { .. })).count()
+            })
+            .sum::<usize>()
+    };
+    let half = ration.map(|r| LoadRation { free: 2.0, ..r });
+    rig.event(Event::Limits { ration: half, fall_multiple: 2.0 });
+    assert_eq!(orders(&mut rig), 2);
+    rig.event(Event::Limits { ration, fall_multiple: 2.0 });
+    assert_eq!(orders(&mut rig), 2, "what was ordered before still counts");
+}
+
 /// A hundred instances that each allowed themselves one call pushed cold workers over together.
 #[test]
 fn many_instances_share_one_cold_budget() {
