--- a/tests/module.rs
+++ b/tests/module.rs
@@ -294,7 +294,7 @@
     assert_eq!(sent_to_a_cold_one(60, 1.0), 5);
     let ration = Some(LoadRation { window: 5 * SECOND, free: 4.0, ratio: 0.0 });
     let mut rig = Rig::new(Settings { ration, ..settings() }, 12);
-    let mut orders = |rig: &mut Rig| {
+    let orders = |rig: &mut Rig| {
         (0..6)
             .map(|_| {
                 let function = u64::from(rig.next);
