Tell a new process what workers bear, so that cold ones are used after an upgrade

A probe in the module's answer printed what each worker was fit for: before the upgrade at 12.45 s "bears27.26" and all cold workers open; after it "bears1.27", at 16 s "bears6.80", and the three cold workers of five "1101 in0", healthy, with free slots and no cold room (third digit 0), while the two warm ones were at their caps. Ruled out: slots of the cold ones, their health, the ration (2 to 5 loads under way), the door. The circle: the cold budget follows from calls served, and with most workers cold few are served.

Change: the word that a process leaves for the others carries what a worker served at most for it, and Event::Limits tells it to the new one's module.

A restart from nothing has nobody to tell it and is as before. Copies that stand are not handed over yet.

--- a/src/api.rs
+++ b/src/api.rs
@@ -369,6 +369,8 @@
         ration: Option<LoadRation>,
         /// In place of [`Settings::fall_multiple`].
         fall_multiple: f64,
+        /// The most that a worker is known to have served for this gateway, answers a microsecond; 0 if nothing is.
+        bears: f64,
     },
     /// A timer set by [`Action::Wake`] is due.
     Wake {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -159,7 +159,7 @@
     taken: VecDeque<Micros>,
     served: VecDeque<Micros>,
     /// The most that a worker served for this instance on average over an interval, answers a microsecond.
-    bears: f64,
+    pub(crate) bears: f64,
     /// For each tenant this instance's part of its share, calls a second, what is left of it, and when.
     buckets: Vec<(f64, f64, Micros)>,
     total: f64,
@@ -277,8 +277,9 @@
             Event::Probed { .. } => {}
             Event::Rumour { worker, down } => self.on_rumour(now, worker, down),
             Event::Share { tenant, quota_per_s } => self.on_share(now, tenant, quota_per_s),
-            Event::Limits { ration, fall_multiple } => {
-                (self.settings.ration, self.settings.fall_multiple) = (ration, fall_multiple)
+            Event::Limits { ration, fall_multiple, bears } => {
+                (self.settings.ration, self.settings.fall_multiple) = (ration, fall_multiple);
+                self.bears = self.bears.max(bears);
             }
             Event::Wake { .. } => self.on_round(now, out),
         }
--- a/src/core.rs
+++ b/src/core.rs
@@ -316,8 +316,13 @@
     }
 
     /// Sets this instance's part of the load ration and of what cold workers bear.
-    pub fn limits(&mut self, now: Micros, ration: Option<LoadRation>, fall_multiple: f64) {
-        self.feed(now, Event::Limits { ration, fall_multiple });
+    pub fn limits(&mut self, now: Micros, ration: Option<LoadRation>, fall_multiple: f64, bears: f64) {
+        self.feed(now, Event::Limits { ration, fall_multiple, bears });
+    }
+
+    /// The most that a worker served for this gateway, answers a microsecond, as the module has seen it.
+    pub fn bears(&self) -> f64 {
+        self.brain.bears
     }
 
     /// Tells the module what others saw of a worker; see [`Event::Rumour`].
--- a/src/node.rs
+++ b/src/node.rs
@@ -300,8 +300,9 @@
     /// How many places there are: this process's part, while others of the same gateway live.
     fn share_limits(&mut self, now: Micros) {
         if let Some(handover) = &self.ops.handover {
-            let (ration, fall_multiple) = handover.limits(&self.config.settings);
-            self.core.limits(now, ration, fall_multiple);
+            let (ration, fall_multiple) = handover.others().limits(&self.config.settings);
+            let bears = handover.others().bears() / 1e6;
+            self.core.limits(now, ration, fall_multiple, bears);
         }
         let sockets = self.sockets();
         self.most_clients = sockets.saturating_sub(RESERVED).max(sockets / 2).max(8);
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -33,8 +33,8 @@
 }
 
 impl Handover {
-    pub(super) fn limits(&self, settings: &Settings) -> (Option<LoadRation>, f64) {
-        self.others.limits(settings)
+    pub(super) fn others(&self) -> &Others {
+        &self.others
     }
 }
 
@@ -137,6 +137,7 @@
             }
         }
         let processes = handover.others.processes();
+        let learnt = handover.others.bears() > self.core.bears() * 1e6;
         for (name, ban, at) in bans {
             if let Some(member) = self.ops.upkeep.merge(&name, ban, at, now) {
                 tracing::info!(worker = name, out = ban, "upkeep, told by another process");
@@ -145,6 +146,8 @@
         }
         if changed {
             tracing::info!(processes, "processes of this gateway");
+        }
+        if changed || learnt {
             self.share_limits(now);
         }
         if !dead.is_empty() {
@@ -177,6 +180,7 @@
             gateway: self.config.name.clone(),
             state,
             rev: self.last_rev,
+            bears: (self.core.bears() * 1e6).min(1e5),
             bans: upkeep.bans().clone(),
             seen: upkeep.seen().map(str::to_owned).collect(),
         };
--- a/src/operations/handover.rs
+++ b/src/operations/handover.rs
@@ -7,6 +7,7 @@
 //! gateway n3
 //! state ready
 //! rev 41
+//! bears 24.1
 //! ban s-00c41f7a 1764620000000000
 //! free s-1b 1764620001000000
 //! seen s-2c
@@ -23,6 +24,8 @@
 const VERSION: &str = "1";
 /// Bytes that a text may have.
 pub const MOST_BYTES: usize = 2 * MOST_SEEN * (LONGEST_NAME + 32);
+/// Answers a second of one worker that are believed at most.
+const MOST_BORNE: f64 = 1e5;
 /// A text of a dead process that is older than this was not left by an upgrade.
 pub const LONG_DEAD: Micros = 60_000_000;
 /// A process that has nothing new to tell writes its text again after this, as a sign that it is not old.
@@ -44,7 +47,7 @@
     [(State::Starting, "starting"), (State::Ready, "ready"), (State::Ending, "ending")];
 
 /// What one process tells.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Word {
     /// The gateway that it is a process of.
     pub gateway: String,
@@ -52,6 +55,8 @@
     pub state: State,
     /// The number of the last notice that it has taken over.
     pub rev: u64,
+    /// The most that a worker served for it, answers a second.
+    pub bears: f64,
     /// Workers that staff have taken out (or put back), and when.
     pub bans: BTreeMap<String, (bool, Micros)>,
     /// Names that were listed once.
@@ -103,8 +108,8 @@
     pub fn text(&self) -> String {
         let state = STATES.iter().find(|(s, _)| *s == self.state).map_or("", |(_, word)| word);
         let mut text = format!(
-            "molelug-handover {VERSION}\ngateway {}\nstate {state}\nrev {}\n",
-            self.gateway, self.rev
+            "molelug-handover {VERSION}\ngateway {}\nstate {state}\nrev {}\nbears {:.1}\n",
+            self.gateway, self.rev, self.bears
         );
         for (name, (banned, at)) in self.bans.iter().filter(|(n, _)| usable(n)) {
             text += &format!("{} {name} {at}\n", if *banned { "ban" } else { "free" });
@@ -151,6 +156,7 @@
             "gateway" => self.gateway = rest.to_owned(),
             "state" => self.state = STATES.iter().find(|(_, word)| *word == rest)?.0,
             "rev" => self.rev = rest.parse().ok()?,
+            "bears" => self.bears = rest.parse().ok().filter(|b| (0.0..=MOST_BORNE).contains(b))?,
             "ban" | "free" => {
                 let (name, at) = rest.split_once(' ')?;
                 self.bans
@@ -167,11 +173,13 @@
 #[derive(Debug, Default)]
 pub struct Others {
     living: BTreeMap<u32, Word>,
+    bears: f64,
 }
 
 impl Others {
     /// A living process has told this.
     pub fn heard(&mut self, pid: u32, word: Word) {
+        self.bears = self.bears.max(word.bears);
         self.living.insert(pid, word);
     }
 
@@ -192,6 +200,12 @@
         1 + self.living.len()
     }
 
+    /// The most that a worker was ever said to have served for this gateway, answers a second. A new process goes by
+    /// it: what it sees itself is too little to tell it while workers are cold, and they stay idle for it.
+    pub fn bears(&self) -> f64 {
+        self.bears
+    }
+
     /// This process's part of what one gateway may order and send to a cold worker. The part of the ration that
     /// follows from calls taken is not split: each process counts its own.
     pub fn limits(&self, settings: &Settings) -> (Option<LoadRation>, f64) {
@@ -219,7 +233,7 @@
     fn word() -> Word {
         let bans = [("s-1".to_owned(), (true, 7)), ("s-2".to_owned(), (false, 9))];
         let seen = vec!["s-1".into(), "s-2".into(), "s-3".into()];
-        Word { gateway: "n3".into(), state: State::Ready, rev: 41, bans: bans.into(), seen }
+        Word { gateway: "n3".into(), state: State::Ready, rev: 41, bears: 24.5, bans: bans.into(), seen }
     }
 
     #[test]
@@ -274,6 +288,7 @@
         others.heard(8, word());
         assert!(others.only(&BTreeSet::new()));
         assert_eq!((others.processes(), others.take_over(), others.rev()), (1, false, 0));
+        assert_eq!(others.bears(), 24.5, "what workers bear does not end with who saw it");
     }
 
     /// Guards the rules on loads and cold workers, which see one gateway in two processes.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -266,7 +266,7 @@
         let (_, worker) = sent(&actions)[0];
         rig.end(id, worker, Outcome::Ok, 10_000);
     }
-    rig.event(Event::Limits { ration: None, fall_multiple });
+    rig.event(Event::Limits { ration: None, fall_multiple, bears: 0.0 });
     let members = vec![member(1, Status::Draining, None), member(2, Status::Ready, Some(rig.now))];
     rig.event(Event::Members { kind: ListKind::Delta, members });
     let one = |f: u64| {
@@ -292,6 +292,10 @@
 #[test]
 fn limits_can_be_parted_and_given_back() {
     assert_eq!(sent_to_a_cold_one(60, 1.0), 5);
+    let mut rig = Rig::new(Settings { instances: 3, ..settings() }, 0);
+    rig.event(Event::Limits { ration: None, fall_multiple: 2.0, bears: 30e-6 });
+    rig.event(Event::Members { kind: ListKind::Delta, members: vec![member(2, Status::Ready, Some(1))] });
+    assert!(sent(&rig.ask(1, 0).1).len() + sent(&rig.ask(2, 0).1).len() == 2, "told, it need not see");
     let ration = Some(LoadRation { window: 5 * SECOND, free: 4.0, ratio: 0.0 });
     let mut rig = Rig::new(Settings { ration, ..settings() }, 12);
     let orders = |rig: &mut Rig| {
@@ -306,9 +310,9 @@
             .sum::<usize>()
     };
     let half = ration.map(|r| LoadRation { free: 2.0, ..r });
-    rig.event(Event::Limits { ration: half, fall_multiple: 2.0 });
+    rig.event(Event::Limits { ration: half, fall_multiple: 2.0, bears: 0.0 });
     assert_eq!(orders(&mut rig), 2);
-    rig.event(Event::Limits { ration, fall_multiple: 2.0 });
+    rig.event(Event::Limits { ration, fall_multiple: 2.0, bears: 0.0 });
     assert_eq!(orders(&mut rig), 2, "what was ordered before still counts");
 }
 
