--- a/src/brain.rs
+++ b/src/brain.rs
@@ -469,11 +469,8 @@
         self.fit = self.workers.values().filter(|w| w.ready && w.healthy(now)).count();
         let ready = self.ready.max(1) as f64;
         let served = recent(&mut self.served, now, INTERVAL);
-        // The best seen: a budget cut by the very loss it should mend would never recover. A new instance
-        // goes by what is sure of its first calls: it would send cold workers next to nothing at first.
-        let span = self.served.front().map_or(INTERVAL, |t| (now - t).max(self.settings.fall_window));
-        let sure = (served - 2.0 * served.sqrt()) / span.max(ROUND) as f64;
-        self.bears = self.bears.max(sure.max(served / INTERVAL as f64) / ready);
+        // The best seen: a budget cut by the very loss it should mend would never recover.
+        self.bears = self.bears.max(served / INTERVAL as f64 / ready);
         let caps: f64 = self.workers.values().filter(|w| w.ready).map(|w| w.cap).sum();
         self.calm = self.carried(now) < CALM * caps;
         self.pressed = self.carried(now) > PRESSED * caps.max(self.first_cap * ready);
--- a/src/core.rs
+++ b/src/core.rs
@@ -672,6 +672,55 @@
         assert!(core.requests.is_empty() && core.attempts.is_empty() && core.by_id.is_empty());
     }
 
+    use proptest::prelude::*;
+
+    proptest! {
+        /// The books hold after every step, whatever comes in whatever order: a call that was taken is open, has one
+        /// of the three final answers, in all and in its class, or its client left.
+        #[test]
+        fn what_was_taken_has_ended_or_is_pending(
+            steps in proptest::collection::vec((0..8u8, any::<prop::sample::Index>()), 1..200),
+        ) {
+            let mut core: Core<u32> = Core::new(settings(), 3, 0);
+            core.members(1, ListKind::Full, (1..4).map(member).collect());
+            let (mut now, mut out, mut open) = (1, Vec::new(), Vec::new());
+            for (n, (what, which)) in steps.into_iter().enumerate() {
+                now += 50_000;
+                match what {
+                    0..=2 => open.push(core.call(now, call(n as u32, now))),
+                    3 if !open.is_empty() => core.caller_gone(now, open.swap_remove(which.index(open.len()))),
+                    4 => core.turned_away(ClassId(1)),
+                    5..=7 if !out.is_empty() => {
+                        let attempt = out.swap_remove(which.index(out.len()));
+                        let ending = [Ending::Served, Ending::Failed, Ending::Missed][usize::from(what) - 5];
+                        core.ended(now, attempt, ending, Left::Some, Back::default());
+                    }
+                    _ => {}
+                }
+                core.tick(now, &mut Vec::new());
+                while let Some(command) = core.command() {
+                    match command {
+                        Command::Go { attempt, .. } => out.push(attempt),
+                        Command::Halt { attempt, why } => {
+                            out.retain(|a| *a != attempt);
+                            core.ended(now, attempt, why, Left::Some, Back::default());
+                        }
+                        Command::Stage { order, copies, .. } => {
+                            core.order_ended(now, order, Ending::Served, Left::Some, u32::from(copies));
+                        }
+                        _ => {}
+                    }
+                }
+                let c = &core.counters;
+                let by_class = |of: fn(&Ends) -> u64| c.ends.iter().map(of).sum::<u64>();
+                prop_assert_eq!(c.taken, c.served + c.refused + c.failed + c.left + core.open() as u64);
+                prop_assert_eq!(by_class(|e| e.served), c.served);
+                prop_assert_eq!(by_class(|e| e.refused), c.refused);
+                prop_assert_eq!(by_class(|e| e.failed), c.failed);
+            }
+        }
+    }
+
     #[test]
     fn the_module_giving_up_is_an_answer_at_once() {
         let mut core: Core<u32> = Core::new(settings(), 3, 0);
