Have the silent callers' test count descriptors, so that it fails without its guard

Seen: with the bound on callers at 4,000 the test still passed, as the five seconds that a silent caller has let the first one go anyway. Now it counts what the process holds after forty of them: 53 descriptors without the guard, fewer than 40 with it.

--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -73,6 +73,9 @@
     for _ in 0..20 {
         assert_eq!(g.ask(b"readyz\n"), "200 ready\n");
     }
+    // All forty had been accepted before the calls were answered; descriptors tell how many are still held.
+    let held = std::fs::read_dir(format!("/proc/{}/fd", g.pid())).unwrap().count();
+    assert!(held < 40, "{held} descriptors");
     assert!(ended(&mut silent[0]), "the first of them was let go");
 }
 
