Have the module look over what it holds once for all that comes in a turn

Answers then waited 39 to 524 ms (99th percentile) inside the gateway, and calls were not taken up.

`release` built, ranked and sorted all that is held at each event, and tried each held function again: work grows with what is held, and what is held grows with the work. Ruled out: memory (2 of 128 MB), descriptors, late board or figures, system calls (write 8%, read 4%, epoll 5%).

Change: `Brain::take` and `Brain::settle` in place of `handle`. The core settles once the commands before have been carried out, so once for all that came in one turn: a gateway that was stopped for its share catches up with one look. `release` reads each request once, `choose` lists the workers with room once. The simulator's host settles once a batch, as the gateway does.

--- a/src/bin/molelug-simhost/main.rs
+++ b/src/bin/molelug-simhost/main.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, BufWriter};
 use std::process::ExitCode;
 
@@ -20,6 +20,7 @@
     let mut output = BufWriter::with_capacity(1 << 16, io::stdout().lock());
     let mut instances: BTreeMap<u16, Instance> = BTreeMap::new();
     let (mut body, mut actions, mut reply) = (Vec::new(), Vec::new(), Reply::default());
+    let mut unsettled = BTreeSet::new();
     while let Some((count, now)) = wire::read_frame(&mut input, &mut body)? {
         for index in 0..count {
             let who = wire::instance(&body, index)?;
@@ -33,7 +34,8 @@
                 }
                 Message::Event(event) => {
                     if let Some(instance) = instances.get_mut(&who) {
-                        instance.brain.handle(now, event, &mut actions);
+                        instance.brain.take(now, event, &mut actions);
+                        unsettled.insert(who);
                     }
                 }
                 Message::Ignored => {}
@@ -42,6 +44,15 @@
                 reply.push(who, &action);
             }
         }
+        // As the gateway does: decisions once for all that came together.
+        for who in std::mem::take(&mut unsettled) {
+            if let Some(instance) = instances.get_mut(&who) {
+                instance.brain.settle(now, &mut actions);
+            }
+            for action in actions.drain(..) {
+                reply.push(who, &action);
+            }
+        }
         reply.flush(&mut output)?;
     }
     Ok(())
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -230,6 +230,15 @@
     x ^ (x >> 31)
 }
 
+impl Request {
+    /// Held with no prospect: no time left for an attempt, or none permitted any more. It gets its answer at
+    /// once: a worker would go on with it after its client has gone. Can harm a call much shorter than usual.
+    fn hopeless(&self, now: Micros, end: Micros, settings: &Settings) -> bool {
+        let permitted = allowed(self.effect, self.ran.map(|(_, sent)| sent), now, ROUND).resend;
+        end > self.expires || !permitted || self.attempts >= settings.max_attempts.max(1)
+    }
+}
+
 impl Worker {
     /// A cap below one is kept in time: what own calls take beyond the cap, all of them and while still out:
     /// at a hundred instances most calls are an instance's first of that function, and owed nothing else.
@@ -262,8 +271,9 @@
         Brain { settings, seed, first_cap, buckets, rolled: now, ..Default::default() }
     }
 
-    /// Takes one event and appends the actions that follow from it.
-    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+    /// Takes one event. [`Brain::settle`] is due once after all that come together: to look over what is held
+    /// at each of them took the whole processor where much was held, and then more was.
+    pub fn take(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Members { kind, members } => self.on_members(now, kind, members),
             Event::Request(arrival) => self.on_request(now, arrival),
@@ -283,6 +293,10 @@
             }
             Event::Wake { .. } => self.on_round(now, out),
         }
+    }
+
+    /// Does what follows from the events taken, and appends the actions.
+    pub fn settle(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.release(now, out);
         self.keep_time(now, out);
         // Woken soon only where something is held or about to run out: a hundred idle instances cost nothing.
@@ -562,23 +576,29 @@
     /// Sends what may leave: lowest demand first, earliest arrival on ties. On-time requests go before those
     /// past their aim, those before what is over a tenant's share: what earns least yields under pressure.
     fn release(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let mut queue: Vec<(u8, f64, Micros, FunctionId, RequestId)> = Vec::new();
+        let mut queue = Vec::new();
         for function in &self.held {
-            let (f, at) = (&self.functions[function], |id: &RequestId| self.requests[id].arrived);
-            let demand = self.demand(f);
-            queue.extend(f.held.iter().map(|id| (self.rank(now, *id), demand, at(id), *function, *id)));
+            let f = &self.functions[function];
+            // No demand is negative, so that its bits are in its order.
+            let (demand, mean) = (self.demand(f).to_bits(), self.mean(f) as Micros);
+            for id in &f.held {
+                let r = &self.requests[id];
+                // When an attempt that leaves now is expected to have ended.
+                let end = now + mean.min(r.aim / 2);
+                // Past its aim, or past hope of it: served late it earns little.
+                let rank = u8::from(end > r.asked + r.aim).max(2 * u8::from(r.over_share));
+                queue.push((rank, demand, r.arrived, *id, *function, r.hopeless(now, end, &self.settings)));
+            }
         }
-        queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)).then(a.4.cmp(&b.4)));
+        queue.sort_unstable();
         let (mut stuck, mut give_up) = (None, None);
-        for (rank, _, _, function, id) in queue {
+        for (rank, _, _, id, function, hopeless) in queue {
             // What earns least is given up first and early: served late it takes cores from what is in time,
             // of other instances too, whose calls no rank here protects: where caps are below one, as soon as
             // calls press. Covers repeats that keep a jam up. Can harm where late answers earn nearly as
             // much.
             let waits = self.requests[&id].waits.is_some();
-            if self.hopeless(now, id)
-                || rank > 0 && !waits && *give_up.get_or_insert_with(|| self.backlogged())
-            {
+            if hopeless || rank > 0 && !waits && *give_up.get_or_insert_with(|| self.backlogged()) {
                 self.answer(now, id, out);
             } else if stuck != Some((rank, function)) && !self.place(now, function, id, out) && !waits {
                 stuck = Some((rank, function));
@@ -595,25 +615,6 @@
         2 * held > self.workers.values().map(|w| w.inflight as usize).sum::<usize>() + FIRST_CAP as usize
     }
 
-    /// The time that an attempt is expected to take.
-    fn usual(&self, r: &Request) -> Micros {
-        (self.functions.get(&r.function).map_or(0.0, |f| self.mean(f)) as Micros).min(r.aim / 2)
-    }
-
-    fn rank(&self, now: Micros, id: RequestId) -> u8 {
-        let r = &self.requests[&id];
-        // Past its aim, or past hope of it: served late it earns little.
-        u8::from(now + self.usual(r) > r.asked + r.aim).max(2 * u8::from(r.over_share))
-    }
-
-    /// Held with no prospect: no time left for an attempt, or none permitted any more. It gets its answer at
-    /// once: a worker would go on with it after its client has gone. Can harm a call much shorter than usual.
-    fn hopeless(&self, now: Micros, id: RequestId) -> bool {
-        let r = &self.requests[&id];
-        let permitted = allowed(r.effect, r.ran.map(|(_, sent)| sent), now, ROUND).resend;
-        now + self.usual(r) > r.expires || !permitted || r.attempts >= self.settings.max_attempts.max(1)
-    }
-
     // ---- Placement ----
 
     /// Sends one held request if some worker may take it now; tells whether it left.
@@ -657,7 +658,8 @@
         // Workers of which ill is rumoured come last, each part in the function's own order.
         let ill = |w: &WorkerId| self.workers.get(w).is_some_and(|s| now < s.rumoured);
         let walk = || f.order.iter().filter(|w| !ill(w)).chain(f.order.iter().filter(|w| ill(w))).copied();
-        let usable = || walk().filter(room);
+        let rest: Vec<WorkerId> = walk().filter(room).collect();
+        let usable = || rest.iter().copied();
         let untried = |c: &Copies| c.own == 0 && past(c.used) && past(c.missed);
         let (patience, many) = (self.load_patience(f), self.settings.instances > 1);
         let loads = |c: &Copies| c.loading.is_some_and(|t| now < t + patience) && c.count == 0;
@@ -696,8 +698,6 @@
         if let Some(w) = next().filter(|_| r.waits.is_some()) {
             return Step::Begin(w, 0.0);
         }
-        let rest: Vec<WorkerId> = usable().collect();
-        let usable = || rest.iter().copied();
         if let Some((w, from)) = r.waits.filter(|(w, _)| loads(copy(w)) && self.usable(now, *w, r)) {
             return if now >= from && self.has_slot(now, w, credit) { Step::Wait(w) } else { Step::Hold };
         }
--- a/src/core.rs
+++ b/src/core.rs
@@ -207,6 +207,8 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     commands: VecDeque<Command<O>>,
+    /// When the module took the last event that it has not settled yet.
+    unsettled: Option<Micros>,
     next_id: u32,
     /// What was taken, sent and answered.
     pub counters: Counters,
@@ -236,6 +238,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             commands: VecDeque::new(),
+            unsettled: None,
             next_id: 0,
             counters,
         }
@@ -263,11 +266,26 @@
         self.ids.contains(id)
     }
 
-    /// The next thing to be done outside, if any.
+    /// The next thing to be done outside, if any. The module decides once all that came before has been done: one look
+    /// over what is held for all that came in one turn, however much that is.
     pub fn command(&mut self) -> Option<Command<O>> {
+        if self.commands.is_empty() {
+            self.settle();
+        }
         self.commands.pop_front()
     }
 
+    fn settle(&mut self) {
+        let Some(now) = self.unsettled.take() else { return };
+        self.counters.settled += 1;
+        let mut actions = std::mem::take(&mut self.actions);
+        self.brain.settle(now, &mut actions);
+        for action in actions.drain(..) {
+            self.act(now, action);
+        }
+        self.actions = actions;
+    }
+
     /// When [`Core::tick`] is next to be called.
     pub fn next_deadline(&self) -> Option<Micros> {
         self.deadlines.first().map(|(t, _)| *t)
@@ -468,7 +486,8 @@
         }
         while let Some(event) = self.events.front().cloned() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.brain.handle(now, event, &mut actions);
+            self.brain.take(now, event, &mut actions);
+            self.unsettled = Some(now);
             for action in actions.drain(..) {
                 self.act(now, action);
             }
@@ -721,6 +740,31 @@
         }
     }
 
+    /// Guards the processor: at a high rate all that is held was looked over for each event, which took more time
+    /// the more was held, and so more was.
+    #[test]
+    fn what_comes_in_one_turn_is_decided_on_at_once() {
+        let mut core: Core<u32> = Core::new(settings(), 3, 0);
+        core.members(1, ListKind::Full, vec![member(1)]);
+        for n in 0..200 {
+            core.call(10, call(n * 2, 10));
+        }
+        let mut out = Vec::new();
+        while let Some(command) = core.command() {
+            out.extend(match command {
+                Command::Go { attempt, .. } => Some(attempt),
+                _ => None,
+            });
+        }
+        assert!(out.len() > 1, "some of them are out");
+        assert_eq!(core.counters.settled, 1, "one look for the list and 200 calls");
+        for attempt in out {
+            core.ended(20_000, attempt, Ending::Served, Left::Some, Back::default());
+        }
+        while core.command().is_some() {}
+        assert_eq!(core.counters.settled, 2, "and one for all the answers");
+    }
+
     #[test]
     fn the_module_giving_up_is_an_answer_at_once() {
         let mut core: Core<u32> = Core::new(settings(), 3, 0);
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -42,6 +42,8 @@
     pub asks: u64,
     /// Probes.
     pub probes: u64,
+    /// Times that the module looked over all that is held.
+    pub settled: u64,
     /// Client connections accepted.
     pub accepted: u64,
     /// Idle client connections closed to make room for new ones.
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -74,6 +74,28 @@
     all_are_served_in_turn((1024, 40));
 }
 
+/// Guards the processor's share: a process that has used it up is stopped for a while, and what has come meanwhile is
+/// decided on together. A look over all that is held for each of them is what it had no time for.
+#[test]
+fn calls_that_come_together_are_decided_on_together() {
+    let g = Gateway::start(&settings(2500.0), &[], None, None);
+    g.signal(Signal::STOP);
+    let mut clients: Vec<TcpStream> = (0..150).map(|_| TcpStream::connect(g.platform).unwrap()).collect();
+    for (id, c) in clients.iter_mut().enumerate() {
+        // Hardly any time: none of them is held, so that no round of the held is counted.
+        let text = ask(id as u64 + 1).replace("X-Deadline-Ms: 2400", "X-Deadline-Ms: 1");
+        c.write_all(text.as_bytes()).unwrap();
+    }
+    g.signal(Signal::CONT);
+    for mut c in clients {
+        assert!(answer(&mut c).expect("an answer").starts_with("HTTP/1.1 503"));
+    }
+    let counters = g.stop();
+    assert_eq!(counters["taken"], 150);
+    let settled = counters["settled"].as_u64().unwrap();
+    assert!(settled < 75, "{settled} looks for 150 calls");
+}
+
 /// Guards memory: a client that asks and never reads is not read from any further, and served once it reads.
 #[test]
 fn a_client_that_never_reads_is_held_back() {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -54,7 +54,8 @@
     /// Actions other than timers.
     fn event(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
-        self.brain.handle(self.now, event, &mut out);
+        self.brain.take(self.now, event, &mut out);
+        self.brain.settle(self.now, &mut out);
         out.retain(|a| !matches!(a, Action::Wake { .. }));
         out
     }
