Add duties with one owner at a time: leases, terms and fencing, model-checked, no I/O

Need: work on behalf of the fleet is to have one owner at a time, and an owner that wakes up late must do no harm. Nothing in the program could say who acts for the others.

Weighed (docs/design/council.md): renewals through the log or beside it, a leader's own lease or a majority's round for each question, an owner's lease from the grant, from the answer or from before the question, clocks compared or counted apart.

Change: `src/duty/`, four values without I/O: what the log says (ledger), who is granted what (grantor), what an instance may do now (holder), what a receiver refuses (fence). A grant gives no right to act; a lease runs from before its question left, and is answered only once a majority has confirmed the leader after the question came. Nothing drives it yet: the gateway's behaviour is unchanged, and the log, the rig and the two duties are in the roadmap.

Found on the way: all duties went to whoever offered first, so a new leader gathers offers first.

--- /dev/null
+++ b/src/duty/tests.rs
@@ -0,0 +1,278 @@
+//! Duties one step at a time.
+
+use std::collections::BTreeSet;
+
+use super::fence::{Fence, Refused};
+use super::grantor::{self, Grantor, Why};
+use super::holder::{self, Holder, Output};
+use super::ledger::{Entry, Ledger};
+use super::*;
+
+const SECOND: Micros = 1_000_000;
+
+fn settings() -> Settings {
+    Settings { lease: 3 * SECOND, drift_ppm: 1_000 }
+}
+
+fn duty(n: usize) -> Duty {
+    format!("loads-{n}").into()
+}
+
+fn owner(n: usize) -> Owner {
+    Owner { name: format!("n{n}").into(), incarnation: 7 }
+}
+
+/// A grantor and holders, with messages that come at once unless a test keeps them.
+struct Rig {
+    now: Micros,
+    grantor: Grantor,
+    holders: Vec<Holder>,
+    /// Holders that neither hear nor say anything.
+    cut: BTreeSet<usize>,
+    asks: usize,
+    began: Vec<(usize, Duty, Term)>,
+    ended: Vec<(usize, Duty, Term)>,
+}
+
+impl Rig {
+    fn new(holders: usize, duties: usize) -> Rig {
+        let mut grantor = Grantor::new(settings(), (0..duties).map(duty).collect());
+        grantor.handle(0, grantor::Input::Leads);
+        let holders = (0..holders).map(|n| Holder::new(settings(), owner(n), 0)).collect();
+        let (cut, asks, began, ended) = (BTreeSet::new(), 0, Vec::new(), Vec::new());
+        let mut rig = Rig { now: 0, grantor, holders, cut, asks, began, ended };
+        // Offers are gathered first.
+        rig.run(2 * SECOND);
+        rig
+    }
+
+    fn applied(&mut self, entry: Entry) {
+        self.grantor.handle(self.now, grantor::Input::Applied(entry.clone()));
+        for n in 0..self.holders.len() {
+            if !self.cut.contains(&n) {
+                self.holders[n].handle(self.now, holder::Input::Applied(entry.clone()));
+            }
+        }
+    }
+
+    fn pump(&mut self) {
+        loop {
+            let mut quiet = true;
+            while let Some(output) = self.grantor.output() {
+                quiet = false;
+                match output {
+                    grantor::Output::Confirm(n) => {
+                        self.grantor.handle(self.now, grantor::Input::Confirmed(n))
+                    }
+                    grantor::Output::Propose(entry) => self.applied(entry),
+                    grantor::Output::Answer(answer) => {
+                        let to = self.holders.iter().position(|h| *h.me() == answer.to).unwrap();
+                        if !self.cut.contains(&to) {
+                            self.holders[to].handle(self.now, holder::Input::Answer(answer));
+                        }
+                    }
+                }
+            }
+            for n in 0..self.holders.len() {
+                while let Some(output) = self.holders[n].output() {
+                    quiet = false;
+                    match output {
+                        Output::Ask(ask) => {
+                            self.asks += 1;
+                            if !self.cut.contains(&n) {
+                                self.grantor.handle(self.now, grantor::Input::Ask(ask));
+                            }
+                        }
+                        Output::Began(d, t) => self.began.push((n, d, t)),
+                        Output::Ended(d, t) => self.ended.push((n, d, t)),
+                    }
+                }
+            }
+            if quiet {
+                return;
+            }
+        }
+    }
+
+    fn run(&mut self, time: Micros) {
+        let end = self.now + time;
+        loop {
+            for h in &mut self.holders {
+                h.handle(self.now, holder::Input::Tick);
+            }
+            self.grantor.handle(self.now, grantor::Input::Tick);
+            self.pump();
+            let next =
+                self.holders.iter().map(Holder::next_deadline).chain(self.grantor.next_deadline(self.now));
+            let next = next.filter(|t| *t > self.now).min().unwrap_or(end);
+            if next >= end {
+                self.now = end;
+                return;
+            }
+            self.now = next;
+        }
+    }
+
+    fn may(&self, n: usize, d: &Duty) -> Option<Term> {
+        self.holders[n].may(self.now, d)
+    }
+
+    fn owner_of(&self, d: &Duty) -> Option<usize> {
+        let may: Vec<usize> = (0..self.holders.len()).filter(|n| self.may(*n, d).is_some()).collect();
+        assert!(may.len() <= 1, "{may:?} may all do {d}");
+        may.first().copied()
+    }
+}
+
+#[test]
+fn duties_are_spread_evenly_and_stay_where_they_are() {
+    let mut rig = Rig::new(5, 20);
+    rig.run(5 * SECOND);
+    let owners: Vec<_> = (0..20).map(|d| rig.owner_of(&duty(d)).expect("an owner")).collect();
+    for n in 0..5 {
+        assert_eq!(owners.iter().filter(|o| **o == n).count(), 4, "{owners:?}");
+    }
+    rig.run(60 * SECOND);
+    assert!((0..20).all(|d| rig.may(owners[d], &duty(d)) == Some(1)), "under their first terms");
+    assert!(rig.ended.is_empty());
+}
+
+#[test]
+fn an_owner_that_is_cut_off_ends_before_the_next_begins() {
+    let mut rig = Rig::new(3, 1);
+    rig.run(SECOND);
+    let old = rig.owner_of(&duty(0)).expect("an owner");
+    rig.cut.insert(old);
+    let cut_at = rig.now;
+    for _ in 0..1_000 {
+        rig.run(10_000);
+        if rig.owner_of(&duty(0)).is_some_and(|n| n != old) {
+            break;
+        }
+    }
+    let next = rig.owner_of(&duty(0)).expect("another owner");
+    assert_eq!((rig.may(next, &duty(0)), rig.may(old, &duty(0))), (Some(2), None));
+    assert!(rig.now <= cut_at + settings().waits() + 20_000, "not later than the old one is waited out");
+    // The old one still believes in its grant, asks under its old term, and gets nothing.
+    rig.cut.clear();
+    rig.run(5 * SECOND);
+    assert_eq!(rig.may(old, &duty(0)), None);
+}
+
+#[test]
+fn a_duty_given_back_is_handed_on_at_once() {
+    let mut rig = Rig::new(3, 1);
+    let (old, at) = (rig.owner_of(&duty(0)).unwrap(), rig.now);
+    rig.holders[old].handle(at, holder::Input::Able(false));
+    assert_eq!(rig.may(old, &duty(0)), None, "it stops before it says so");
+    rig.pump();
+    let next = rig.owner_of(&duty(0)).expect("another owner without any wait");
+    assert!(next != old && rig.now == at);
+}
+
+#[test]
+fn a_new_leader_waits_for_what_the_last_one_may_have_answered() {
+    let mut rig = Rig::new(2, 1);
+    rig.run(SECOND);
+    let old = rig.owner_of(&duty(0)).unwrap();
+    rig.cut.insert(old);
+    let mut next = Grantor::new(settings(), BTreeSet::from([duty(0)]));
+    for (d, s) in rig.grantor.ledger().duties() {
+        let (duty, owner) = (d.clone(), s.owner.clone().unwrap());
+        next.handle(rig.now, grantor::Input::Applied(Entry::Grant { duty, owner, term: s.term }));
+    }
+    rig.run(2 * SECOND);
+    next.handle(rig.now, grantor::Input::Leads);
+    rig.grantor = next;
+    let elected = rig.now;
+    rig.run(settings().waits() - 1);
+    assert_eq!(rig.owner_of(&duty(0)), None);
+    rig.run(SECOND);
+    assert!(rig.owner_of(&duty(0)).is_some_and(|n| n != old) && rig.now > elected + settings().lease);
+}
+
+#[test]
+fn a_grant_heard_of_late_gives_no_right_to_act() {
+    let mut holder = Holder::new(settings(), owner(1), 0);
+    let grant = Entry::Grant { duty: duty(0), owner: owner(1), term: 4 };
+    holder.handle(90 * SECOND, holder::Input::Applied(grant));
+    assert_eq!(holder.may(90 * SECOND, &duty(0)), None);
+    let asked = std::iter::from_fn(|| holder.output()).find_map(|o| match o {
+        Output::Ask(ask) if !ask.holds.is_empty() => Some(ask),
+        _ => None,
+    });
+    let ask = asked.expect("it asks at once");
+    // The answer comes when the lease it gives has ended: counted from before the question, not from the answer.
+    let (renewed, recalled) = (ask.holds, Vec::new());
+    let answer = holder::Answer { to: owner(1), stamp: ask.stamp, renewed, recalled };
+    holder.handle(94 * SECOND, holder::Input::Answer(answer));
+    assert_eq!(holder.may(94 * SECOND, &duty(0)), None);
+    assert!(!std::iter::from_fn(|| holder.output()).any(|o| matches!(o, Output::Began(..))));
+}
+
+#[test]
+fn a_new_process_under_an_old_name_has_nothing() {
+    let mut rig = Rig::new(1, 1);
+    rig.run(SECOND);
+    assert_eq!(rig.owner_of(&duty(0)), Some(0));
+    let again = Owner { incarnation: 8, ..owner(0) };
+    let mut holder = Holder::new(settings(), again, rig.now);
+    for (d, s) in rig.grantor.ledger().duties() {
+        let (duty, owner) = (d.clone(), s.owner.clone().unwrap());
+        holder.handle(rig.now, holder::Input::Applied(Entry::Grant { duty, owner, term: s.term }));
+    }
+    assert_eq!((holder.may(rig.now, &duty(0)), holder.holds().count()), (None, 0));
+}
+
+#[test]
+fn work_moves_to_newcomers_one_duty_at_a_time() {
+    let mut rig = Rig::new(2, 8);
+    rig.run(5 * SECOND);
+    rig.holders.push(Holder::new(settings(), owner(2), rig.now));
+    for (d, s) in rig.grantor.ledger().duties().map(|(d, s)| (d.clone(), s.clone())).collect::<Vec<_>>() {
+        let entry = Entry::Grant { duty: d, owner: s.owner.unwrap(), term: s.term };
+        rig.holders[2].handle(rig.now, holder::Input::Applied(entry));
+    }
+    rig.run(30 * SECOND);
+    let owners: Vec<_> = (0..8).map(|d| rig.owner_of(&duty(d)).expect("an owner")).collect();
+    let loads: Vec<usize> = (0..3).map(|n| owners.iter().filter(|o| **o == n).count()).collect();
+    assert!(loads.iter().all(|l| (2..=3).contains(l)), "{loads:?}");
+    assert_eq!(rig.ended.len(), 2, "no more moved than had to");
+}
+
+#[test]
+fn entries_that_do_not_follow_have_no_effect() {
+    let mut ledger = Ledger::default();
+    let grant = |n, term| Entry::Grant { duty: duty(0), owner: owner(n), term };
+    let back = |term| Entry::GivenBack { duty: duty(0), term };
+    assert!(ledger.apply(&grant(1, 1)) && !ledger.apply(&grant(2, 1)) && !ledger.apply(&grant(2, 3)));
+    assert!(!ledger.apply(&back(2)) && ledger.apply(&back(1)) && !ledger.apply(&back(1)));
+    assert!(ledger.apply(&grant(2, 2)) && !ledger.apply(&back(1)));
+    assert_eq!(ledger.standing(&duty(0)).owner, Some(owner(2)));
+}
+
+#[test]
+fn a_receiver_refuses_old_terms_and_says_why() {
+    let mut fence = Fence::default();
+    assert_eq!(fence.admit(&duty(0), 0), Err(Refused::NoTerm));
+    assert_eq!((fence.admit(&duty(0), 2), fence.admit(&duty(0), 2)), (Ok(true), Ok(false)));
+    assert_eq!(fence.admit(&duty(0), 1), Err(Refused::Stale { term: 1, seen: 2 }));
+    assert_eq!((fence.admit(&duty(1), 1), fence.seen(&duty(1))), (Ok(true), 1));
+    for n in 0..2 * fence::MOST_FENCED {
+        let _ = fence.admit(&duty(n), 1);
+    }
+    assert_eq!(fence.admit(&"one more".into(), 1), Err(Refused::TooMany));
+}
+
+#[test]
+fn who_asks_why_is_told() {
+    let mut rig = Rig::new(1, 1);
+    assert_eq!(rig.grantor.why(rig.now, &duty(0)), None);
+    rig.cut.insert(0);
+    rig.run(SECOND);
+    assert_eq!(rig.grantor.why(rig.now, &duty(0)), None);
+    rig.run(SECOND + 3_000);
+    assert_eq!(rig.grantor.why(rig.now, &duty(0)), Some(Why::WaitsOut));
+    rig.run(10 * SECOND);
+    assert_eq!(rig.grantor.why(rig.now, &duty(0)), Some(Why::NobodyOffers));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod core;
 pub mod counters;
 pub mod delivery;
+pub mod duty;
 pub mod ending;
 pub mod front;
 pub mod identity;
