Have a grantor count anew each time it is told that it leads, also if it led before

Need: found on reading the duties once more. A leader voted out and in again before its driver looked passed over the second word that it leads (`Input::Leads if !self.leads`) and kept its old count, while another may have answered the owner between. Checked: a test that has another leader answer between saw two owners of one duty at once before the change; the model check had not, as its leaders are voted in once each. Change: each word starts the count, the offers and what is under way afresh.

--- a/src/duty/grantor.rs
+++ b/src/duty/grantor.rs
@@ -140,8 +140,10 @@
     /// Takes what happened.
     pub fn handle(&mut self, now: Micros, input: Input) {
         match input {
-            Input::Leads if !self.leads => {
+            // Also if it led before: it may have been voted out and in again unnoticed, and another have answered between.
+            Input::Leads => {
                 self.leads = true;
+                self.forget();
                 self.offers.clear();
                 self.gathers = now + self.settings.pace();
                 // A leader before this one may have answered until the very moment at which it was voted out.
@@ -149,13 +151,9 @@
                 let until = now + self.settings.waits();
                 self.until = owned.map(|(d, _)| (d.clone(), until)).collect();
             }
-            Input::Leads => {}
             Input::Follows => {
                 self.leads = false;
-                self.waiting.clear();
-                self.proposed.clear();
-                self.recalled.clear();
-                self.outputs.clear();
+                self.forget();
             }
             Input::Ask(ask) if self.leads => self.asked(now, ask),
             Input::Ask(_) => {}
@@ -187,6 +185,14 @@
         }
     }
 
+    /// What was under way in a leadership that has ended.
+    fn forget(&mut self) {
+        self.waiting.clear();
+        self.proposed.clear();
+        self.recalled.clear();
+        self.outputs.clear();
+    }
+
     fn asked(&mut self, now: Micros, ask: Ask) {
         if ask.able {
             self.offers.insert(ask.from.clone(), now + self.settings.lease);
--- a/src/duty/tests.rs
+++ b/src/duty/tests.rs
@@ -276,3 +276,30 @@
     rig.run(10 * SECOND);
     assert_eq!(rig.grantor.why(rig.now, &duty(0)), Some(Why::NobodyOffers));
 }
+
+/// Another may have led, and answered, between two words that this instance leads: its own count from before is worth nothing.
+#[test]
+fn a_leader_voted_out_and_in_again_unnoticed_waits_anew() {
+    let mut rig = Rig::new(2, 1);
+    let old = rig.owner_of(&duty(0)).unwrap();
+    rig.cut.insert(old);
+    // The other leader's answer, of which the first one knows nothing.
+    rig.run(2 * SECOND);
+    rig.holders[old].handle(rig.now, holder::Input::Tick);
+    let ask = std::iter::from_fn(|| rig.holders[old].output()).find_map(|o| match o {
+        Output::Ask(ask) => Some(ask),
+        _ => None,
+    });
+    let ask = ask.expect("it goes on asking");
+    let (renewed, recalled) = (vec![(duty(0), 1)], Vec::new());
+    let answer = holder::Answer { to: owner(old), stamp: ask.stamp, renewed, recalled };
+    rig.holders[old].handle(rig.now, holder::Input::Answer(answer));
+    assert_eq!(rig.may(old, &duty(0)), Some(1));
+    rig.grantor.handle(rig.now, grantor::Input::Leads);
+    for _ in 0..80 {
+        rig.run(SECOND / 10);
+        // Asserts that no two may do it.
+        rig.owner_of(&duty(0));
+    }
+    assert!(rig.owner_of(&duty(0)).is_some_and(|n| n != old));
+}
