--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use molelug_lab::{bench, conformance, crash, demo, gossip, load, rate};
+use molelug_lab::{bench, conformance, crash, demo, emulator, gossip, load, owners, rate};
 
 /// Tools and stand-ins around the molelug gateway; all of it on loopback
 #[derive(Clone, Debug, Bpaf)]
@@ -43,6 +43,61 @@
         #[bpaf(long, argument("S"), fallback(60))]
         seconds: u64,
     },
+    /// Gateways that share duties over links that fail, their owners stopped, killed and cut off; judged by histories
+    #[bpaf(command)]
+    Owners {
+        /// Instances
+        #[bpaf(long, argument("N"), fallback(5))]
+        instances: usize,
+        /// How many of them vote
+        #[bpaf(long, argument("N"), fallback(5))]
+        voters: usize,
+        /// How many rounds
+        #[bpaf(long, argument("N"), fallback(5))]
+        rounds: u64,
+        /// The first round's seed; each round has the next one
+        #[bpaf(long, argument("S"), fallback(1))]
+        seed: u64,
+        /// Faults in a round
+        #[bpaf(long, argument("N"), fallback(4))]
+        faults: usize,
+        /// The lease, milliseconds
+        #[bpaf(long("lease-ms"), argument("MS"), fallback(owners::LEASE_MS))]
+        lease_ms: u64,
+        /// Keep histories there
+        #[bpaf(long, argument("DIR"))]
+        history: Option<PathBuf>,
+        /// Take one guard out, to see the check fail (builds with debug assertions only): terms, lease, queue, pre-vote,
+        /// probation, kept
+        #[bpaf(long, argument("GUARD"))]
+        without: Option<String>,
+    },
+    /// A fleet on a virtual clock, from a scenario and seeds; the same run each time
+    #[bpaf(command)]
+    Emulate {
+        /// How many seeds
+        #[bpaf(long, argument("N"), fallback(1))]
+        seeds: u64,
+        /// The first seed
+        #[bpaf(long, argument("S"), fallback(1))]
+        seed: u64,
+        /// With this many gateways in place of the scenario's; may be given more than once
+        #[bpaf(long, argument("N"))]
+        instances: Vec<usize>,
+        /// Write the figures there as well
+        #[bpaf(long, argument("FILE"))]
+        json: Option<PathBuf>,
+        /// The scenario
+        #[bpaf(positional("FILE"))]
+        scenario: PathBuf,
+    },
+    /// Judge histories
+    #[bpaf(command)]
+    Check {
+        /// Their folder
+        #[bpaf(positional("HISTORY"))]
+        folder: PathBuf,
+    },
     /// Measure a structure against plain ones
     #[bpaf(command)]
     Bench(#[bpaf(external(bench))] Bench),
@@ -179,6 +234,20 @@
         Command::Conformance(Conformance::Sender { own, listen, secret }) => {
             conformance::sender(own, listen, secret.as_deref())
         }
+        Command::Owners { instances, voters, rounds, seed, faults, lease_ms, history, without } => {
+            let shape = owners::Shape {
+                instances,
+                voters: voters.min(instances),
+                lease_ms,
+                without,
+                ..owners::Shape::default()
+            };
+            owners::run(&shape, rounds, seed, faults, history.as_deref())
+        }
+        Command::Emulate { seeds, seed, instances, json, scenario } => {
+            emulator::run(&scenario, seeds, seed, &instances, json.as_deref())
+        }
+        Command::Check { folder } => molelug_lab::history::run(&folder),
         Command::Bench(Bench::Wheel) => bench::wheel(),
         Command::Bench(Bench::Rate { callers, rate, seconds, cores, before }) => {
             rate::run(rate::Load { callers, rate, seconds, cores }, before.as_deref())
--- a/lab/src/stand_in/gateway.rs
+++ b/lab/src/stand_in/gateway.rs
@@ -89,6 +89,19 @@
     }
 }
 
+/// The gateway's command line: of a program of the caller's, or of this one.
+pub fn command(program: Option<&Path>) -> Result<Command> {
+    if let Some(program) = program {
+        return Ok(Command::new(program));
+    }
+    let mut command = Command::new(match PROGRAM.get() {
+        Some(program) => program.clone(),
+        None => std::env::current_exe()?,
+    });
+    command.arg("gateway");
+    Ok(command)
+}
+
 impl Gateway {
     /// Starts one in a folder, which keeps its files over restarts.
     pub fn start(folder: &Path, workers: &[Worker], operator: &str, deadline_ms: f64) -> Result<Gateway> {
@@ -112,7 +125,19 @@
     pub fn talking(folder: &Path, workers: &[Worker], gossip: Option<&Path>) -> Result<Gateway> {
         std::fs::write(folder.join("config.json"), config(workers, 900.0).to_string())?;
         std::fs::write(folder.join("operator.toml"), "")?;
-        Gateway::run_with(None, folder, "", gossip)
+        Gateway::run_with(None, folder, "", gossip, None)
+    }
+
+    /// Starts one without webhooks that takes part in a council.
+    pub fn meeting(
+        folder: &Path,
+        workers: &[Worker],
+        council: &Path,
+        without: Option<&str>,
+    ) -> Result<Gateway> {
+        std::fs::write(folder.join("config.json"), config(workers, 900.0).to_string())?;
+        std::fs::write(folder.join("operator.toml"), "")?;
+        Gateway::run_with(None, folder, "", None, Some((council, without)))
     }
 
     /// Starts one on the files that are in a folder.
@@ -121,7 +146,7 @@
     }
 
     fn run(program: Option<&Path>, folder: &Path, operator: &str) -> Result<Gateway> {
-        Gateway::run_with(program, folder, operator, None)
+        Gateway::run_with(program, folder, operator, None, None)
     }
 
     fn run_with(
@@ -129,22 +154,16 @@
         folder: &Path,
         operator: &str,
         gossip: Option<&Path>,
+        council: Option<(&Path, Option<&str>)>,
     ) -> Result<Gateway> {
-        let mut command = match program {
-            Some(program) => Command::new(program),
-            None => {
-                let mut command = Command::new(match PROGRAM.get() {
-                    Some(program) => program.clone(),
-                    None => std::env::current_exe()?,
-                });
-                command.arg("gateway");
-                command
-            }
-        };
+        let mut command = command(program)?;
         command.args(["serve", "--operator"]).arg(folder.join("operator.toml"));
         if let Some(gossip) = gossip {
             command.arg("--gossip").arg(gossip);
         }
+        if let Some((council, without)) = council {
+            command.arg("--council").arg(council).env("MOLELUG_WITHOUT", without.unwrap_or_default());
+        }
         command
             .env("RELAY_CONFIG", folder.join("config.json"))
             .env_remove("RELAY_NAME")
@@ -193,6 +212,27 @@
         crate::rate::processor_of(self.pid())
     }
 
+    /// SIGSTOP: it forgets nothing and does nothing.
+    pub fn freeze(&self) -> Result<()> {
+        Ok(rustix::process::kill_process(self.pid(), rustix::process::Signal::STOP)?)
+    }
+
+    /// SIGCONT: it goes on as if nothing had been.
+    pub fn thaw(&self) -> Result<()> {
+        Ok(rustix::process::kill_process(self.pid(), rustix::process::Signal::CONT)?)
+    }
+
+    /// SIGTERM, without waiting for its end.
+    pub fn end(&self) -> Result<()> {
+        Ok(rustix::process::kill_process(self.pid(), rustix::process::Signal::TERM)?)
+    }
+
+    /// Waits until it has ended.
+    pub fn wait(&mut self) -> Result<()> {
+        self.child.wait()?;
+        Ok(())
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) -> Result<()> {
         self.child.kill()?;
--- a/lab/src/stand_in/worker.rs
+++ b/lab/src/stand_in/worker.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -22,13 +23,26 @@
     delay: Duration,
     /// One run in so many loses its answer: the connection just ends. 0 for none.
     cuts: u32,
+    /// Whether it takes everything and answers nothing.
+    silent: Arc<AtomicBool>,
+    /// Pings that came, and orders to load.
+    pings: Arc<AtomicU64>,
+    orders: Arc<AtomicU64>,
 }
 
 impl Worker {
     /// Starts one on a free port.
     pub fn start(delay: Duration, cuts: u32) -> std::io::Result<Worker> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let worker = Worker { address: listener.local_addr()?, runs: Runs::default(), delay, cuts };
+        let worker = Worker {
+            address: listener.local_addr()?,
+            runs: Runs::default(),
+            delay,
+            cuts,
+            silent: Arc::default(),
+            pings: Arc::default(),
+            orders: Arc::default(),
+        };
         let me = worker.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -39,6 +53,16 @@
         Ok(worker)
     }
 
+    /// Has it answer nothing from now on, or again.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::Relaxed);
+    }
+
+    /// Pings that came to it, and orders to load.
+    pub fn asked(&self) -> (u64, u64) {
+        (self.pings.load(Ordering::Relaxed), self.orders.load(Ordering::Relaxed))
+    }
+
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
         let mut held = Vec::new();
         let mut chunk = [0; 16 * 1024];
@@ -49,7 +73,13 @@
                     words.iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect();
                 held.drain(..size);
                 let tag = words.get(1)?.as_bytes();
-                match words.first()?.as_str() {
+                let what = words.first()?.as_str();
+                self.pings.fetch_add(u64::from(what == "ping"), Ordering::Relaxed);
+                self.orders.fetch_add(u64::from(what == "stage"), Ordering::Relaxed);
+                if self.silent.load(Ordering::Relaxed) {
+                    continue;
+                }
+                match what {
                     "go" => {
                         let fields = words.get(2)?;
                         let class = fields.split(',').find_map(|f| f.strip_prefix("profile="))?;
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -14,6 +14,7 @@
 use crate::store::records::Op;
 use crate::tenancy::{Registry, TenantError};
 
+pub mod council;
 pub mod endpoints;
 pub mod idempotency;
 pub mod messages;
@@ -23,7 +24,10 @@
 const LONGEST_OVERLAP_S: u64 = 30 * 86_400;
 
 /// Method, path and role of every route; `*` stands for a name.
-pub const ROUTES: [(&str, &str, Role); 20] = [
+pub const ROUTES: [(&str, &str, Role); 23] = [
+    ("GET", "/v1/council", Role::Viewer),
+    ("POST", "/v1/council/voters", Role::Operator),
+    ("GET", "/v1/duties", Role::Viewer),
     ("GET", "/v1/peers", Role::Viewer),
     ("GET", "/v1/counters", Role::Viewer),
     ("GET", "/v1/store", Role::Viewer),
@@ -68,6 +72,13 @@
     Rotated(String, Option<String>),
     /// A test event is to go to an endpoint.
     Test(String, String),
+    /// Who votes in the council is to change.
+    Voters {
+        /// Who is to vote.
+        joins: Option<String>,
+        /// Who is to vote no more.
+        leaves: Option<String>,
+    },
 }
 
 /// A request's answer and what follows from it.
@@ -118,8 +129,8 @@
     pub counters: &'a Counters,
     /// The health of an endpoint, if webhooks are on.
     pub health: &'a dyn Fn(EndpointId) -> Option<crate::delivery::Health>,
-    /// The group of instances; null if it is off.
-    pub peers: Value,
+    /// What the path asks for of the group of instances or of the council; null if that is off.
+    pub fleet: Value,
     /// The time.
     pub now: Micros,
 }
@@ -167,8 +178,10 @@
     let now = |handled: Result<Handled, Bad>| handled.map(Done::Now);
     match (r.method, parts.as_slice()) {
         ("GET", ["v1", "counters"]) => Ok(Done::Now(Handled::new(200, json!(cx.counters)))),
-        ("GET", ["v1", "peers"]) if cx.peers.is_null() => Err(plain(404, "gossip is off")),
-        ("GET", ["v1", "peers"]) => Ok(Done::Now(Handled::new(200, cx.peers.take()))),
+        ("GET", ["v1", "peers"]) if cx.fleet.is_null() => Err(plain(404, "gossip is off")),
+        ("GET", ["v1", "peers"]) => Ok(Done::Now(Handled::new(200, cx.fleet.take()))),
+        ("GET", ["v1", "council" | "duties"]) => council::show(cx),
+        ("POST", ["v1", "council", "voters"]) => now(council::exchange(r, cx)),
         ("GET", ["v1", "store"]) => Ok(Done::Ask(Op::Stat)),
         (_, ["v1", "tenants"]) => now(tenants::list(r, cx)),
         (_, ["v1", "tenants", name]) => now(tenants::one(r, cx, name)),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,13 +8,18 @@
 
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError, Operator};
+use crate::council::config::File;
 use crate::membership::config::Gossip;
-use crate::node::Node;
+use crate::node::{Extras, Node};
 
+mod ask;
+mod council;
 mod inherited;
 mod log;
 mod store;
 mod webhook;
+pub use ask::At;
+pub use council::{Council, Duties};
 pub use log::{Format, Logging};
 pub use store::Store;
 pub use webhook::Webhook;
@@ -33,6 +38,9 @@
         /// A gossip file: instances that talk
         #[bpaf(long, argument("FILE"))]
         gossip: Option<PathBuf>,
+        /// A council file: work on behalf of the fleet, with one owner at a time
+        #[bpaf(long, argument("FILE"))]
+        council: Option<PathBuf>,
         #[allow(missing_docs)]
         #[bpaf(external(log::logging))]
         logging: Logging,
@@ -61,6 +69,20 @@
         #[bpaf(external(store::store))]
         Store,
     ),
+    /// Found a council, make a seat, exchange voters, show what a gateway knows
+    #[bpaf(command("council"))]
+    Council(
+        #[allow(missing_docs)]
+        #[bpaf(external(council::council))]
+        Council,
+    ),
+    /// Who owns which duty on behalf of the fleet
+    #[bpaf(command("duties"))]
+    Duties(
+        #[allow(missing_docs)]
+        #[bpaf(external(council::duties_command))]
+        Duties,
+    ),
     /// Print the version
     #[bpaf(command)]
     Version,
@@ -92,9 +114,11 @@
     let result = match command {
         Command::Webhook(what) => accepted(webhook::run(what)),
         Command::Store(what) => accepted(store::run(what)),
-        Command::Serve { operator, gossip, logging } => {
+        Command::Council(what) => council::run(what),
+        Command::Duties(what) => council::duties(&what),
+        Command::Serve { operator, gossip, council, logging } => {
             logging.begin();
-            serve(operator, gossip)
+            serve(operator, gossip, council)
         }
         Command::CheckConfig { operator, file } => check(operator, file).map_err(Into::into),
         Command::Version => {
@@ -111,15 +135,21 @@
     }
 }
 
-fn serve(operator: Option<PathBuf>, gossip: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
+fn serve(
+    operator: Option<PathBuf>,
+    gossip: Option<PathBuf>,
+    council: Option<PathBuf>,
+) -> Result<(), Box<dyn std::error::Error>> {
     let socket = inherited::take()?;
     let config = Config::from_env()?;
     let name = config.name.clone();
     let operator = operator.map_or_else(|| Ok(Operator::default()), |path| Operator::read(&path))?;
     let gossip = gossip.map(|path| Gossip::read(&path)).transpose()?;
+    let council = council.map(|path| File::read(&path)).transpose()?;
+    let extras = Extras { gossip, council };
     let mut events = EventLoop::try_new()?;
     Node::heed_signals(&events.handle())?;
-    let mut node = Node::new(config, operator, gossip, socket, events.handle(), Clock::system())?;
+    let mut node = Node::new(config, operator, extras, socket, events.handle(), Clock::system())?;
     let listeners = [
         ("listens", node.address()),
         ("takes webhooks", node.webhook_address()),
--- a/src/core.rs
+++ b/src/core.rs
@@ -442,6 +442,21 @@
         self.feed(now, Event::Loaded { worker, function, outcome, copies });
     }
 
+    /// Probes a worker, for the module or on behalf of the fleet.
+    pub fn probe(&mut self, now: Micros, worker: WorkerId) -> ProbeKey {
+        let at = now + PROBE_LIMIT;
+        let probe = self.probes.insert((worker, at));
+        self.deadlines.insert((at, Due::Probe(probe.data().as_ffi())));
+        self.counters.probes += 1;
+        self.commands.push_back(Command::Probe { probe, worker });
+        probe
+    }
+
+    /// Whether a probe is still out.
+    pub fn has_probe(&self, key: ProbeKey) -> bool {
+        self.probes.contains_key(key)
+    }
+
     /// A probe has ended outside.
     pub fn probe_ended(&mut self, now: Micros, key: ProbeKey, ending: Ending, report: Option<Report>) {
         let Some((worker, at)) = self.probes.remove(key) else { return };
@@ -520,13 +535,7 @@
             Action::Unload { worker, function } => {
                 self.commands.push_back(Command::Purge { worker, function })
             }
-            Action::Probe { worker } => {
-                let at = now + PROBE_LIMIT;
-                let probe = self.probes.insert((worker, at));
-                self.deadlines.insert((at, Due::Probe(probe.data().as_ffi())));
-                self.counters.probes += 1;
-                self.commands.push_back(Command::Probe { probe, worker });
-            }
+            Action::Probe { worker } => drop(self.probe(now, worker)),
             Action::Wake { after, token } => {
                 self.deadlines.insert((now + after.max(1), Due::Wake(token)));
             }
--- /dev/null
+++ b/src/council/member.rs
@@ -0,0 +1,831 @@
+//! One gateway's part in the council, as one value: voter or follower, grantor when it leads, holder of duties, and the fence
+//! for what others' duties bring. The gateway's driver, the emulator and the tests drive the very same.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use super::follow::{Followed, Follower, News, MOST_ENTRIES};
+use super::kept::{Kept, Record};
+use super::machine::{self, Council, Without};
+use super::memory::Known;
+use super::state::{Entry, State};
+use super::wire::{Body, Effect, Passed, Report};
+use super::Seat;
+use crate::api::Micros;
+use crate::duty::fence::{Fence, Refused};
+use crate::duty::grantor::{self, Grantor, Why};
+use crate::duty::holder::{self, Answer, Ask, Holder};
+use crate::duty::ledger;
+use crate::duty::{Duty, Owner, Term};
+
+/// Ways back to those who asked through another voter; the oldest are forgotten, and asked again.
+const MOST_ROUTES: usize = 4096;
+
+/// What a member is begun with.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name.
+    pub name: Arc<str>,
+    /// A number that no other process of this name has.
+    pub process: u64,
+    /// Those that are known to vote, or may come to: whom to ask.
+    pub contacts: BTreeSet<Arc<str>>,
+    /// The duties of the operator's list.
+    pub duties: BTreeSet<Duty>,
+    /// How long leases last.
+    pub lease: crate::duty::Settings,
+    /// How the voters keep time.
+    pub council: machine::Settings,
+    /// Draws spans.
+    pub seed: u64,
+    /// Guards taken out, for tests.
+    pub without: Guards,
+}
+
+/// Guards that a test takes out, to see what they hold off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Guards {
+    /// The voters'.
+    pub council: Without,
+    /// An effect's term is not looked at by who receives it.
+    pub terms: bool,
+    /// An owner does not look at its lease.
+    pub lease: bool,
+    /// An owner does not look at its lease again when an effect's bytes are queued to leave.
+    pub queue: bool,
+}
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Another gateway said something; its name was sealed.
+    Frame(Arc<str>, Body),
+    /// The connection to another has ended, or never came up.
+    Lost(Arc<str>),
+    /// All records up to this number are kept.
+    Kept(u64),
+    /// Whether this gateway can do duties at all.
+    Able(bool),
+    /// An effect of a duty of its own: dropped unless the lease runs.
+    Act(Duty, Vec<u8>),
+    /// Something for whoever owns a duty; it may get lost.
+    Report(Duty, Vec<u8>),
+    /// An operator has one gateway vote, or another no more.
+    Exchange {
+        /// Who comes; it has a seat and follows here.
+        joins: Option<Arc<str>>,
+        /// Who goes.
+        leaves: Option<Arc<str>>,
+    },
+    /// A deadline fell due.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send to another gateway; it may get lost.
+    Send(Arc<str>, Body),
+    /// Send an effect of one's own, unless its lease has ended by the time its bytes are queued, or ends while they wait.
+    SendOwn(Arc<str>, Effect),
+    /// Keep this, and report its number.
+    Keep(u64, Box<Record>),
+    /// A duty may be done from now on.
+    Began(Duty, Term),
+    /// It may not any more.
+    Ended(Duty, Term),
+    /// An effect of another is taken.
+    Take(Effect),
+    /// Another has something for this owner of a duty.
+    Hear(Duty, Arc<str>, Vec<u8>),
+    /// Something to be recorded, in order.
+    Noted(Note),
+}
+
+/// What a member records of itself, for a checker apart from it.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum Note {
+    /// An entry of duties took hold here.
+    Agreed {
+        /// Its place.
+        index: u64,
+        /// The duty.
+        duty: Duty,
+        /// The term.
+        term: Term,
+        /// Its owner; none if it was given back.
+        owner: Option<Owner>,
+    },
+    /// The state was replaced up to a place.
+    Restored {
+        /// The place.
+        index: u64,
+    },
+    /// This gateway may do a duty.
+    Began {
+        /// Which.
+        duty: Duty,
+        /// Under which term.
+        term: Term,
+    },
+    /// It may not any more.
+    Ended {
+        /// Which.
+        duty: Duty,
+        /// Under which term.
+        term: Term,
+    },
+    /// It decided on an effect.
+    Acted {
+        /// Under which duty.
+        duty: Duty,
+        /// Under which term.
+        term: Term,
+        /// Which of its effects.
+        number: u64,
+    },
+    /// The bytes of an effect of its own were queued to leave.
+    Sent {
+        /// Under which duty.
+        duty: Duty,
+        /// Under which term.
+        term: Term,
+        /// Which of its effects.
+        number: u64,
+    },
+    /// It took an effect of another.
+    Accepted {
+        /// Under which duty.
+        duty: Duty,
+        /// Under which term.
+        term: Term,
+        /// Whose.
+        owner: Arc<str>,
+        /// Which of its effects.
+        number: u64,
+    },
+    /// It refused an effect of another.
+    Refused {
+        /// Under which duty.
+        duty: Duty,
+        /// Under which term.
+        term: Term,
+        /// Whose.
+        owner: Arc<str>,
+        /// Which of its effects.
+        number: u64,
+        /// Why.
+        why: String,
+    },
+    /// It took back an effect of its own that had not left.
+    TakenBack {
+        /// Under which duty.
+        duty: Duty,
+        /// Under which term.
+        term: Term,
+        /// Which of its effects.
+        number: u64,
+    },
+    /// It leads the council.
+    Leads {
+        /// In which term of the log.
+        term: u64,
+    },
+    /// It leads no more.
+    Follows,
+    /// Its seat does not vote any more.
+    Retired {
+        /// Why.
+        why: String,
+    },
+}
+
+/// One gateway's part.
+#[derive(Debug)]
+pub struct Member {
+    settings: Settings,
+    council: Option<Council>,
+    unfit: Option<String>,
+    follower: Follower,
+    followed: Followed,
+    grantor: Grantor,
+    holder: Holder,
+    fence: Fence,
+    /// The last effect taken under the highest term of a duty.
+    taken: BTreeMap<Duty, (Term, u64)>,
+    /// How many effects were decided on under a term of one's own.
+    acted: BTreeMap<Duty, (Term, u64)>,
+    routes: BTreeMap<Owner, (u64, Option<Arc<str>>)>,
+    /// Seats of others that spoke before this one had a word of who votes.
+    heard: BTreeMap<Seat, Arc<str>>,
+    /// The generation of who makes it a voter, until it has a word of it.
+    adopted: u32,
+    asked: u64,
+    voted: bool,
+    outputs: VecDeque<Output>,
+}
+
+impl Member {
+    /// One that votes if its disk says so, and follows otherwise. What a disk holds that cannot be used is told by
+    /// [`Member::unfit`], and does not keep the gateway from following.
+    pub fn new(settings: Settings, kept: Option<Kept>, now: Micros) -> Member {
+        let (mut council, mut unfit) = (None, None);
+        if let Some(kept) = kept {
+            let (c, process, seed) = (settings.council, settings.process, settings.seed);
+            match Council::new(c, kept, process, seed, now, settings.without.council) {
+                Ok(c) => council = Some(c),
+                Err(e) => unfit = Some(e.to_string()),
+            }
+        }
+        let owner = Owner { name: settings.name.clone(), incarnation: settings.process };
+        let voters: Vec<Arc<str>> =
+            settings.contacts.iter().filter(|c| **c != settings.name).cloned().collect();
+        let seat = council.as_ref().map(Council::seat);
+        let grantor = Grantor::new(settings.lease, settings.duties.clone());
+        let holder = Holder::new(settings.lease, owner, now);
+        let mut member = Member {
+            follower: Follower::new(voters, seat, settings.seed),
+            followed: Followed::default(),
+            grantor,
+            holder,
+            fence: Fence::default(),
+            taken: BTreeMap::new(),
+            acted: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            adopted: 0,
+            asked: 0,
+            voted: false,
+            outputs: VecDeque::new(),
+            settings,
+            council,
+            unfit,
+        };
+        if let Some(c) = &member.council {
+            // What the snapshot says is applied already; entries behind it come.
+            member.grantor.handle(now, grantor::Input::Restored(c.state().ledger.clone()));
+        }
+        if let Some(why) = member.unfit.clone() {
+            member.note(Note::Retired { why });
+        }
+        member.settle(now);
+        member
+    }
+
+    /// The disk of its seat has become free, as the process before this one has ended.
+    pub fn take_seat(&mut self, now: Micros, kept: Kept) {
+        let (c, process, seed) = (self.settings.council, self.settings.process, self.settings.seed);
+        match Council::new(c, kept, process, seed, now, self.settings.without.council) {
+            Ok(c) => {
+                self.grantor.handle(now, grantor::Input::Restored(c.state().ledger.clone()));
+                self.council = Some(c);
+            }
+            Err(e) => {
+                let why = e.to_string();
+                self.unfit = Some(why.clone());
+                self.note(Note::Retired { why });
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Whether the second look at a lease is taken out, for a test.
+    pub fn without_queue(&self) -> bool {
+        self.settings.without.queue
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &Arc<str> {
+        &self.settings.name
+    }
+
+    /// Why its disk does not make it a voter, if it does not.
+    pub fn unfit(&self) -> Option<&str> {
+        self.unfit.as_deref().or_else(|| self.council.as_ref().and_then(Council::retired))
+    }
+
+    /// Whether it votes.
+    pub fn votes(&self) -> bool {
+        self.council.as_ref().is_some_and(|c| c.votes() && c.state().voters.contains_key(&c.seat()))
+    }
+
+    /// Whether it leads.
+    pub fn leads(&self) -> bool {
+        self.council.as_ref().is_some_and(Council::leads)
+    }
+
+    /// The voter's machine, if it has one.
+    pub fn council(&self) -> Option<&Council> {
+        self.council.as_ref()
+    }
+
+    /// The state as far as it knows.
+    pub fn state(&self) -> &State {
+        match &self.council {
+            Some(c) if self.voted => c.state(),
+            _ => self.follower.state(),
+        }
+    }
+
+    /// The name of who leads, as far as it knows.
+    pub fn leader(&self) -> Option<Arc<str>> {
+        let c = self.council.as_ref().filter(|_| self.voted)?;
+        self.name_of(c.leader()?)
+    }
+
+    /// Which voter it asks, while it follows.
+    pub fn asks(&self) -> Option<&Arc<str>> {
+        self.follower.asks().filter(|_| !self.voted)
+    }
+
+    /// Followers whose questions wait here.
+    pub fn followers(&self) -> usize {
+        self.followed.len()
+    }
+
+    /// Seats of followers that could be made voters, by their names.
+    pub fn seats(&self) -> BTreeMap<Arc<str>, String> {
+        self.followed.seats().map(|(n, s)| (n.clone(), format!("{s:016x}"))).collect()
+    }
+
+    /// The term under which a duty may be done now, if it may.
+    pub fn may(&self, now: Micros, duty: &Duty) -> Option<Term> {
+        if self.settings.without.lease {
+            return self.holder.holds().find(|(d, ..)| *d == duty).map(|(_, term, _)| term);
+        }
+        self.holder.may(now, duty)
+    }
+
+    /// Whether an effect of one's own may still leave: asked when its bytes are queued.
+    pub fn still(&self, now: Micros, duty: &Duty, term: Term) -> bool {
+        self.settings.without.queue || self.settings.without.lease || self.holder.still(now, duty, term)
+    }
+
+    /// What it holds: the duty, its term, and until when it may act.
+    pub fn holds(&self) -> impl Iterator<Item = (&Duty, Term, Option<Micros>)> {
+        self.holder.holds()
+    }
+
+    /// Why a duty has no owner who acts, as far as a leader can tell.
+    pub fn why(&self, now: Micros, duty: &Duty) -> Option<Why> {
+        self.grantor.why(now, duty)
+    }
+
+    /// Those with whom it keeps a connection: the other voters while it votes, else the one that it asks.
+    pub fn peers(&self) -> BTreeSet<Arc<str>> {
+        let others =
+            |names: &mut dyn Iterator<Item = Arc<str>>| names.filter(|n| *n != self.settings.name).collect();
+        match &self.council {
+            Some(c) if c.retired().is_none() && !c.state().voters.is_empty() => {
+                let voters = c.state().voters.values().chain(&self.settings.contacts).cloned();
+                others(&mut voters.into_iter())
+            }
+            _ => others(&mut self.follower.asks().cloned().into_iter()),
+        }
+    }
+
+    /// When `Tick` is due.
+    pub fn next_deadline(&self, now: Micros) -> Micros {
+        let mut next = self.holder.next_deadline();
+        let council = self.council.as_ref().and_then(Council::next_deadline);
+        let follower = (!self.voted).then(|| self.follower.next_deadline(now));
+        for t in [council, follower, self.grantor.next_deadline(now), self.followed.next_deadline()] {
+            next = t.map_or(next, |t| t.min(next));
+        }
+        next
+    }
+
+    /// The next thing to be done, if any.
+    pub fn output(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
+    }
+
+    /// Takes what happened.
+    pub fn handle(&mut self, now: Micros, input: Input) {
+        match input {
+            Input::Frame(from, body) => self.frame(now, &from, body),
+            Input::Lost(name) => {
+                if self.asks() == Some(&name) {
+                    self.follower.lost(now);
+                }
+            }
+            Input::Kept(number) => self.council_handle(now, machine::Input::Kept(number)),
+            Input::Able(able) => self.holder.handle(now, holder::Input::Able(able)),
+            Input::Act(duty, content) => self.act(now, duty, content),
+            Input::Report(duty, content) => {
+                let from = self.settings.name.clone();
+                self.report(Report { duty, from, content }, false);
+            }
+            Input::Exchange { joins, leaves } => {
+                let joins = joins.and_then(|n| Some((self.followed.seat(&n)?, n)));
+                // A name may have an old seat that votes and a new one that does not yet.
+                let new = joins.as_ref().map(|(s, _)| *s);
+                let voters = &self.state().voters;
+                let old =
+                    |n: Arc<str>| voters.iter().find(|(s, v)| **v == n && Some(**s) != new).map(|(s, _)| *s);
+                let leaves = leaves.and_then(old);
+                self.council_handle(now, machine::Input::Exchange { joins, leaves });
+            }
+            Input::Tick => {}
+        }
+        self.council_handle(now, machine::Input::Tick);
+        self.grantor.handle(now, grantor::Input::Tick);
+        self.holder.handle(now, holder::Input::Tick);
+        self.settle(now);
+    }
+
+    fn council_handle(&mut self, now: Micros, input: machine::Input<'_>) {
+        if let Some(c) = &mut self.council {
+            c.handle(now, input);
+        }
+    }
+
+    fn note(&mut self, note: Note) {
+        self.outputs.push_back(Output::Noted(note));
+    }
+
+    fn say(&mut self, to: Arc<str>, body: Body) {
+        self.outputs.push_back(Output::Send(to, body));
+    }
+
+    fn name_of(&self, seat: Seat) -> Option<Arc<str>> {
+        let c = self.council.as_ref()?;
+        // One that has just been made a voter does not know the others yet; founders' seats follow from their names.
+        let known = c.state().voters.get(&seat).cloned();
+        let generation = c.state().generation;
+        known
+            .or_else(|| {
+                self.settings.contacts.iter().find(|n| super::founder(generation, n) == seat).cloned()
+            })
+            .or_else(|| self.heard.get(&seat).cloned())
+    }
+
+    /// Whether a seat may speak by this name.
+    fn is_seat_of(&mut self, seat: Seat, name: &Arc<str>) -> bool {
+        if let Some(its) = self.name_of(seat) {
+            return its == *name;
+        }
+        // Only while it has no word of who votes: who makes it a voter speaks first.
+        let new = self.council.as_ref().is_some_and(|c| c.state().voters.is_empty());
+        if new && self.heard.len() < super::MOST_VOTERS && self.settings.contacts.contains(name) {
+            self.heard.insert(seat, name.clone());
+        }
+        new
+    }
+
+    fn is_voter(&self, name: &Arc<str>) -> bool {
+        self.state().voters.values().any(|v| v == name)
+    }
+
+    fn generation(&self) -> u32 {
+        match &self.council {
+            Some(c) if c.state().voters.is_empty() => self.adopted,
+            Some(c) => c.state().generation,
+            None => self.follower.state().generation,
+        }
+    }
+
+    fn frame(&mut self, now: Micros, from: &Arc<str>, body: Body) {
+        match body {
+            Body::Raft(generation, seat, boots, process, bytes) => {
+                if self.settings.contacts.contains(from) {
+                    self.adopted = self.adopted.max(generation);
+                }
+                if generation == self.generation() && self.is_seat_of(seat, from) {
+                    self.council_handle(
+                        now,
+                        machine::Input::Message { from: seat, boots, process, bytes: &bytes },
+                    );
+                }
+            }
+            Body::Recall(generation, seat, own) => {
+                if generation == self.generation() && self.is_seat_of(seat, from) {
+                    self.council_handle(now, machine::Input::Recall { from: seat, own });
+                }
+            }
+            Body::Recalled(generation, seat, known, by) => {
+                let own = self.council.as_ref().map(Council::seat) == Some(seat);
+                if generation == self.generation() && own && self.is_seat_of(by, from) {
+                    self.council_handle(now, machine::Input::Recalled { from: by, known });
+                }
+            }
+            Body::Ask(ask, via) => self.asked(now, from, ask, via.map(Into::into)),
+            Body::Answer(answer) => {
+                // Only a voter grants leases or passes them on.
+                if self.is_voter(from) || self.settings.contacts.contains(from) {
+                    self.answer(now, answer);
+                }
+            }
+            Body::Poll(poll) => {
+                if self.voted {
+                    self.followed.asked(now, from, poll);
+                }
+            }
+            Body::Entries(generation, entries, passed) if self.asks() == Some(from) => {
+                let news = self.follower.entries(generation, entries, passed);
+                self.news(now, news);
+            }
+            Body::State(state, passed) if self.asks() == Some(from) => {
+                let news = self.follower.restored(state, passed);
+                self.news(now, news);
+            }
+            Body::Entries(..) | Body::State(..) => {}
+            Body::Report(report, passed) => {
+                if report.from == *from || passed && self.is_voter(from) {
+                    self.report(report, passed);
+                }
+            }
+            Body::Effect(effect) => {
+                // Its owner itself, or a voter that passes it on.
+                let straight = effect.owner == *from;
+                if straight || self.is_voter(from) {
+                    let own = !self.is_voter(from);
+                    self.effect(now, effect, own);
+                }
+            }
+        }
+    }
+
+    fn asked(&mut self, now: Micros, from: &Arc<str>, ask: Ask, via: Option<Arc<str>>) {
+        let straight = via.is_none() && ask.from.name == *from;
+        let passed = via.as_ref() == Some(from) && self.is_voter(from);
+        if !(straight || passed) {
+            return;
+        }
+        if self.leads() {
+            self.asked += 1;
+            self.routes.insert(ask.from.clone(), (self.asked, via));
+            if self.routes.len() > MOST_ROUTES {
+                let oldest = self.routes.iter().min_by_key(|(_, (n, _))| *n).map(|(o, _)| o.clone());
+                oldest.map(|o| self.routes.remove(&o));
+            }
+            self.grantor.handle(now, grantor::Input::Ask(ask));
+        } else if let Some(leader) = self.leader().filter(|l| straight && l != &self.settings.name) {
+            let me = self.settings.name.to_string();
+            self.say(leader, Body::Ask(ask, Some(me)));
+        }
+    }
+
+    fn answer(&mut self, now: Micros, answer: Answer) {
+        if answer.to.name == self.settings.name {
+            self.holder.handle(now, holder::Input::Answer(answer));
+        } else if self.voted {
+            let to = answer.to.name.clone();
+            self.say(to, Body::Answer(answer));
+        }
+    }
+
+    fn news(&mut self, now: Micros, news: News) {
+        if self.voted {
+            return;
+        }
+        if news.restored {
+            let (index, ledger) = (self.follower.state().applied, self.follower.state().ledger.clone());
+            self.note(Note::Restored { index });
+            self.holder.handle(now, holder::Input::Restored(ledger));
+        }
+        for (index, entry, held) in news.applied {
+            if let (Entry::Duty(entry), true) = (entry, held) {
+                self.agreed(now, index, entry);
+            }
+        }
+        for effect in news.effects {
+            self.effect(now, effect, false);
+        }
+    }
+
+    /// An entry of duties took hold where this member takes its word from.
+    fn agreed(&mut self, now: Micros, index: u64, entry: ledger::Entry) {
+        let (duty, term, owner) = match &entry {
+            ledger::Entry::Grant { duty, owner, term } => (duty.clone(), *term, Some(owner.clone())),
+            ledger::Entry::GivenBack { duty, term } => (duty.clone(), *term, None),
+        };
+        self.note(Note::Agreed { index, duty, term, owner });
+        self.holder.handle(now, holder::Input::Applied(entry));
+    }
+
+    fn act(&mut self, now: Micros, duty: Duty, content: Vec<u8>) {
+        // The first look at the lease; the second comes when the bytes are queued.
+        let Some(term) = self.may(now, &duty) else { return };
+        let count = self.acted.entry(duty.clone()).or_default();
+        if count.0 != term {
+            *count = (term, 0);
+        }
+        count.1 += 1;
+        let effect = Effect { duty, term, owner: self.settings.name.clone(), number: count.1, content };
+        self.note(Note::Acted { duty: effect.duty.clone(), term, number: effect.number });
+        // What it does it knows itself; its own fence learns of the term.
+        let _ = self.fence.admit(&effect.duty, term);
+        let to: Vec<Arc<str>> = match self.voted {
+            true => {
+                self.followed.pass(effect.clone());
+                self.other_voters()
+            }
+            false => self.follower.asks().cloned().into_iter().collect(),
+        };
+        for to in to {
+            self.outputs.push_back(Output::SendOwn(to, effect.clone()));
+        }
+    }
+
+    /// To the duty's owner, by the shortest way that there may be.
+    fn report(&mut self, report: Report, passed: bool) {
+        let Some(owner) = self.state().ledger.standing(&report.duty).owner.map(|o| o.name) else { return };
+        if owner == self.settings.name {
+            if report.from != owner {
+                self.outputs.push_back(Output::Hear(report.duty, report.from, report.content));
+            }
+        } else if !self.voted {
+            self.follower
+                .asks()
+                .cloned()
+                .into_iter()
+                .for_each(|to| self.say(to, Body::Report(report.clone(), false)));
+        } else if self.is_voter(&owner) || self.followed.knows(&owner) {
+            self.say(owner, Body::Report(report, true));
+        } else if !passed {
+            // It follows at another voter.
+            for to in self.other_voters() {
+                self.say(to, Body::Report(report.clone(), true));
+            }
+        }
+    }
+
+    fn other_voters(&self) -> Vec<Arc<str>> {
+        self.state().voters.values().filter(|n| **n != self.settings.name).cloned().collect()
+    }
+
+    /// An effect of another came; `first` if this voter is the first that it came to.
+    fn effect(&mut self, _: Micros, effect: Effect, first: bool) {
+        if effect.owner == self.settings.name {
+            return;
+        }
+        let Effect { duty, term, owner, number, .. } = effect.clone();
+        let admitted = match self.fence.admit(&duty, term) {
+            Err(Refused::Stale { .. }) if self.settings.without.terms => Ok(false),
+            other => other,
+        };
+        if let Err(why) = admitted {
+            return self.note(Note::Refused { duty, term, owner, number, why: why.to_string() });
+        }
+        // It may come by two ways.
+        let last = self.taken.entry(duty.clone()).or_default();
+        if !self.settings.without.terms && (term, number) <= *last {
+            return;
+        }
+        *last = (term, number);
+        self.note(Note::Accepted { duty, term, owner, number });
+        if self.voted {
+            self.followed.pass(effect.clone());
+            if first {
+                for to in self.other_voters() {
+                    self.say(to, Body::Effect(effect.clone()));
+                }
+            }
+        }
+        self.outputs.push_back(Output::Take(effect));
+    }
+
+    /// Carries what each part has to say to the others, until there is nothing left.
+    fn settle(&mut self, now: Micros) {
+        loop {
+            if let Some(output) = self.council.as_mut().and_then(Council::output) {
+                self.of_council(now, output);
+            } else if let Some(output) = self.grantor.output() {
+                self.of_grantor(now, output);
+            } else if let Some(output) = self.holder.output() {
+                self.of_holder(now, output);
+            } else {
+                break;
+            }
+            self.look_at_vote(now);
+        }
+        self.look_at_vote(now);
+        if self.voted {
+            self.answer_followers(now);
+        } else if let Some((poll, _)) = self.follower.poll(now) {
+            if let Some(to) = self.follower.asks().cloned() {
+                self.say(to, Body::Poll(poll));
+            }
+        }
+    }
+
+    /// Its word comes from the log while it votes, and from a voter while it does not.
+    fn look_at_vote(&mut self, now: Micros) {
+        let votes = self.votes();
+        if std::mem::replace(&mut self.voted, votes) != votes {
+            let ledger = self.state().ledger.clone();
+            self.holder.handle(now, holder::Input::Restored(ledger));
+            if !votes {
+                self.followed = Followed::default();
+            }
+        }
+    }
+
+    fn of_council(&mut self, now: Micros, output: machine::Output) {
+        let Some(c) = &self.council else { return };
+        let (generation, seat) = (self.generation(), c.seat());
+        match output {
+            machine::Output::Send(to, bytes) => {
+                let (boots, process) = (c.boots(), c.process());
+                if let Some(to) = self.name_of(to) {
+                    self.say(to, Body::Raft(generation, seat, boots, process, bytes));
+                }
+            }
+            machine::Output::Recall(own) => {
+                for to in self.peers() {
+                    self.say(to, Body::Recall(generation, seat, own));
+                }
+            }
+            machine::Output::Recalled(to, known) => {
+                let known: Known = known;
+                if let Some(name) = self.name_of(to) {
+                    self.say(name, Body::Recalled(generation, to, known, seat));
+                }
+            }
+            machine::Output::Keep(number, record) => self.outputs.push_back(Output::Keep(number, record)),
+            machine::Output::Applied(index, entry, held) => {
+                if let (Entry::Duty(entry), true) = (entry, held) {
+                    self.grantor.handle(now, grantor::Input::Applied(entry.clone()));
+                    if self.voted {
+                        self.agreed(now, index, entry);
+                    }
+                }
+            }
+            machine::Output::Restored => {
+                let (index, ledger) = (c.state().applied, c.state().ledger.clone());
+                self.grantor.handle(now, grantor::Input::Restored(ledger.clone()));
+                if self.voted {
+                    self.note(Note::Restored { index });
+                    self.holder.handle(now, holder::Input::Restored(ledger));
+                }
+            }
+            machine::Output::Leads => {
+                let term = c.term();
+                self.note(Note::Leads { term });
+                self.grantor.handle(now, grantor::Input::Leads);
+            }
+            machine::Output::Follows => {
+                self.note(Note::Follows);
+                self.grantor.handle(now, grantor::Input::Follows);
+                self.routes.clear();
+            }
+            machine::Output::Confirmed(number) => self.grantor.handle(now, grantor::Input::Confirmed(number)),
+            machine::Output::Retired(why) => self.note(Note::Retired { why }),
+        }
+    }
+
+    fn of_grantor(&mut self, now: Micros, output: grantor::Output) {
+        match output {
+            grantor::Output::Confirm(number) => self.council_handle(now, machine::Input::Confirm(number)),
+            grantor::Output::Propose(entry) => {
+                self.council_handle(now, machine::Input::Propose(Entry::Duty(entry)))
+            }
+            grantor::Output::Answer(answer) => {
+                let via = self.routes.get(&answer.to).and_then(|(_, via)| via.clone());
+                let to = via.unwrap_or_else(|| answer.to.name.clone());
+                if to == self.settings.name {
+                    self.answer(now, answer);
+                } else {
+                    self.say(to, Body::Answer(answer));
+                }
+            }
+        }
+    }
+
+    fn of_holder(&mut self, now: Micros, output: holder::Output) {
+        match output {
+            holder::Output::Ask(ask) => {
+                if self.leads() {
+                    let me = self.settings.name.clone();
+                    self.asked(now, &me, ask, None);
+                } else if let Some(to) = self.leader().or_else(|| self.asks().cloned()) {
+                    self.say(to, Body::Ask(ask, None));
+                }
+            }
+            holder::Output::Began(duty, term) => {
+                self.note(Note::Began { duty: duty.clone(), term });
+                self.outputs.push_back(Output::Began(duty, term));
+            }
+            holder::Output::Ended(duty, term) => {
+                self.note(Note::Ended { duty: duty.clone(), term });
+                self.outputs.push_back(Output::Ended(duty, term));
+            }
+        }
+    }
+
+    fn answer_followers(&mut self, now: Micros) {
+        let (process, Some(c)) = (self.settings.process, &self.council) else { return };
+        let state = c.state();
+        for (name, poll) in self.followed.due(now, process, state) {
+            let passed: Passed = self.followed.since(process, &poll);
+            let same = poll.generation == state.generation;
+            let body = match c.since(poll.applied + 1, MOST_ENTRIES).filter(|_| same) {
+                Some(entries) => Body::Entries(state.generation, entries, passed),
+                None => Body::State(state.clone(), passed),
+            };
+            self.outputs.push_back(Output::Send(name, body));
+        }
+    }
+}
--- /dev/null
+++ b/src/council/wire.rs
@@ -0,0 +1,354 @@
+//! Frames between gateways: what must come whole goes over TCP, sealed as membership's datagrams are.
+//!
+//! A frame is its length in four bytes, little-endian, and a sealed envelope. Who accepts a connection says a word first that
+//! it has never said before, and who connects puts its own into every frame; a seal covers both, the two names, the
+//! direction and a number that counts up, so that a frame counts once, on its connection, for whom it was meant. No clock is
+//! read. What cannot be read ends the connection and harms nobody else.
+
+use std::fmt;
+use std::sync::Arc;
+
+use prost::Message as _;
+use serde::{Deserialize, Serialize};
+
+use super::memory::Known;
+use super::state::{Entry, State};
+use super::Seat;
+use crate::duty::holder::{Answer, Ask};
+use crate::duty::{Duty, Term};
+use crate::membership::is_name;
+use crate::membership::keys::Keys;
+
+/// The version of this wire.
+pub const VERSION: u32 = 1;
+/// Bytes of a frame at most.
+pub const LONGEST: usize = 1 << 20;
+/// Bytes of the word that who accepts says first.
+pub const WORD: usize = 16;
+/// What is sealed; membership's are 1 to 4.
+const FRAME: u8 = 5;
+
+/// Once said by who accepts, and once by who connects.
+pub type Word = [u8; WORD];
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Envelope {
+    #[prost(uint32, tag = "1")]
+    version: u32,
+    #[prost(string, tag = "2")]
+    from: String,
+    #[prost(string, tag = "3")]
+    to: String,
+    #[prost(bytes = "vec", tag = "4")]
+    word: Vec<u8>,
+    #[prost(uint64, tag = "5")]
+    number: u64,
+    #[prost(bytes = "vec", tag = "6")]
+    body: Vec<u8>,
+    #[prost(bytes = "vec", tag = "7")]
+    seal: Vec<u8>,
+}
+
+/// What one owner did for the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Effect {
+    /// Under which duty.
+    pub duty: Duty,
+    /// Under which term.
+    pub term: Term,
+    /// Whose.
+    pub owner: Arc<str>,
+    /// Which of its effects under this term.
+    pub number: u64,
+    /// What it is.
+    pub content: Vec<u8>,
+}
+
+/// What one gateway has for a duty's owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Which duty.
+    pub duty: Duty,
+    /// Whose word it is.
+    pub from: Arc<str>,
+    /// What it is.
+    pub content: Vec<u8>,
+}
+
+/// What a frame says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// From one voter to another: the generation, the sender's seat, which start of its disk and process, `raft`'s message.
+    Raft(u32, Seat, u64, u64, Vec<u8>),
+    /// A voter asks what is known of its seat.
+    Recall(u32, Seat, Known),
+    /// What is known of a seat, told by a seat.
+    Recalled(u32, Seat, Known, Seat),
+    /// A question of a duty's owner, to whoever leads; through which voter, if not straight.
+    Ask(Ask, Option<String>),
+    /// The answer.
+    Answer(Answer),
+    /// What has been agreed since? And which effects were passed on since? With the seat of who asks, if its disk has one.
+    Poll(Poll),
+    /// Entries in order, as the answer to a poll.
+    Entries(u32, Vec<(u64, Entry)>, Passed),
+    /// The state in place of entries that are not kept any more.
+    State(State, Passed),
+    /// What an owner did.
+    Effect(Effect),
+    /// Something for a duty's owner; whether a voter passed it on.
+    Report(Report, bool),
+}
+
+/// A follower's question.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Poll {
+    /// Of which generation its state is.
+    pub generation: u32,
+    /// The last entry that it has.
+    pub applied: u64,
+    /// Whose effects it has, and how far.
+    pub passed: (u64, u64),
+    /// Its seat, if it has one and does not vote.
+    pub seat: Option<Seat>,
+}
+
+/// Effects that a voter passes on: which process it is, the number behind the last of these, and the effects.
+pub type Passed = (u64, u64, Vec<Effect>);
+
+/// Why a frame is refused; the connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// It is longer than a frame may be.
+    TooLong,
+    /// It cannot be read.
+    Garbled,
+    /// It has another version.
+    Version,
+    /// No key is accepted for its sender.
+    Stranger,
+    /// It is meant for another.
+    Other,
+    /// Its seal does not hold.
+    Seal,
+    /// It came before, or on another connection.
+    Replayed,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refused::TooLong => "too_long",
+            Refused::Garbled => "garbled",
+            Refused::Version => "version",
+            Refused::Stranger => "stranger",
+            Refused::Other => "other",
+            Refused::Seal => "seal",
+            Refused::Replayed => "replayed",
+        })
+    }
+}
+
+impl std::error::Error for Refused {}
+
+fn content(e: &Envelope, accepted: &Word, by_connector: bool) -> Vec<u8> {
+    let mut out = Vec::with_capacity(e.body.len() + 128);
+    for part in [e.from.as_bytes(), e.to.as_bytes(), &e.word, accepted, &e.body] {
+        out.extend((part.len() as u64).to_le_bytes());
+        out.extend(part);
+    }
+    out.extend(e.number.to_le_bytes());
+    out.extend(e.version.to_le_bytes());
+    out.push(u8::from(by_connector));
+    out
+}
+
+/// A word never said before: of a process that is like no other, and a number that it uses once.
+pub fn word(name: &str, process: u64, number: u64) -> Word {
+    let content = [name.as_bytes(), &[0], &process.to_le_bytes(), &number.to_le_bytes()].concat();
+    let hash = blake3::derive_key("molelug council word 1", &content);
+    let mut word = [0; WORD];
+    word.copy_from_slice(&hash[..WORD]);
+    word
+}
+
+/// One connection's frames, at one of its ends.
+#[derive(Clone, Debug)]
+pub struct Session {
+    me: String,
+    /// Whether this end connected.
+    connector: bool,
+    /// The word of who accepted; known once it came.
+    accepted: Option<Word>,
+    /// The word of who connected; known with its first frame.
+    word: Option<Word>,
+    peer: Option<String>,
+    sent: u64,
+    heard: u64,
+}
+
+impl Session {
+    /// The end that connects to somebody.
+    pub fn connector(me: &str, peer: &str, word: Word) -> Session {
+        Session {
+            me: me.into(),
+            connector: true,
+            accepted: None,
+            word: Some(word),
+            peer: Some(peer.into()),
+            sent: 0,
+            heard: 0,
+        }
+    }
+
+    /// The end that accepts; its word is the first that leaves.
+    pub fn acceptor(me: &str, word: Word) -> Session {
+        Session {
+            me: me.into(),
+            connector: false,
+            accepted: Some(word),
+            word: None,
+            peer: None,
+            sent: 0,
+            heard: 0,
+        }
+    }
+
+    /// Who is at the other end, once that is sealed (for who accepts) or by intent (for who connects).
+    pub fn peer(&self) -> Option<&str> {
+        self.peer.as_deref()
+    }
+
+    /// Whether frames can be sealed: both words are known.
+    pub fn is_open(&self) -> bool {
+        self.accepted.is_some() && self.word.is_some() && self.peer.is_some()
+    }
+
+    /// Seals a frame; none while the session is not open, or if it would be too long.
+    pub fn pack(&mut self, keys: &Keys, body: &Body) -> Option<Vec<u8>> {
+        let (accepted, word, to) = (self.accepted?, self.word?, self.peer.clone()?);
+        let body = postcard::to_stdvec(body).ok()?;
+        self.sent += 1;
+        let mut e = Envelope {
+            version: VERSION,
+            from: self.me.clone(),
+            to,
+            word: word.to_vec(),
+            number: self.sent,
+            body,
+            seal: Vec::new(),
+        };
+        e.seal = keys.seal(FRAME, &content(&e, &accepted, self.connector));
+        let bytes = e.encode_to_vec();
+        (bytes.len() <= LONGEST).then(|| [&(bytes.len() as u32).to_le_bytes()[..], &bytes].concat())
+    }
+
+    /// Takes what stands whole at the beginning of what came: how many bytes it was, and what it says, if it says anything.
+    pub fn take(&mut self, keys: &Keys, bytes: &[u8]) -> Result<Option<(usize, Option<Body>)>, Refused> {
+        if self.accepted.is_none() {
+            let Some(word) = bytes.first_chunk::<WORD>() else { return Ok(None) };
+            self.accepted = Some(*word);
+            return Ok(Some((WORD, None)));
+        }
+        let Some(length) = bytes.first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_le_bytes(*length) as usize;
+        if length > LONGEST {
+            return Err(Refused::TooLong);
+        }
+        let Some(frame) = bytes.get(4..4 + length) else { return Ok(None) };
+        Ok(Some((4 + length, Some(self.open(keys, frame)?))))
+    }
+
+    fn open(&mut self, keys: &Keys, frame: &[u8]) -> Result<Body, Refused> {
+        let e = Envelope::decode(frame).map_err(|_| Refused::Garbled)?;
+        if e.version != VERSION {
+            return Err(Refused::Version);
+        }
+        if !is_name(&e.from) || !keys.knows(&e.from) || self.peer.as_ref().is_some_and(|p| *p != e.from) {
+            return Err(Refused::Stranger);
+        }
+        if e.to != self.me {
+            return Err(Refused::Other);
+        }
+        let word: Word = e.word.as_slice().try_into().map_err(|_| Refused::Garbled)?;
+        // One that was taken back before it left is missing among the numbers.
+        if self.word.is_some_and(|w| w != word) || e.number <= self.heard {
+            return Err(Refused::Replayed);
+        }
+        let accepted = self.accepted.ok_or(Refused::Garbled)?;
+        if !keys.check(&e.from, FRAME, &content(&e, &accepted, !self.connector), &e.seal) {
+            return Err(Refused::Seal);
+        }
+        let body = postcard::from_bytes(&e.body).map_err(|_| Refused::Garbled)?;
+        (self.word, self.peer, self.heard) = (Some(word), Some(e.from), e.number);
+        Ok(body)
+    }
+}
+
+/// Bytes of a frame that says this between two names, with a seal of a key that all share; for the emulator's figures.
+pub fn size(from: &str, to: &str, body: &Body) -> usize {
+    // Tags and lengths of the envelope, its word, number and seal, and the frame's own length.
+    postcard::to_stdvec(body).map_or(0, |b| b.len()) + from.len() + to.len() + WORD + 64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::membership::keys::tests::each;
+
+    fn both() -> (Session, Session) {
+        let mut a = Session::connector("a", "b", word("a", 1, 1));
+        let b = Session::acceptor("b", word("b", 2, 1));
+        assert_eq!(a.take(&each(0, 2), &word("b", 2, 1)), Ok(Some((WORD, None))));
+        (a, b)
+    }
+
+    fn effect(number: u64) -> Body {
+        Body::Effect(Effect { duty: "d".into(), term: 3, owner: "a".into(), number, content: vec![7; 9] })
+    }
+
+    #[test]
+    fn a_frame_counts_once_on_its_connection_for_whom_it_was_meant() {
+        let (ka, kb) = (each(0, 2), each(1, 2));
+        let (mut a, mut b) = both();
+        let one = a.pack(&ka, &effect(1)).unwrap();
+        let two = a.pack(&ka, &effect(2)).unwrap();
+        for cut in 0..one.len() {
+            assert_eq!(b.clone().take(&kb, &one[..cut]), Ok(None));
+        }
+        assert_eq!(b.take(&kb, &one), Ok(Some((one.len(), Some(effect(1))))));
+        assert_eq!(b.clone().take(&kb, &one), Err(Refused::Replayed));
+        // One that was taken back is missing; the next counts.
+        let three = a.pack(&ka, &effect(3)).unwrap();
+        let mut later = b.clone();
+        assert!(later.take(&kb, &three).is_ok());
+        assert_eq!(later.take(&kb, &two), Err(Refused::Replayed));
+        // Answers go back; one's own frame sent back does not count.
+        let back = b.pack(&kb, &effect(9)).unwrap();
+        assert_eq!(a.clone().take(&ka, &back), Ok(Some((back.len(), Some(effect(9))))));
+        assert!(a.take(&ka, &two).is_err());
+        // On another connection it is refused, and by another reader.
+        let mut other = Session::acceptor("b", word("b", 2, 2));
+        assert_eq!(other.take(&kb, &one), Err(Refused::Seal));
+        let mut other = Session::acceptor("c", word("b", 2, 1));
+        assert_eq!(other.take(&kb, &one), Err(Refused::Other));
+    }
+
+    #[test]
+    fn strangers_garbage_and_what_is_too_long_are_refused_by_name() {
+        let (ka, kb) = (each(0, 2), each(1, 2));
+        let (mut a, b) = both();
+        let mut frame = a.pack(&ka, &effect(1)).unwrap();
+        let long = [&(LONGEST as u32 + 1).to_le_bytes()[..], &[0; 9]].concat();
+        assert_eq!(b.clone().take(&kb, &long), Err(Refused::TooLong));
+        assert_eq!(b.clone().take(&kb, &[3, 0, 0, 0, 0xff, 0xff, 0xff]), Err(Refused::Garbled));
+        for at in 4..frame.len() {
+            frame[at] ^= 1;
+            assert!(b.clone().take(&kb, &frame).is_err(), "byte {at} changed");
+            frame[at] ^= 1;
+        }
+        assert!(b.clone().take(&kb, &frame).is_ok());
+        let huge = Body::Raft(1, 1, 1, 1, vec![0; LONGEST]);
+        assert_eq!(a.pack(&ka, &huge), None);
+    }
+}
--- a/src/duty/grantor.rs
+++ b/src/duty/grantor.rs
@@ -27,6 +27,8 @@
     Confirmed(u64),
     /// An entry of the agreed log took hold.
     Applied(Entry),
+    /// The state of all duties, in place of entries that were never seen here.
+    Restored(Ledger),
     /// A deadline fell due.
     Tick,
 }
@@ -178,6 +180,8 @@
                     }
                 }
             }
+            // Whoever is sent a state does not lead.
+            Input::Restored(ledger) => self.ledger = ledger,
             Input::Tick => {}
         }
         if self.leads {
--- a/src/duty/holder.rs
+++ b/src/duty/holder.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::ledger::Entry;
+use super::ledger::{Entry, Ledger};
 use super::{Duty, Owner, Settings, Term};
 use crate::api::Micros;
 
@@ -14,6 +14,8 @@
 pub enum Input {
     /// An entry of the agreed log took hold.
     Applied(Entry),
+    /// The state of all duties, in place of entries that were never seen here.
+    Restored(Ledger),
     /// A grantor's answer.
     Answer(Answer),
     /// Whether the instance can do duties at all: not while it is cut off from its own zone, has no descriptors, drains.
@@ -153,6 +155,7 @@
                 self.back.remove(&duty);
                 self.drop_held(&duty, |held| held <= term);
             }
+            Input::Restored(ledger) => self.restored(now, &ledger),
             Input::Answer(answer) => self.answered(now, answer),
             Input::Able(able) => {
                 if std::mem::replace(&mut self.able, able) != able {
@@ -169,6 +172,26 @@
         self.tick(now);
     }
 
+    /// What it holds by the same term runs on; all else ends, or begins without a lease.
+    fn restored(&mut self, now: Micros, ledger: &Ledger) {
+        let mine = |d: &Duty| {
+            Some(ledger.standing(d)).filter(|s| s.owner.as_ref() == Some(&self.me)).map(|s| s.term)
+        };
+        let gone: Vec<Duty> =
+            self.held.iter().filter(|(d, h)| mine(d) != Some(h.term)).map(|(d, _)| d.clone()).collect();
+        gone.iter().for_each(|d| self.drop_held(d, |_| true));
+        self.back.retain(|d, t| {
+            ledger.standing(d).term == *t && ledger.standing(d).owner.as_ref() == Some(&self.me)
+        });
+        for (duty, stands) in ledger.duties() {
+            let back = self.back.contains_key(duty);
+            if stands.owner.as_ref() == Some(&self.me) && !self.held.contains_key(duty) && !back {
+                self.held.insert(duty.clone(), Held { term: stands.term, until: None, acts: false });
+                self.next = now;
+            }
+        }
+    }
+
     fn answered(&mut self, now: Micros, answer: Answer) {
         let Some(at) = self.asked.iter().position(|(s, _)| *s == answer.stamp) else { return };
         if answer.to != self.me {
--- a/src/duty/ledger.rs
+++ b/src/duty/ledger.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// All duties as they begin in a later generation of the council: without owners, and with terms above any that the one
+    /// before it can have granted, so that whoever of it wakes up late is refused.
+    pub fn founded_anew(&self, generation: u32) -> Ledger {
+        let first = Term::from(generation) << 32;
+        let anew = |s: &Standing| Standing { term: s.term.max(first), owner: None };
+        Ledger { duties: self.duties.iter().map(|(d, s)| (d.clone(), anew(s))).collect() }
+    }
+
     /// One duty as it stands.
     pub fn standing(&self, duty: &Duty) -> Standing {
         self.duties.get(duty).cloned().unwrap_or_default()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod config;
 pub mod core;
+pub mod council;
 pub mod counters;
 pub mod delivery;
 pub mod duty;
--- a/src/membership/config.rs
+++ b/src/membership/config.rs
@@ -69,20 +69,31 @@
 
     /// Reads the keys that it names, for this instance's name.
     pub fn keys(&self, name: &str) -> Result<Keys, ConfigError> {
-        let read = |path: &Path| std::fs::read_to_string(path).map_err(|e| ConfigError::Read(path.into(), e));
-        match (&self.shared_keys, &self.own_key, &self.accepted) {
-            (Some(path), None, None) => {
-                let lines: Vec<String> =
-                    read(path)?.lines().map(str::trim).filter(|l| !l.is_empty()).map(str::to_owned).collect();
-                Keys::shared(&lines).map_err(|e| ConfigError::Parse(path.clone(), e.to_string()))
-            }
-            (None, Some(own), Some(accepted)) => {
-                let all: BTreeMap<String, Vec<String>> = toml::from_str(&read(accepted)?)
-                    .map_err(|e| ConfigError::Parse(accepted.clone(), e.message().to_owned()))?;
-                let keys = Keys::each(name, read(own)?.trim(), &all);
-                keys.map_err(|e| ConfigError::Parse(own.clone(), e.to_string()))
-            }
-            _ => Err(ConfigError::Value("gossip", "shared_keys, or own_key and accepted".into())),
+        read_keys("gossip", name, &self.shared_keys, &self.own_key, &self.accepted)
+    }
+}
+
+/// Reads keys: those that all share, or one's own and the public ones accepted for each name.
+pub fn read_keys(
+    what: &'static str,
+    name: &str,
+    shared: &Option<PathBuf>,
+    own: &Option<PathBuf>,
+    accepted: &Option<PathBuf>,
+) -> Result<Keys, ConfigError> {
+    let read = |path: &Path| std::fs::read_to_string(path).map_err(|e| ConfigError::Read(path.into(), e));
+    match (shared, own, accepted) {
+        (Some(path), None, None) => {
+            let lines: Vec<String> =
+                read(path)?.lines().map(str::trim).filter(|l| !l.is_empty()).map(str::to_owned).collect();
+            Keys::shared(&lines).map_err(|e| ConfigError::Parse(path.clone(), e.to_string()))
+        }
+        (None, Some(own), Some(accepted)) => {
+            let all: BTreeMap<String, Vec<String>> = toml::from_str(&read(accepted)?)
+                .map_err(|e| ConfigError::Parse(accepted.clone(), e.message().to_owned()))?;
+            let keys = Keys::each(name, read(own)?.trim(), &all);
+            keys.map_err(|e| ConfigError::Parse(own.clone(), e.to_string()))
         }
+        _ => Err(ConfigError::Value(what, "shared_keys, or own_key and accepted".into())),
     }
 }
--- a/src/membership/keys.rs
+++ b/src/membership/keys.rs
@@ -147,7 +147,7 @@
 }
 
 #[cfg(test)]
-pub(super) mod tests {
+pub(crate) mod tests {
     use super::*;
 
     pub fn private(n: u8) -> String {
--- a/src/node.rs
+++ b/src/node.rs
@@ -30,12 +30,15 @@
 
 mod clients;
 mod commands;
+mod council;
 mod gossip;
 mod handover;
 mod listing;
+mod loads;
 mod operations;
 mod reload;
 mod second;
+mod trials;
 mod webhooks;
 use operations::Ops;
 use second::Second;
@@ -57,6 +60,9 @@
 const GOSSIP: Token = Token { kind: 2, number: 6 };
 const LINE_AGAIN: Token = Token { kind: 2, number: 7 };
 const HANDOVER: Token = Token { kind: 2, number: 8 };
+const COUNCIL: Token = Token { kind: 2, number: 9 };
+const TRIALS: Token = Token { kind: 2, number: 10 };
+const LOADS: Token = Token { kind: 2, number: 11 };
 
 /// A client's connection without an open request is closed after this; clients themselves close after 4 s, but
 /// for those that ask once and stay.
@@ -161,6 +167,8 @@
     Board(Feed),
     /// A caller of the second address.
     Line,
+    /// Another gateway of the council.
+    Peer(council::Peer),
     Portal(PortalLink),
 }
 
@@ -179,6 +187,34 @@
     }
 }
 
+/// What goes on between gateways, as far as it is on.
+#[derive(Debug, Default)]
+struct Fleet {
+    /// The workers that are ready, while anybody here is to know.
+    ready: Option<BTreeSet<WorkerId>>,
+    talk: Option<gossip::Talk>,
+    hall: Option<council::Hall>,
+    trials: Option<trials::TrialSide>,
+    loads: Option<loads::LoadSide>,
+}
+
+impl Fleet {
+    /// Whether something waits to be read or accepted.
+    fn busy(&self) -> bool {
+        self.talk.as_ref().is_some_and(gossip::Talk::busy)
+            || self.hall.as_ref().is_some_and(council::Hall::busy)
+    }
+}
+
+/// What else an operator has switched on at the start.
+#[derive(Debug, Default)]
+pub struct Extras {
+    /// Gossip between instances.
+    pub gossip: Option<Gossip>,
+    /// The council.
+    pub council: Option<crate::council::config::File>,
+}
+
 /// One gateway.
 #[derive(Debug)]
 pub struct Node {
@@ -201,7 +237,7 @@
     has_others: bool,
     most_others: usize,
     second: Second,
-    talk: Option<gossip::Talk>,
+    fleet: Fleet,
     ops: Ops,
     last_rev: u64,
     gap_at: Option<u64>,
@@ -217,7 +253,7 @@
     pub fn new(
         config: Config,
         operator: Operator,
-        gossip: Option<Gossip>,
+        extras: Extras,
         inherited: Option<TcpListener>,
         handle: LoopHandle<'static, Node>,
         mut clock: Clock,
@@ -246,7 +282,7 @@
             has_others,
             most_others: 0,
             second: Second::default(),
-            talk: None,
+            fleet: Fleet::default(),
             ops: Ops::default(),
             last_rev,
             gap_at: None,
@@ -273,8 +309,14 @@
         node.core.hang(now, BOARD_AGAIN);
         node.set_up_line()?;
         node.set_up(now, operator)?;
-        if let Some(g) = &gossip {
-            node.set_up_gossip(now, g, ready)?;
+        if extras.gossip.is_some() || extras.council.is_some() {
+            node.fleet.ready = Some(ready.clone());
+        }
+        if let Some(g) = &extras.gossip {
+            node.set_up_gossip(now, g, ready.clone())?;
+        }
+        if let Some(c) = &extras.council {
+            node.set_up_council(now, c, ready)?;
         }
         Ok(node)
     }
@@ -394,11 +436,7 @@
             }
             let now = self.clock.now();
             let wait = match self.core.next_deadline() {
-                _ if !self.ready.is_empty()
-                    || self.accept
-                    || self.ops.is_busy()
-                    || self.talk.as_ref().is_some_and(gossip::Talk::busy) =>
-                {
+                _ if !self.ready.is_empty() || self.accept || self.ops.is_busy() || self.fleet.busy() => {
                     Some(Duration::ZERO)
                 }
                 next => next.map(|t| Duration::from_micros(t.saturating_sub(now))),
@@ -433,6 +471,7 @@
         self.pump();
         let now = self.clock.now();
         self.step_gossip(now);
+        self.step_council(now);
         // Advice may have moved the module to something.
         self.pump();
         let hooks = self.second.hooks.as_ref().is_none_or(|h| h.is_idle(now));
@@ -458,6 +497,9 @@
                 DELIVER => self.tick_webhooks(now),
                 RETAIN => self.retain(now),
                 GOSSIP => self.tick_gossip(now),
+                COUNCIL => self.tick_council(),
+                TRIALS => self.tick_trials(now),
+                LOADS => self.tick_loads(now),
                 LINE_AGAIN => self.accept_lines_again(),
                 HANDOVER => self.look_at_others(now),
                 Token { number, .. } => self.on_deadline(now, KeyData::from_ffi(number).into()),
@@ -510,6 +552,7 @@
                 }
             }
             Role::Line => self.ops.line_closed(key),
+            Role::Peer(peer) => self.peer_closed(now, key, &peer),
             Role::Worker(mut link) => {
                 tracing::debug!(
                     worker = link.worker.0,
@@ -550,12 +593,14 @@
             Role::Worker(_) => worker::READ_LIMIT,
             Role::Board(_) => board::READ_LIMIT,
             Role::Line => line::READ_LIMIT,
+            Role::Peer(_) => council::READ_LIMIT,
         };
         let read = conn.read(limit);
         if !was_up {
             let next = match role {
                 Role::Worker(_) => now + self.config.conn_idle * 4 / 5,
                 Role::Portal(_) => conn.deadline.unwrap_or(now),
+                Role::Peer(_) => now + council::SILENT,
                 _ => now + BOARD_SILENT,
             };
             self.set_deadline(key, Some(next));
@@ -582,6 +627,7 @@
             Role::Client { .. } => self.on_second(key, now),
             Role::Portal(_) => self.on_portal(key, now),
             Role::Line => self.on_line(key, now),
+            Role::Peer(_) => self.on_peer(key, now),
             Role::Worker(link) => {
                 let mut done = Vec::new();
                 let result = link.input(now, &mut conn.input, &mut done);
@@ -656,7 +702,7 @@
                 self.set_deadline(key, Some(next));
             }
             Role::Portal(link) if link.is_idle() => self.close(key, Ending::Idle),
-            Role::Line => self.close(key, Ending::Idle),
+            Role::Line | Role::Peer(_) => self.close(key, Ending::Idle),
             Role::Board(_) | Role::Portal(_) => {
                 let ending = if conn.up { Ending::TimedOut } else { Ending::NeverUp };
                 self.close(key, ending)
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -189,6 +189,7 @@
             self.core.hang(self.ops.life.accepts_until().unwrap_or(now), DRAIN_OVER);
             self.thin_out(now);
             self.write_word(now);
+            self.give_duties_back(now);
         }
     }
 
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -14,6 +14,7 @@
                 self.perform(now, command);
             } else if self.step_webhooks(now) {
             } else if let Some(key) = self.dirty.pop() {
+                self.look_at_leases(key);
                 let Some((conn, _)) = self.conns.get_mut(key) else { continue };
                 let flushed = conn.flush();
                 self.core.counters.written += conn.out.take_whole();
@@ -45,10 +46,12 @@
             }
             Open::Order(key) => {
                 self.orders.remove(key);
+                self.order_given_ended(now, key, done.copies);
                 self.core.order_ended(now, key, done.ending, done.left, done.copies);
             }
             Open::Probe(key) => {
                 self.probes.remove(key);
+                self.trial_ended(now, key, done.ending);
                 self.core.probe_ended(now, key, done.ending, done.back.report);
             }
         }
@@ -72,17 +75,14 @@
                 let left = left.map_or(Left::Some, |key| self.give_up(now, key, Open::Attempt(attempt)));
                 self.done.push_back(Done::plain(Open::Attempt(attempt), why, left));
             }
-            Command::Stage { order, worker, function, copies } => match self.link(now, worker, "") {
-                Ok(key) => {
-                    let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
-                    link.stage(&mut conn.out, order, function, copies);
-                    self.orders.insert(order, key);
-                    self.dirty.push(key);
-                }
-                Err(ending) => {
-                    self.done.push_back(Done::plain(Open::Order(order), ending, Left::Nothing));
-                }
-            },
+            Command::Stage { order, worker, function, copies }
+                if self.order_waits(now, order, worker, function, copies) => {}
+            Command::Stage { order, worker, function, copies } => {
+                self.stage(now, order, worker, function, copies)
+            }
+            Command::Forget { order } if self.order_forgotten(now, order) => {
+                self.done.push_back(Done::plain(Open::Order(order), Ending::TimedOut, Left::Nothing));
+            }
             Command::Forget { order } => {
                 let left = self.orders.get(order).copied();
                 let left = left.map_or(Left::Some, |key| self.give_up(now, key, Open::Order(order)));
@@ -109,6 +109,26 @@
         }
     }
 
+    /// Sends an order to load.
+    pub(super) fn stage(
+        &mut self,
+        now: Micros,
+        order: OrderKey,
+        worker: WorkerId,
+        function: FunctionId,
+        copies: u8,
+    ) {
+        match self.link(now, worker, "") {
+            Ok(key) => {
+                let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
+                link.stage(&mut conn.out, order, function, copies);
+                self.orders.insert(order, key);
+                self.dirty.push(key);
+            }
+            Err(ending) => self.done.push_back(Done::plain(Open::Order(order), ending, Left::Nothing)),
+        }
+    }
+
     /// Sends an attempt.
     #[allow(clippy::too_many_arguments)]
     pub(super) fn go(
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -34,7 +34,6 @@
     file: PathBuf,
     name: String,
     state: Option<PathBuf>,
-    ready: BTreeSet<WorkerId>,
     readable: bool,
     hung: Option<Micros>,
     keep_at: Option<Micros>,
@@ -103,7 +102,7 @@
         let socket = Rc::new(socket);
         let source = Generic::new(Udp(socket.clone()), Interest::READ, Mode::Edge);
         let note = |_, _: &mut _, node: &mut Node| {
-            if let Some(talk) = &mut node.talk {
+            if let Some(talk) = &mut node.fleet.talk {
                 talk.readable = true;
             }
             Ok(PostAction::Continue)
@@ -119,15 +118,14 @@
         };
         let mut group = Group::new(settings, keys, self.config.seed ^ now, now);
         group.handle(now, Input::Known(g.state.as_deref().map_or(Vec::new(), read_members), g.seeds.clone()));
-        group.handle(now, Input::Ready(ready.clone()));
+        group.handle(now, Input::Ready(ready));
         tracing::info!("{name} talks on {address}");
-        self.talk = Some(Talk {
+        self.fleet.talk = Some(Talk {
             group,
             socket,
             file: g.file.clone(),
             name,
             state: g.state.clone(),
-            ready,
             readable: true,
             hung: None,
             keep_at: None,
@@ -137,31 +135,36 @@
 
     /// The list of workers has changed.
     pub(super) fn tell_ready(&mut self, now: Micros, snapshot: bool, members: &[Member]) {
-        let Some(talk) = &mut self.talk else { return };
+        let Some(ready) = &mut self.fleet.ready else { return };
         if snapshot {
-            talk.ready.clear();
+            ready.clear();
         }
         for m in members {
             if m.status == Status::Ready {
-                talk.ready.insert(m.worker);
+                ready.insert(m.worker);
             } else {
-                talk.ready.remove(&m.worker);
+                ready.remove(&m.worker);
             }
         }
-        talk.group.handle(now, Input::Ready(talk.ready.clone()));
+        let ready = ready.clone();
+        self.trials_ready(now, ready.clone());
+        if let Some(talk) = &mut self.fleet.talk {
+            talk.group.handle(now, Input::Ready(ready));
+        }
     }
 
     /// An own attempt at a worker has ended.
     pub(super) fn tell_outcome(&mut self, now: Micros, worker: Option<WorkerId>, ending: Ending, left: Left) {
-        let (Some(talk), Some(worker), Some(seen)) = (&mut self.talk, worker, ending.seen(left)) else {
-            return;
-        };
-        talk.group.handle(now, Input::Outcome(worker, seen));
+        let (Some(worker), Some(seen)) = (worker, ending.seen(left)) else { return };
+        self.trials_outcome(now, worker, seen);
+        if let Some(talk) = &mut self.fleet.talk {
+            talk.group.handle(now, Input::Outcome(worker, seen));
+        }
     }
 
     /// Takes what came, and does what follows.
     pub(super) fn step_gossip(&mut self, now: Micros) {
-        let Some(talk) = &mut self.talk else { return };
+        let Some(talk) = &mut self.fleet.talk else { return };
         if talk.readable {
             let mut bytes = [0; MTU + 1];
             talk.readable = false;
@@ -213,7 +216,7 @@
 
     /// Gossip's deadline fell due.
     pub(super) fn tick_gossip(&mut self, now: Micros) {
-        let Some(talk) = &mut self.talk else { return };
+        let Some(talk) = &mut self.fleet.talk else { return };
         talk.hung = None;
         talk.group.handle(now, Input::Tick);
         if talk.keep_at.is_some_and(|t| t <= now) {
@@ -228,7 +231,7 @@
 
     /// Reads seeds and keys anew; what cannot be used leaves those held.
     pub(super) fn reload_gossip(&mut self, now: Micros) {
-        let Some(talk) = &mut self.talk else { return };
+        let Some(talk) = &mut self.fleet.talk else { return };
         match Gossip::read(&talk.file).and_then(|g| Ok((g.keys(&talk.name)?, g.seeds))) {
             Ok((keys, seeds)) => {
                 talk.group.handle(now, Input::Keys(keys));
@@ -241,7 +244,7 @@
 
     /// Leaves the group in order.
     pub(super) fn leave_group(&mut self, now: Micros) {
-        if let Some(talk) = &mut self.talk {
+        if let Some(talk) = &mut self.fleet.talk {
             talk.group.handle(now, Input::Leave);
             self.step_gossip(now);
         }
@@ -249,7 +252,7 @@
 
     /// What can be seen of the group.
     pub(super) fn peers(&self, now: Micros) -> serde_json::Value {
-        let Some(talk) = &self.talk else { return serde_json::Value::Null };
+        let Some(talk) = &self.fleet.talk else { return serde_json::Value::Null };
         let (refused, withheld) = talk.group.refused();
         let (rumours, held) = talk.group.sizes();
         serde_json::json!({ "name": talk.name, "peers": talk.group.peers(now), "refused": refused,
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -152,11 +152,16 @@
             }
         }
         let before = self.second.tenants.clone();
-        let peers = if r.path == "/v1/peers" { self.peers(now) } else { serde_json::Value::Null };
+        let fleet = match r.path {
+            "/v1/peers" => self.peers(now),
+            "/v1/council" | "/v1/council/voters" => self.council_view(),
+            "/v1/duties" => self.duties_view(),
+            _ => serde_json::Value::Null,
+        };
         let hooks = &self.second.hooks;
         let health = |id| hooks.as_ref().and_then(|h| h.health(id));
         let counters = &self.core.counters;
-        let mut cx = Context { tenants: &mut self.second.tenants, counters, health: &health, peers, now };
+        let mut cx = Context { tenants: &mut self.second.tenants, counters, health: &health, fleet, now };
         let handled = admin::handle(r, &who, &mut cx);
         let key = key.map(|key| (who.clone(), key.to_owned()));
         let mut handled = match handled {
@@ -209,6 +214,7 @@
         match change {
             Change::Share(tenant, per_s) => self.core.share(now, tenant, per_s),
             Change::Endpoints(tenant) => self.tell_endpoints(now, &tenant),
+            Change::Voters { joins, leaves } => self.exchange_voters(now, joins, leaves),
             Change::Removed(ids) => self.forget_endpoints(now, &ids),
             Change::Rotated(tenant, endpoint) => {
                 let data = serde_json::json!({ "endpoint": endpoint });
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,6 +4,7 @@
 //! [`writer::Writer`] the thread that commits; [`recovery`] what a start does with what it finds.
 
 pub mod disk;
+pub mod log;
 pub mod records;
 pub mod recovery;
 pub mod space;
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::{Effect, Micros};
+use crate::council::kept::Record;
 use crate::delivery::verdict::State;
 use crate::delivery::{EndpointId, Seq, Waiting};
 
@@ -188,6 +189,8 @@
     Stat,
     /// All messages after one, the oldest first, so many.
     Export(Option<Seq>, usize),
+    /// Keep a change of a voter's log.
+    Log(Box<Record>),
 }
 
 /// What the store answers.
--- a/src/store/space.rs
+++ b/src/store/space.rs
@@ -22,11 +22,12 @@
     ReplayAges,
     Heads,
     Behind,
+    Log,
 }
 
 impl Table {
     /// All of them.
-    pub const ALL: [Table; 14] = [
+    pub const ALL: [Table; 15] = [
         Table::Meta,
         Table::Calls,
         Table::Messages,
@@ -41,6 +42,7 @@
         Table::ReplayAges,
         Table::Heads,
         Table::Behind,
+        Table::Log,
     ];
 
     /// Its name in the file.
@@ -60,6 +62,7 @@
             Table::ReplayAges => "replay_ages",
             Table::Heads => "heads",
             Table::Behind => "behind",
+            Table::Log => "log",
         }
     }
 }
--- a/src/store/tables.rs
+++ b/src/store/tables.rs
@@ -11,15 +11,18 @@
 //! | by_call, call_ages | tenant, identity; time before it | the call's state | retention |
 //! | replays, replay_ages | digest; time before it | until when | retention, once no stamp of that time is taken |
 //! | heads, behind | endpoint, order key (, number) | who is first; who waits behind | the end of the last of the key |
-//! | meta | name | format, figures, highest number | never |
+//! | log | index | an entry of the agreed log | a snapshot |
+//! | meta | name | format, figures, highest number; a voter's seat and snapshot | never |
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::log;
 use super::records::*;
 use super::space::{Pair, Space, Table};
 use crate::api::{Effect, Micros};
 use crate::brain::allowed;
+use crate::council::kept::{Head as Seat, Line};
 use crate::delivery::verdict::{Dead, State};
 use crate::delivery::{EndpointId, Seq, Waiting};
 
@@ -27,7 +30,7 @@
 pub const FORMAT: u32 = 1;
 /// Attempts of one message that are kept.
 const MOST_ATTEMPTS: usize = 100;
-const TOP: [u8; 32] = [0xff; 32];
+pub(super) const TOP: [u8; 32] = [0xff; 32];
 
 /// What lives beside the tables and is kept with each commit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +62,8 @@
     pub stepped_back: bool,
     /// Callbacks of which nobody can tell whether they arrived.
     pub unknown: u64,
+    /// A voter's seat and log, if the file has one.
+    pub log: (Option<Seat>, Vec<Line>),
 }
 
 /// The logic over one space.
@@ -73,19 +78,19 @@
     cursor: u64,
 }
 
-fn pack<T: Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
+pub(super) fn pack<T: Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
     postcard::to_stdvec(value).map_err(|_| StoreError::Damaged("a record"))
 }
 
-fn unpack<T: DeserializeOwned>(bytes: &[u8], what: &'static str) -> Result<T, StoreError> {
+pub(super) fn unpack<T: DeserializeOwned>(bytes: &[u8], what: &'static str) -> Result<T, StoreError> {
     postcard::from_bytes(bytes).map_err(|_| StoreError::Damaged(what))
 }
 
-fn key(parts: &[u64]) -> Vec<u8> {
+pub(super) fn key(parts: &[u64]) -> Vec<u8> {
     parts.iter().flat_map(|p| p.to_be_bytes()).collect()
 }
 
-fn number(bytes: &[u8], part: usize) -> u64 {
+pub(super) fn number(bytes: &[u8], part: usize) -> u64 {
     let word = bytes.get(part * 8..part * 8 + 8).and_then(|b| b.try_into().ok());
     word.map_or(0, u64::from_be_bytes)
 }
@@ -129,6 +134,7 @@
             let mark = k.try_into().map_err(|_| StoreError::Damaged("a digest"))?;
             found.replays.push((mark, unpack(&v, "a digest")?));
         }
+        found.log = log::read(space)?;
         tables.finish(space, now)?;
         Ok((tables, found))
     }
@@ -305,6 +311,7 @@
             }
             Op::Retain(now, age, bytes, limit) => self.retain(space, now, age, bytes, limit),
             Op::Stat => Ok(Reply::Stat(self.head.stat)),
+            Op::Log(record) => log::keep(space, &record).map(|()| Reply::Done),
             Op::Export(after, limit) => {
                 let from = key(&[after.map_or(0, |s| s.0 + 1)]);
                 let page = space.scan(Table::Messages, &from, &TOP, limit, false)?;
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -64,7 +64,13 @@
 fn must_be_kept(op: &Op) -> bool {
     matches!(
         op,
-        Op::Answer(..) | Op::Ended(..) | Op::Unsent(_) | Op::Untake(..) | Op::Purge(..) | Op::Publish(_)
+        Op::Answer(..)
+            | Op::Ended(..)
+            | Op::Unsent(_)
+            | Op::Untake(..)
+            | Op::Purge(..)
+            | Op::Publish(_)
+            | Op::Log(_)
     )
 }
 
