Let slow answers of a worker that tells of few calls cut no cap: slow ones were left with one

The slow ones' usual answers take over a quarter of the aim whatever they hold; each cut their cap, to one or two calls of a gateway, where it cannot grow again. So nine calls in ten were refused with workers at rest, and came back at once.

Change: a cap is cut for slow answers only if the worker told of more than three calls in all, or tells nothing. The test fails without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,6 +17,8 @@
 const FIRST_CAP: f64 = 8.0;
 /// What a 'full' or a slow spell leaves of a cap.
 const CUT: f64 = 0.7;
+/// Calls, all instances' together, up to which no worker is slow for their sake.
+const LIGHT: f64 = FIRST_CAP * 3.0 / 8.0;
 /// A worker that takes so many times a function's usual latency is overloaded or slow: its cap is cut.
 const STRAINED: f64 = 2.0;
 /// Part of the aim that warm answers of a worker may take on average before its cap is cut.
@@ -675,9 +677,8 @@
         let blind = spare && r.waits.is_none();
         let first = |w: WorkerId| Some(w) == home && many && blind && untried(copy(&w));
         // One of many instances tries the next home with the call itself, a miss costs it one attempt: while
-        // a load is under way, and before homes that told of a crowd. It knows no second home of most
-        // functions: a few calls each. Cold ones last: their turns are few and they hold little. Then it goes
-        // back to a first home passed over: a crowded copy is better than a load.
+        // a load is under way, and before homes that told of a crowd; it knows no second home of most. Cold
+        // ones last, then a first home passed over: a crowded copy is better than a load.
         let tries = self.first_cap < 1.0 && !self.miss_loads() && spare && (blind || r.attempts == 1);
         let told = |w: &WorkerId| self.workers.get(w).map_or(0, |w| self.told(now, w));
         let next = || {
@@ -828,16 +829,15 @@
             w.heard_ok = now;
         }
         if w.cap < 1.0 && (told || load > FIRST_CAP) {
-            // Few answers come from each worker: the cap follows what one tells both ways, and soon. Crowded
-            // and slow each count: slow alone is a small worker, crowded alone one that bears it. Covers
-            // jams, slow and hot workers, and their end. Can harm where reports are so late that all
-            // instances swing.
+            // Few answers come from each worker: the cap follows what one tells both ways, and soon. Slow
+            // alone is a small worker, crowded alone one that bears it. Covers jams, slow and hot workers.
+            // Can harm where reports are so late that all instances swing.
             let pressure = (load.max(1.0) / FIRST_CAP * latency * 3.0 / aim.max(1.0)).sqrt();
             w.cap = (w.cap / pressure.clamp(0.6, 1.6)).clamp(least_cap, 1.0);
-        } else if w.strain > 1.0 && now > w.cut_at + usual as Micros * 2 {
-            // Slow answers alone leave few instances a call or two there: at the start of a day all workers
-            // are slow, and a cap below one holds calls back behind one that waits. While all carry much, and
-            // on 'full', it cuts deeper.
+        } else if w.strain > 1.0 && (!told || load > LIGHT) && now > w.cut_at + usual as Micros * 2 {
+            // Slow answers alone leave few instances a call or two: when a day begins all workers are slow,
+            // and a cap below one holds calls back. While all carry much, and on 'full', it cuts deeper.
+            // Those of a worker that tells of few calls are its own pace: less work makes them no faster.
             let few = self.calm && self.first_cap >= 2.0;
             w.cut(now, if few { 1.0 } else { least_cap });
         } else if f64::from(w.inflight + 1) >= w.cap * 0.75 {
@@ -952,8 +952,7 @@
                 // All that ends with one connection is one sign.
                 w.strikes += u32::from(outcome != Outcome::Reset || w.reset != now);
                 w.reset = if outcome == Outcome::Reset { now } else { w.reset };
-                // Caps that learn from answers alone know only what survives: silence beyond the usual cuts
-                // too. Can harm where clients leave early: short waits are left out, any answer mends it.
+                // Answers alone tell only of what survives: silence beyond the usual cuts too.
                 if outcome != Outcome::Reset && usual > 0.0 && e.latency as f64 > STRAINED * usual {
                     w.cut(now, floor);
                 }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -983,6 +983,35 @@
     assert_eq!(sent(&rig.ask(7, 0).1).len(), 1, "one that waits does not hold the next back");
 }
 
+/// How many calls at once a worker gets after a dozen slow answers with which it told of so many calls in all.
+fn at_once_after_slow_answers(inflight: f32) -> usize {
+    let mut rig = Rig::new(Settings { instances: 3, ..settings() }, 1);
+    rig.lanes = 8;
+    for _ in 0..12 {
+        let (request, actions) = rig.ask(7, 0);
+        assert_eq!(sent(&actions).len(), 1);
+        rig.now += 400_000;
+        let report = Some(Report { inflight: Some(inflight), ..Report::default() });
+        let (worker, outcome, latency) = (WorkerId(1), Outcome::Ok, 400_000);
+        let (attempt, terminal, warmth, crowd) = (0, true, None, 0);
+        let ended = Ended { request, worker, attempt, terminal, outcome, warmth, crowd, latency, report };
+        rig.event(Event::Ended(ended));
+    }
+    (0..6).map(|_| sent(&rig.ask(7, 0).1).len()).sum()
+}
+
+/// The silent day of high rate and the incident: once the fast workers had fallen silent, the slow ones, which tell of one or
+/// two calls, were left with a call each and nine in ten calls were refused.
+#[test]
+fn slow_answers_of_a_worker_that_holds_few_calls_are_its_own_pace() {
+    let (crowded, light) = (at_once_after_slow_answers(8.0), at_once_after_slow_answers(2.0));
+    assert!(
+        crowded < light,
+        "{crowded} and {light} at once: crowded and slow gets less, and slow alone does not"
+    );
+    assert!(light >= 3, "a third of eight calls, and no less");
+}
+
 /// Incident i5c0b55: resets on a bad network made every worker look restarted and cold.
 #[test]
 fn a_reset_alone_is_no_restart() {
