Start beside an older process of the council, and prove damaged seats, lossy links and strangers

Checked and ruled out: sharing the port (both would be spoken to, and one has no seat).

Change: the address is tried again until it is free, as the seat's disk is; meanwhile the process follows. Tests with real processes: two processes of one name, links that lose a third and flap with a leader that one other hears, a seat cut short or overwritten, strangers and forged frames on the port.

--- a/lab/src/owners.rs
+++ b/lab/src/owners.rs
@@ -184,6 +184,12 @@
         Ok(())
     }
 
+    /// Starts a second process of an instance on the same files; it is handed back, and the first goes on.
+    pub fn run_beside(&mut self, n: usize) -> Result<Gateway> {
+        let home = self.home(n);
+        Gateway::meeting(&home, &self.workers, &home.join("council.toml"), self.shape.without.as_deref())
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self, n: usize) -> Result<()> {
         self.doors[n].store(0, Ordering::Relaxed);
--- a/lab/tests/owners.rs
+++ b/lab/tests/owners.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use molelug_lab::history::{Note, Wrong};
-use molelug_lab::links::Faults;
+use molelug_lab::links::{Faults, Way};
 use molelug_lab::owners::{name, play, Fleet, Shape, DUTY};
 use molelug_lab::stand_in::gateway::PROGRAM;
 
@@ -162,3 +162,139 @@
     let (_, wrong) = fleet.judge().unwrap();
     assert_eq!(wrong, []);
 }
+
+/// A second process under the same name, as an upgrade starts one: while the first lives it follows and owns nothing of the
+/// first one's, and once the first has ended it has its address and its seat.
+#[test]
+fn of_two_processes_under_one_name_the_newer_one_votes_once_the_older_has_ended() {
+    program();
+    let mut fleet = Fleet::start(Shape { instances: 3, voters: 3, ..Shape::default() }, 9).unwrap();
+    fleet.call().unwrap();
+    let (owner, term, _) = fleet.owned_after(0).unwrap();
+    let second = fleet.run_beside(owner).unwrap();
+    assert!(second.log.iter().any(|l| l.contains("is in use")), "{:?}", second.log);
+    fleet.gateway(owner).unwrap().end().unwrap();
+    fleet.gateways[owner].take().unwrap().wait().unwrap();
+    fleet.gateways[owner] = Some(second);
+    fleet.owned_after(term).unwrap();
+    // The newer one's vote is needed for anything to be agreed once a third is gone.
+    let other = (owner + 1) % 3;
+    let (_, term) = fleet.owner().unwrap();
+    fleet.kill(other).unwrap();
+    let (last, _) = fleet.owner().unwrap();
+    if last != other {
+        fleet.gateway(last).unwrap().freeze().unwrap();
+        fleet.gateway(last).unwrap().thaw().unwrap();
+    }
+    let from = fleet.seen.len();
+    fleet.run(other).unwrap();
+    let again = |n: &Note| matches!(n, Note::Agreed { .. } | Note::Restored { .. });
+    fleet.until(from, "what was agreed", |s| s.instance == other && again(&s.note)).unwrap();
+    assert!(fleet.owner().is_some_and(|(_, t)| t >= term));
+    let (_, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+}
+
+/// A link that flaps, a third of all frames lost, some doubled, and a leader that only one other hears: whoever leads, no
+/// two do in one term, and somebody owns the duty once the network is whole.
+#[test]
+fn lossy_flapping_and_half_cut_links_leave_one_owner() {
+    program();
+    let mut fleet = Fleet::start(Shape::default(), 10).unwrap();
+    fleet.call().unwrap();
+    let (_, mut term, _) = fleet.owned_after(0).unwrap();
+    fleet.everywhere(Faults { lost: 30, doubled: 3, jitter_ms: 20, ..Faults::default() });
+    let leader = fleet.seen.iter().rfind(|s| matches!(s.note, Note::Leads { .. })).unwrap().instance;
+    let one = (leader + 1) % 5;
+    for round in 0..6 {
+        for ((from, to), link) in &fleet.links {
+            let hears = [*from, *to].contains(&leader) && ![*from, *to].contains(&one);
+            link.set(Way::There, Faults { cut: hears && round % 2 == 0, lost: 30, ..Faults::default() });
+        }
+        std::thread::sleep(std::time::Duration::from_millis(400));
+    }
+    fleet.everywhere(Faults::default());
+    fleet.look().unwrap();
+    if let Some((owner, t)) = fleet.owner().filter(|(_, t)| *t >= term) {
+        // Whoever it is, its end has another follow.
+        fleet.kill(owner).unwrap();
+        term = t;
+    }
+    fleet.owned_after(term).unwrap();
+    let (held, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, [], "{held:?}");
+}
+
+/// A seat's file that was cut short, or is something else: the gateway says so, follows and serves.
+#[test]
+fn a_gateway_whose_seat_is_damaged_follows_and_serves() {
+    program();
+    let mut fleet = Fleet::start(Shape { instances: 3, voters: 3, ..Shape::default() }, 11).unwrap();
+    fleet.call().unwrap();
+    let (owner, ..) = fleet.owned_after(0).unwrap();
+    let victim = (owner + 1) % 3;
+    fleet.kill(victim).unwrap();
+    let seat = fleet.home(victim).join("seat");
+    let whole = std::fs::read(&seat).unwrap();
+    for damaged in [&whole[..whole.len() / 3], &b"not a seat"[..]] {
+        std::fs::write(&seat, damaged).unwrap();
+        let from = fleet.seen.len();
+        fleet.run(victim).unwrap();
+        let log = &fleet.gateway(victim).unwrap().log;
+        assert!(log.iter().any(|l| l.contains("does not vote")), "{log:?}");
+        let restored = |n: &Note| matches!(n, Note::Restored { .. });
+        fleet.until(from, "what it follows", |s| s.instance == victim && restored(&s.note)).unwrap();
+        fleet.kill(victim).unwrap();
+    }
+    let (_, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+}
+
+/// Strangers on the port of the council: garbage, a length beyond any frame, silence, and a frame sealed by a key that
+/// nobody accepts. Each connection ends, and nothing else does.
+#[test]
+fn strangers_on_the_councils_port_harm_nobody() {
+    use std::io::{Read, Write};
+    program();
+    let mut fleet = Fleet::start(Shape { instances: 3, voters: 3, ..Shape::default() }, 12).unwrap();
+    fleet.call().unwrap();
+    let (owner, term, _) = fleet.owned_after(0).unwrap();
+    let text = std::fs::read_to_string(fleet.home(owner).join("council.toml")).unwrap();
+    let listen = text.lines().find_map(|l| l.strip_prefix("listen = ")).unwrap().trim_matches('"').to_owned();
+    let mut silent = Vec::new();
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0xff; 64], &[3, 0, 0, 0, 1, 2, 3], &[]] {
+        let mut s = std::net::TcpStream::connect(&listen).unwrap();
+        s.set_read_timeout(Some(molelug_lab::stand_in::PATIENCE)).unwrap();
+        s.write_all(bytes).unwrap();
+        let mut word = [0; molelug::council::wire::WORD];
+        s.read_exact(&mut word).unwrap();
+        if bytes.is_empty() {
+            silent.push(s);
+        } else {
+            // The end: a close, or a reset for what was not read.
+            assert_eq!(s.read(&mut [0; 8]).unwrap_or(0), 0);
+        }
+    }
+    let keys = molelug::membership::keys::Keys::shared(&[base64::Engine::encode(
+        &base64::prelude::BASE64_STANDARD,
+        [9; 32],
+    )])
+    .unwrap();
+    use molelug::council::wire::{word, Body, Session};
+    let mut s = std::net::TcpStream::connect(&listen).unwrap();
+    s.set_read_timeout(Some(molelug_lab::stand_in::PATIENCE)).unwrap();
+    let mut first = [0; molelug::council::wire::WORD];
+    s.read_exact(&mut first).unwrap();
+    let mut session = Session::connector("gw-1", &name(owner), word("gw-1", 1, 1));
+    session.take(&keys, &first).unwrap();
+    let poll = Body::Poll(molelug::council::wire::Poll::default());
+    s.write_all(&session.pack(&keys, &poll).unwrap()).unwrap();
+    assert_eq!(s.read(&mut [0; 8]).unwrap_or(0), 0, "a forged frame got an answer");
+    let from = fleet.seen.len();
+    let acts = |s: &molelug_lab::owners::Seen| s.instance == owner && matches!(s.note, Note::Acted { .. });
+    fleet.until(from, "the owner to go on", acts).unwrap();
+    assert_eq!(fleet.owner(), Some((owner, term)));
+    drop(silent);
+    let (_, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+}
--- a/src/node/council.rs
+++ b/src/node/council.rs
@@ -58,7 +58,8 @@
     file: config::File,
     keys: Keys,
     book: BTreeMap<Arc<str>, SocketAddr>,
-    socket: Rc<TcpListener>,
+    /// None while the process before this one still has the address.
+    socket: Option<Rc<TcpListener>>,
     accept: bool,
     out: BTreeMap<Arc<str>, ConnKey>,
     inbound: BTreeMap<Arc<str>, ConnKey>,
@@ -69,7 +70,7 @@
     process: u64,
     history: Option<File>,
     hung: Option<Micros>,
-    /// When the disk of the seat is tried again, if another process held it.
+    /// When the disk of the seat and the address are tried again, if another process held them.
     seat_again: Option<Micros>,
     /// Effects of one's own whose bytes may still wait: by the tag of their frames.
     waits: HashMap<u64, Effect>,
@@ -169,6 +170,26 @@
 }
 
 impl Node {
+    /// Listens for other gateways; none while another process, the one before this, has the address.
+    fn listen_for_peers(&self, address: SocketAddr) -> Result<Option<Rc<TcpListener>>, NodeError> {
+        let note = |node: &mut Node| {
+            if let Some(hall) = &mut node.fleet.hall {
+                hall.accept = true;
+            }
+        };
+        match self.listening(address, note) {
+            Ok((socket, _)) => {
+                tracing::info!("meets the council on {address}");
+                Ok(Some(socket))
+            }
+            Err(NodeError::Listen(_, e)) if e.kind() == io::ErrorKind::AddrInUse => {
+                tracing::warn!("{address} is in use; tried again until it is free");
+                Ok(None)
+            }
+            Err(e) => Err(e),
+        }
+    }
+
     /// Begins to take part. A seat's disk that cannot be used is told, and the gateway follows without it.
     pub(super) fn set_up_council(
         &mut self,
@@ -181,11 +202,7 @@
             return Err(NodeError::Operator(ConfigError::Value("council.name", name)));
         }
         let keys = f.keys(&name).map_err(NodeError::Operator)?;
-        let (socket, _) = self.listening(f.listen, |node| {
-            if let Some(hall) = &mut node.fleet.hall {
-                hall.accept = true;
-            }
-        })?;
+        let socket = self.listen_for_peers(f.listen)?;
         let open = |path: &PathBuf| open_seat(path, &self.handle);
         let (seat, seat_again) = match f.seat.as_ref().map(open) {
             None => (None, None),
@@ -196,14 +213,13 @@
                 (None, None)
             }
         };
+        let seat_again = seat_again.or(socket.is_none().then(|| uptime() + HELD_AGAIN));
         let (kept, writer) = seat.map_or((None, None), |(kept, writer)| (Some(kept), Some(writer)));
         let process = distinct(&name);
         let member = Member::new(member_settings(f, &name, process, self.config.seed), kept, uptime());
         let history =
             f.history.as_ref().map(|p| File::options().create(true).append(true).open(p)).transpose();
         let history = history.map_err(|e| NodeError::Listen(f.listen, e))?;
-        let address = socket.local_addr().map_err(|e| NodeError::Listen(f.listen, e))?;
-        tracing::info!("{name} meets the council on {address}");
         let book = f.voters.iter().map(|(n, a)| (n.as_str().into(), *a)).collect();
         self.fleet.hall = Some(Hall {
             member,
@@ -259,20 +275,29 @@
         }
     }
 
-    /// The process before this one may have let go of the seat's disk: then this one votes.
+    /// The process before this one may have let go of the address and of the seat's disk: then this one votes.
     fn try_seat(&mut self, now: Micros) {
+        let Some(hall) = &self.fleet.hall else { return };
+        let (listens, address) = (hall.socket.is_some(), hall.file.listen);
+        let wanted =
+            hall.file.seat.clone().filter(|_| hall.writer.is_none() && hall.member.unfit().is_none());
+        let socket = if listens { None } else { self.listen_for_peers(address).ok().flatten() };
+        let seat = wanted.map(|path| open_seat(&path, &self.handle));
         let Some(hall) = &mut self.fleet.hall else { return };
-        let Some(path) = hall.file.seat.clone() else { return };
-        match open_seat(&path, &self.handle) {
-            Ok(Some((kept, writer))) => {
-                (hall.writer, hall.seat_again) = (Some(writer), None);
+        hall.seat_again = None;
+        match socket {
+            Some(socket) => (hall.socket, hall.accept) = (Some(socket), true),
+            None if !listens => hall.seat_again = Some(now + HELD_AGAIN),
+            None => {}
+        }
+        match seat {
+            Some(Ok(Some((kept, writer)))) => {
+                hall.writer = Some(writer);
                 hall.member.take_seat(now, kept);
             }
-            Ok(None) => hall.seat_again = Some(now + HELD_AGAIN),
-            Err(e) => {
-                hall.seat_again = None;
-                tracing::error!("this gateway does not vote: {e}");
-            }
+            Some(Ok(None)) => hall.seat_again = Some(now + HELD_AGAIN),
+            Some(Err(e)) => tracing::error!("this gateway does not vote: {e}"),
+            None => {}
         }
     }
 
@@ -424,7 +449,11 @@
     fn accept_peers(&mut self, now: Micros) {
         for _ in 0..MOST_IN_TURN {
             let Some(hall) = self.fleet.hall.as_mut().filter(|h| h.accept) else { return };
-            match hall.socket.accept() {
+            let Some(socket) = &hall.socket else {
+                hall.accept = false;
+                return;
+            };
+            match socket.accept() {
                 Ok((stream, _)) => self.add_peer(now, stream),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => hall.accept = false,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
