Give duties up for want of descriptors, and exchange voters and rotate keys between real processes

Cause: an owner with hardly a descriptor left went on owning duties that it could not do; exchanging voters, rotating keys under way, full disks and what calls meet had no test or measurement.

Change: a gateway with fewer than 48 descriptors left offers no duties and gives back those it has. The lab writes a trust bundle and a caller's token, so that the operators' commands are run against real gateways.

Result: between processes a voter exchanged by command during a partition, keys rotated in three steps while an owner acts, an owner whose descriptors clients take; in the machine a voter whose disk is full holds at most 140 records and catches up.

--- a/lab/src/emulator/mod.rs
+++ b/lab/src/emulator/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! The same scenario and seed give the same run. What each member notes is judged by the checker that judges real processes.
 
+mod plot;
 mod workers;
 
 use std::cmp::Reverse;
@@ -890,7 +891,14 @@
 }
 
 /// `emulate`: seeds of a scenario, what came of them, and a line a run as JSON if asked for.
-pub fn run(path: &Path, seeds: u64, first: u64, sizes: &[usize], json: Option<&Path>) -> Result<bool> {
+pub fn run(
+    path: &Path,
+    seeds: u64,
+    first: u64,
+    sizes: &[usize],
+    json: Option<&Path>,
+    svg: Option<&Path>,
+) -> Result<bool> {
     let scenario = Scenario::read(path)?;
     let sizes = if sizes.is_empty() { vec![scenario.instances] } else { sizes.to_vec() };
     let (mut all, mut wrong) = (Vec::new(), 0);
@@ -925,6 +933,9 @@
     if let Some(json) = json {
         std::fs::write(json, serde_json::to_string_pretty(&all).map_err(Error::other)?)?;
     }
+    if let Some(svg) = svg {
+        std::fs::write(svg, plot::by_size(&all))?;
+    }
     println!("{} runs, {wrong} violations", all.len());
     Ok(wrong == 0)
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -72,6 +72,16 @@
         #[bpaf(long, argument("GUARD"))]
         without: Option<String>,
     },
+    /// What calls meet with the council off, on and without a majority, in turns
+    #[bpaf(command)]
+    Calls {
+        /// How long each turn
+        #[bpaf(long, argument("S"), fallback(5))]
+        seconds: u64,
+        /// How many turns
+        #[bpaf(long, argument("N"), fallback(3))]
+        turns: u64,
+    },
     /// A fleet on a virtual clock, from a scenario and seeds; the same run each time
     #[bpaf(command)]
     Emulate {
@@ -87,6 +97,9 @@
         /// Write the figures there as well
         #[bpaf(long, argument("FILE"))]
         json: Option<PathBuf>,
+        /// Plot the figures against the size of the fleet there
+        #[bpaf(long, argument("FILE.svg"))]
+        plot: Option<PathBuf>,
         /// The scenario
         #[bpaf(positional("FILE"))]
         scenario: PathBuf,
@@ -244,8 +257,9 @@
             };
             owners::run(&shape, rounds, seed, faults, history.as_deref())
         }
-        Command::Emulate { seeds, seed, instances, json, scenario } => {
-            emulator::run(&scenario, seeds, seed, &instances, json.as_deref())
+        Command::Calls { seconds, turns } => owners::calls(seconds, turns),
+        Command::Emulate { seeds, seed, instances, json, plot, scenario } => {
+            emulator::run(&scenario, seeds, seed, &instances, json.as_deref(), plot.as_deref())
         }
         Command::Check { folder } => molelug_lab::history::run(&folder),
         Command::Bench(Bench::Wheel) => bench::wheel(),
--- a/lab/src/owners.rs
+++ b/lab/src/owners.rs
@@ -39,8 +39,12 @@
     pub instances: usize,
     /// How many of them vote, the first ones.
     pub voters: usize,
+    /// How many after those have a seat that nobody has made a voter yet.
+    pub seats: usize,
     /// Duties besides the one that is watched, which nobody does anything for.
     pub duties: Vec<String>,
+    /// Whether there is a council at all.
+    pub council: bool,
     /// A guard that is taken out, if the build has it to take out.
     pub without: Option<String>,
     /// The lease, milliseconds.
@@ -49,7 +53,15 @@
 
 impl Default for Shape {
     fn default() -> Shape {
-        Shape { instances: 5, voters: 5, duties: Vec::new(), without: None, lease_ms: LEASE_MS }
+        Shape {
+            instances: 5,
+            voters: 5,
+            seats: 0,
+            duties: Vec::new(),
+            council: true,
+            without: None,
+            lease_ms: LEASE_MS,
+        }
     }
 }
 
@@ -76,6 +88,7 @@
     /// The link from one instance to a voter.
     pub links: BTreeMap<(usize, usize), Link>,
     folder: Folder,
+    operator: String,
     shape: Shape,
     read: Vec<u64>,
     /// All that was noted so far.
@@ -105,12 +118,14 @@
         let folder = Folder::new(&format!("owners-{seed}"))?;
         std::fs::create_dir_all(folder.0.join("history"))?;
         std::fs::write(folder.0.join("shared.keys"), BASE64_STANDARD.encode([7u8; 32]))?;
+        let operator = crate::stand_in::admin::write(&folder.0)?;
+        let listed = shape.voters + shape.seats;
         let workers: Vec<Worker> =
             (0..6).map(|_| Worker::start(Duration::from_millis(2), 0)).collect::<Result<_>>()?;
         let ports: Vec<SocketAddr> = (0..shape.instances).map(|_| free()).collect::<Result<_>>()?;
         let mut links = BTreeMap::new();
         for from in 0..shape.instances {
-            for (to, port) in ports.iter().enumerate().take(shape.voters).filter(|(to, _)| *to != from) {
+            for (to, port) in ports.iter().enumerate().take(listed).filter(|(to, _)| *to != from) {
                 links.insert((from, to), Link::stream(*port, seed ^ ((from as u64) << 8 | to as u64))?);
             }
         }
@@ -118,13 +133,13 @@
         for (n, port) in ports.iter().enumerate() {
             let home = folder.0.join(name(n));
             std::fs::create_dir_all(&home)?;
-            let voters: String = (0..shape.voters)
+            let voters: String = (0..listed)
                 .map(|to| {
                     let at = links.get(&(n, to)).map_or(*port, |l: &Link| l.address);
                     format!("{} = \"{at}\"\n", name(to))
                 })
                 .collect();
-            let seat = if n < shape.voters { "seat = \"seat\"\n" } else { "" };
+            let seat = if n < listed { "seat = \"seat\"\n" } else { "" };
             let mut duties = vec![DUTY.to_owned()];
             duties.extend(shape.duties.iter().cloned());
             let text = format!(
@@ -136,8 +151,8 @@
                 name(n)
             );
             std::fs::write(home.join("council.toml"), text)?;
-            if n < shape.voters {
-                found(&home, &names)?;
+            if n < listed {
+                make_seat(&home, if n < shape.voters { &names } else { &[] })?;
             }
         }
         let none = || (0..shape.instances).map(|_| None).collect();
@@ -147,6 +162,7 @@
             workers,
             links,
             folder,
+            operator,
             read: vec![0; shape.instances],
             shape,
             seen: Vec::new(),
@@ -172,13 +188,7 @@
 
     /// Starts an instance on the files in its folder.
     pub fn run(&mut self, n: usize) -> Result<()> {
-        let home = self.home(n);
-        let gateway = Gateway::meeting(
-            &home,
-            &self.workers,
-            &home.join("council.toml"),
-            self.shape.without.as_deref(),
-        )?;
+        let gateway = self.run_beside(n)?;
         self.doors[n].store(u64::from(gateway.platform.port()), Ordering::Relaxed);
         self.gateways[n] = Some(gateway);
         Ok(())
@@ -187,7 +197,30 @@
     /// Starts a second process of an instance on the same files; it is handed back, and the first goes on.
     pub fn run_beside(&mut self, n: usize) -> Result<Gateway> {
         let home = self.home(n);
-        Gateway::meeting(&home, &self.workers, &home.join("council.toml"), self.shape.without.as_deref())
+        if !self.shape.council {
+            return Gateway::talking(&home, &self.workers, None);
+        }
+        let (file, without) = (home.join("council.toml"), self.shape.without.as_deref());
+        Gateway::meeting(&home, &self.workers, &file, without, &self.operator)
+    }
+
+    /// Asks an instance by the operators' commands, such as `council show`.
+    pub fn ask(&self, n: usize, what: &[&str]) -> Result<String> {
+        let admin = self.gateway(n)?.admin.ok_or_else(|| Error::other("no administration"))?.to_string();
+        let token = self.folder.0.join("svid").display().to_string();
+        let at = ["--admin", &admin, "--token", &token];
+        molelug(&what.iter().chain(&at).map(|s| (*s).to_owned()).collect::<Vec<_>>())
+    }
+
+    /// Writes other keys, which all share, and has everybody read them; in an order that a step apart are understood.
+    pub fn rotate(&mut self, keys: &[u8]) -> Result<()> {
+        let lines: Vec<String> = keys.iter().map(|k| BASE64_STANDARD.encode([*k; 32])).collect();
+        std::fs::write(self.folder.0.join("shared.keys"), lines.join("\n"))?;
+        for gateway in self.gateways.iter_mut().flatten() {
+            gateway.reload()?;
+            gateway.line("of the council were read anew")?;
+        }
+        Ok(())
     }
 
     /// SIGKILL.
@@ -254,11 +287,7 @@
                     }
                     let Some((_, c)) = &mut caller else { continue };
                     let id = ((n as u64 + 1) << 48) | calls;
-                    let request = format!(
-                        "POST /call/{:016x}/trigger HTTP/1.1\r\nHost: lab\r\nX-Class: {SAFE}\r\nX-Org: franq-bajio\r\n\
-                         X-Correlation-Id: {id:016x}\r\nX-Deadline-Ms: 900\r\nX-Extras: lanes:4\r\nContent-Length: 0\r\n\r\n",
-                        calls % 24
-                    );
+                    let request = call(id, calls % 24);
                     calls += 1;
                     let status = c.exchange(request.as_bytes()).map_or(0, |a| status(&a));
                     writeln!(file, "{{\"call\":{id},\"status\":{status}}}")?;
@@ -354,15 +383,21 @@
     }
 }
 
-/// Makes the disk of a founder, as an operator does.
-fn found(home: &Path, names: &[String]) -> Result<()> {
-    let mut command = command(None)?;
-    command.args(["council", "found", "--council"]).arg(home.join("council.toml")).args(names);
-    let output = command.output()?;
+/// Makes the disk of a founder among these, or of one who may vote later, as an operator does.
+fn make_seat(home: &Path, founders: &[String]) -> Result<()> {
+    let file = home.join("council.toml").display().to_string();
+    let what = if founders.is_empty() { "seat" } else { "found" };
+    let args = [&["council".to_owned(), what.into(), "--council".into(), file], founders].concat();
+    molelug(&args).map(|_| ())
+}
+
+/// Runs a command of the gateway's program, and returns what it prints.
+fn molelug(args: &[String]) -> Result<String> {
+    let output = command(None)?.args(args).output()?;
     if output.status.success() {
-        return Ok(());
+        return Ok(String::from_utf8_lossy(&output.stdout).into_owned());
     }
-    Err(Error::other(format!("cannot found: {}", String::from_utf8_lossy(&output.stderr))))
+    Err(Error::other(format!("{args:?}: {}", String::from_utf8_lossy(&output.stderr))))
 }
 
 /// What one round did, for its report.
@@ -501,6 +536,90 @@
     Ok(())
 }
 
+/// What calls met.
+#[derive(Debug)]
+struct Calls {
+    served: u64,
+    all: u64,
+    micros: hdrhistogram::Histogram<u64>,
+}
+
+/// The bytes of a call of a safe class.
+fn call(id: u64, function: u64) -> String {
+    format!(
+        "POST /call/{function:016x}/trigger HTTP/1.1\r\nHost: lab\r\nX-Class: {SAFE}\r\nX-Org: franq-bajio\r\n\
+         X-Correlation-Id: {id:016x}\r\nX-Deadline-Ms: 900\r\nX-Extras: lanes:4\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+/// Calls at some gateways for a while, four callers each.
+fn calls_at(fleet: &Fleet, gateways: &[usize], seconds: u64) -> Result<Calls> {
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    for (n, c) in gateways.iter().flat_map(|n| (0..4u64).map(move |c| (*n, c))) {
+        let (to, stop) = (fleet.gateway(n)?.platform, stop.clone());
+        callers.push(std::thread::spawn(move || -> Result<Calls> {
+            let micros = hdrhistogram::Histogram::new(3).map_err(Error::other)?;
+            let (mut caller, mut all) = (Caller::new(to), Calls { served: 0, all: 0, micros });
+            while !stop.load(Ordering::Relaxed) {
+                let id = (n as u64 + 1) << 52 | c << 48 | all.all | u64::from(std::process::id()) << 24;
+                let begun = Instant::now();
+                let answer = caller.exchange(call(id, (all.all * 7 + c) % 24).as_bytes());
+                all.all += 1;
+                all.served += u64::from(answer.is_ok_and(|a| status(&a) == 200));
+                all.micros.record(begun.elapsed().as_micros() as u64).map_err(Error::other)?;
+                std::thread::sleep(Duration::from_millis(4));
+            }
+            Ok(all)
+        }));
+    }
+    std::thread::sleep(Duration::from_secs(seconds));
+    stop.store(true, Ordering::Relaxed);
+    let micros = hdrhistogram::Histogram::new(3).map_err(Error::other)?;
+    let mut sum = Calls { served: 0, all: 0, micros };
+    for caller in callers {
+        let one = caller.join().map_err(|_| Error::other("a caller failed"))??;
+        (sum.served, sum.all) = (sum.served + one.served, sum.all + one.all);
+        sum.micros.add(one.micros).map_err(Error::other)?;
+    }
+    Ok(sum)
+}
+
+/// `calls`: what calls meet with the council off, on and without a majority, in turns, at the same two gateways.
+pub fn calls(seconds: u64, turns: u64) -> Result<bool> {
+    let off = Fleet::start(Shape { council: false, ..Shape::default() }, 1)?;
+    let mut on = Fleet::start(Shape::default(), 2)?;
+    let mut lost = Fleet::start(Shape::default(), 3)?;
+    on.owned_after(0)?;
+    let (owner, ..) = lost.owned_after(0)?;
+    let at = [owner, (owner + 1) % 5];
+    for n in (0..5).filter(|n| !at.contains(n)) {
+        lost.kill(n)?;
+    }
+    let mut sums: BTreeMap<&str, Vec<Calls>> = BTreeMap::new();
+    for _ in 0..turns {
+        for (what, fleet) in [("off", &off), ("on", &on), ("without a majority", &lost)] {
+            sums.entry(what).or_default().push(calls_at(fleet, &at, seconds)?);
+        }
+    }
+    for (what, turns) in &sums {
+        let (mut all, mut served) = (0, 0);
+        let mut micros = hdrhistogram::Histogram::<u64>::new(3).map_err(Error::other)?;
+        for t in turns {
+            (all, served) = (all + t.all, served + t.served);
+            micros.add(&t.micros).map_err(Error::other)?;
+        }
+        println!(
+            "{what}: {all} calls, {:.3}% served, p50 {} us, p99 {} us, most {} us",
+            100.0 * served as f64 / all.max(1) as f64,
+            micros.value_at_quantile(0.5),
+            micros.value_at_quantile(0.99),
+            micros.max()
+        );
+    }
+    Ok(true)
+}
+
 fn percentile(sorted: &[f64], p: f64) -> f64 {
     let at = ((sorted.len() as f64 * p).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
     sorted.get(at).copied().unwrap_or(0.0)
--- a/lab/src/stand_in/gateway.rs
+++ b/lab/src/stand_in/gateway.rs
@@ -33,6 +33,8 @@
     pub platform: SocketAddr,
     /// Where signed webhooks come in.
     pub webhooks: Option<SocketAddr>,
+    /// Where it is administered.
+    pub admin: Option<SocketAddr>,
 }
 
 /// The module's settings for a small site with one class of each kind.
@@ -134,10 +136,11 @@
         workers: &[Worker],
         council: &Path,
         without: Option<&str>,
+        operator: &str,
     ) -> Result<Gateway> {
         std::fs::write(folder.join("config.json"), config(workers, 900.0).to_string())?;
-        std::fs::write(folder.join("operator.toml"), "")?;
-        Gateway::run_with(None, folder, "", None, Some((council, without)))
+        std::fs::write(folder.join("operator.toml"), operator)?;
+        Gateway::run_with(None, folder, operator, None, Some((council, without)))
     }
 
     /// Starts one on the files that are in a folder.
@@ -174,12 +177,15 @@
         std::thread::spawn(move || {
             BufReader::new(errors).lines().map_while(Result::ok).all(|l| tell.send(l).is_ok())
         });
-        let mut g =
-            Gateway { child, lines, log: Vec::new(), platform: ([0, 0, 0, 0], 0).into(), webhooks: None };
+        let platform = ([0, 0, 0, 0], 0).into();
+        let mut g = Gateway { child, lines, log: Vec::new(), platform, webhooks: None, admin: None };
         g.platform = g.listener("listens on ")?;
         if operator.contains("[webhooks]") {
             g.webhooks = Some(g.listener("takes webhooks on ")?);
         }
+        if operator.contains("[admin]") {
+            g.admin = Some(g.listener("is administered on ")?);
+        }
         Ok(g)
     }
 
@@ -222,6 +228,11 @@
         Ok(rustix::process::kill_process(self.pid(), rustix::process::Signal::CONT)?)
     }
 
+    /// SIGHUP: it reads its files anew.
+    pub fn reload(&self) -> Result<()> {
+        Ok(rustix::process::kill_process(self.pid(), rustix::process::Signal::HUP)?)
+    }
+
     /// SIGTERM, without waiting for its end.
     pub fn end(&self) -> Result<()> {
         Ok(rustix::process::kill_process(self.pid(), rustix::process::Signal::TERM)?)
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -8,6 +8,7 @@
 use molelug::front::webhook::signature;
 use molelug::tenancy::Secret;
 
+pub mod admin;
 pub mod gateway;
 pub mod portal;
 pub mod worker;
--- a/lab/tests/owners.rs
+++ b/lab/tests/owners.rs
@@ -225,6 +225,38 @@
     assert_eq!(wrong, [], "{held:?}");
 }
 
+/// Clients take nearly all descriptors of whoever owns the duty: it gives it up by itself, and has it or another again later.
+#[test]
+fn an_owner_without_descriptors_gives_its_duty_up() {
+    program();
+    let mut fleet = Fleet::start(Shape { instances: 3, voters: 3, ..Shape::default() }, 13).unwrap();
+    fleet.call().unwrap();
+    let (owner, term, _) = fleet.owned_after(0).unwrap();
+    let to = fleet.gateway(owner).unwrap().platform;
+    // The lab's gateways have 1,024. A client that sends a byte now and then keeps its place.
+    let mut clients = Vec::new();
+    let from = fleet.seen.len();
+    let gone = |s: &molelug_lab::owners::Seen| {
+        s.instance == owner && matches!(&s.note, Note::Ended { term: t, .. } if *t == term)
+    };
+    let end = std::time::Instant::now() + molelug_lab::stand_in::PATIENCE;
+    while !fleet.seen[from..].iter().any(gone) {
+        assert!(std::time::Instant::now() < end, "it kept the duty");
+        for _ in 0..200 {
+            clients.extend(std::net::TcpStream::connect(to));
+        }
+        if clients.len() > 3_000 {
+            clients.drain(..1_000);
+        }
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        fleet.look().unwrap();
+    }
+    fleet.owned_after(term).unwrap();
+    drop(clients);
+    let (_, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+}
+
 /// A seat's file that was cut short, or is something else: the gateway says so, follows and serves.
 #[test]
 fn a_gateway_whose_seat_is_damaged_follows_and_serves() {
@@ -298,3 +330,79 @@
     let (_, wrong) = fleet.judge().unwrap();
     assert_eq!(wrong, []);
 }
+
+/// One voter is cut off for good, and a fourth gateway, which has a seat, takes its place by the operators' commands while
+/// the partition lasts. Back again, the old one votes no more, and the new one's vote counts.
+#[test]
+fn voters_are_exchanged_by_command_during_a_partition() {
+    program();
+    let mut fleet =
+        Fleet::start(Shape { instances: 4, voters: 3, seats: 1, ..Shape::default() }, 14).unwrap();
+    fleet.call().unwrap();
+    let (_, term, _) = fleet.owned_after(0).unwrap();
+    let leads = |f: &Fleet| f.seen.iter().rfind(|s| matches!(s.note, Note::Leads { .. })).unwrap().instance;
+    let leader = leads(&fleet);
+    let gone = (leader + 1) % 3;
+    let cut = Faults { cut: true, ..Faults::default() };
+    fleet.around(gone, cut, cut);
+    let until = |f: &Fleet, at: usize, what: &[&str], has: &str| {
+        let end = std::time::Instant::now() + molelug_lab::stand_in::PATIENCE;
+        loop {
+            let said = f.ask(at, what).unwrap_or_else(|e| e.to_string());
+            if said.contains(has) {
+                return said;
+            }
+            assert!(std::time::Instant::now() < end, "{what:?} lacks '{has}': {said}");
+            std::thread::sleep(std::time::Duration::from_millis(100));
+        }
+    };
+    // It follows at some voter; at the leader once it asks there.
+    for (from, to) in fleet.links.keys().copied().filter(|(from, to)| *from == 3 && *to != leader) {
+        fleet.links[&(from, to)].set_both(cut);
+    }
+    until(&fleet, leader, &["council", "show"], "could vote        gw-3");
+    fleet.ask(leader, &["council", "exchange", "--joins", "gw-3"]).unwrap();
+    until(&fleet, leader, &["council", "show"], "voter             gw-3");
+    fleet.links.iter().filter(|((from, _), _)| *from == 3).for_each(|(_, l)| l.set_both(Faults::default()));
+    fleet.around(gone, cut, cut);
+    until(&fleet, 3, &["council", "show"], "votes             true");
+    let refused = fleet.ask(leader, &["council", "exchange", "--leaves", "gw-9"]).unwrap_err().to_string();
+    assert!(refused.contains("does not vote"), "{refused}");
+    let at = leads(&fleet);
+    fleet.ask(at, &["council", "exchange", "--leaves", &name(gone)]).unwrap();
+    let said = until(&fleet, 3, &["council", "show", "--json"], "\"voters\"");
+    assert!(said.contains("gw-3"), "{said}");
+    fleet.everywhere(Faults::default());
+    until(&fleet, gone, &["council", "show"], "voter             gw-3");
+    // With the old one out, a majority is two of three: the new one and one more are enough.
+    let other = (0..3).find(|n| *n != gone && *n != at).unwrap();
+    fleet.kill(other).unwrap();
+    let (owner, now) = fleet.owner().unwrap();
+    if owner == other {
+        fleet.owned_after(now).unwrap();
+    }
+    let duties = until(&fleet, at, &["duties", "--explain"], "trials  term");
+    assert!(duties.contains("owner gw-"), "{duties}");
+    assert!(fleet.owner().unwrap().1 >= term);
+    let (_, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+}
+
+/// Keys are rotated by SIGHUP under way: the old one, both, the new one first, the new one alone. The owner keeps its duty
+/// and goes on.
+#[test]
+fn keys_rotate_while_an_owner_acts() {
+    program();
+    let mut fleet = Fleet::start(Shape { instances: 4, voters: 3, ..Shape::default() }, 15).unwrap();
+    fleet.call().unwrap();
+    let (owner, term, _) = fleet.owned_after(0).unwrap();
+    for keys in [&[7u8, 8][..], &[8, 7], &[8]] {
+        fleet.rotate(keys).unwrap();
+        let from = fleet.seen.len();
+        let took = |n: &Note| matches!(n, Note::Accepted { term: t, .. } if *t == term);
+        fleet.until(from, "an effect under these keys", |s| s.instance == 3 && took(&s.note)).unwrap();
+    }
+    assert_eq!(fleet.owner(), Some((owner, term)));
+    let (_, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+}
--- a/src/council/tests.rs
+++ b/src/council/tests.rs
@@ -61,6 +61,8 @@
     doubled: u64,
     /// One in so many milliseconds brings a record to a disk.
     slow: u64,
+    /// Voters whose disks take nothing.
+    full: BTreeSet<usize>,
     /// Voters that are stopped, and forget nothing.
     stopped: BTreeSet<usize>,
     without: Without,
@@ -86,6 +88,7 @@
             lost: 0,
             doubled: 0,
             slow: 3,
+            full: BTreeSet::new(),
             stopped: BTreeSet::new(),
             without,
             leads: BTreeMap::new(),
@@ -197,7 +200,7 @@
             if self.stopped.contains(&n) {
                 continue;
             }
-            if below(&mut self.seed, self.slow) == 0 {
+            if below(&mut self.seed, self.slow) == 0 && !self.full.contains(&n) {
                 self.write(n);
             }
             let due = self.voters[n].council.as_ref().and_then(Council::next_deadline);
@@ -536,3 +539,28 @@
     }
     assert_eq!(rig.leader(), Some(leader));
 }
+
+#[test]
+fn a_voter_whose_disk_is_full_holds_little_and_catches_up_once_there_is_room() {
+    let mut rig = Rig::new(3, 31, Without::default());
+    rig.until("a leader", |r| r.leader().is_some());
+    let leader = rig.leader().unwrap();
+    let n = (leader + 1) % 3;
+    rig.full.insert(n);
+    let mut owner = 0;
+    for _ in 0..400 {
+        owner += 1;
+        if let Some(leader) = rig.leader() {
+            rig.propose(leader, owner);
+        }
+        rig.run(20 * MS);
+    }
+    assert!(rig.voters[n].writes.len() <= 140, "{} records wait for its disk", rig.voters[n].writes.len());
+    assert!(rig.most_applied() > 300, "the other two go on");
+    rig.full.clear();
+    let all = |r: &Rig| {
+        r.voters.iter().map(|v| v.council.as_ref().map(|c| c.state().ledger.clone())).collect::<Vec<_>>()
+    };
+    rig.until("it to catch up", |r| all(r).windows(2).all(|w| w[0] == w[1]));
+    assert_eq!(rig.judge(), Ok(()));
+}
--- a/src/node/council.rs
+++ b/src/node/council.rs
@@ -37,6 +37,8 @@
 const MOST_INBOUND: usize = 2048;
 /// Connections accepted in one turn.
 const MOST_IN_TURN: usize = 64;
+/// Descriptors left below which this gateway does no duties: workers' connections are refused at 24.
+const FEW_SOCKETS: usize = 48;
 /// How long after a connection failed the next is tried.
 const AGAIN: Micros = 100_000;
 /// How long after the seat's disk was held by another process it is looked at again.
@@ -79,6 +81,9 @@
     /// Whether its duties find that they can be done here; whether the process is to end.
     able: bool,
     leaves: bool,
+    /// Whether there are descriptors to spare; what the member was told last of all three.
+    room: bool,
+    told_able: bool,
 }
 
 /// Microseconds since the machine started, those asleep counted.
@@ -243,6 +248,8 @@
             refused: BTreeMap::new(),
             able: true,
             leaves: false,
+            room: true,
+            told_able: true,
         });
         if f.duties.contains(crate::duty::trials::NAME) {
             self.set_up_trials(now, ready);
@@ -309,12 +316,27 @@
 
     /// Whether the duties can be done here, as they find themselves.
     pub(super) fn set_able(&mut self, able: bool) {
+        if let Some(hall) = &mut self.fleet.hall {
+            hall.able = able;
+        }
+        self.look_at_able();
+    }
+
+    /// One that has hardly a descriptor left, that finds itself cut off, or that is to end, leaves duties to others.
+    fn look_at_able(&mut self) {
+        let left = self.sockets().saturating_sub(self.conns.len());
         let Some(hall) = &mut self.fleet.hall else { return };
-        if std::mem::replace(&mut hall.able, able) != able {
-            tracing::warn!(able, "whether this gateway can do duties has changed");
+        hall.room = if hall.room { left >= FEW_SOCKETS } else { left >= 2 * FEW_SOCKETS };
+        let able = hall.able && hall.room && !hall.leaves;
+        if std::mem::replace(&mut hall.told_able, able) != able {
+            tracing::warn!(
+                able,
+                room = hall.room,
+                leaves = hall.leaves,
+                "whether this gateway does duties has changed"
+            );
+            self.tell_member_of_council(Input::Able(able));
         }
-        let able = hall.able && !hall.leaves;
-        self.tell_member_of_council(Input::Able(able));
     }
 
     /// Accepts other gateways, and does what the member has to have done.
@@ -323,6 +345,7 @@
             return;
         }
         self.accept_peers(now);
+        self.look_at_able();
         self.step_trials(now);
         self.step_loads(now);
         while let Some(output) = self.fleet.hall.as_mut().and_then(|h| h.member.output()) {
@@ -425,7 +448,7 @@
         let session = Session::connector(hall.member.name(), name, word);
         let peer = Peer { session, to: Some(name.clone()), queued: Vec::new() };
         // Descriptors are the calls' first.
-        if self.conns.len() >= self.sockets().saturating_sub(24) {
+        if self.conns.len() + FEW_SOCKETS / 2 >= self.sockets() {
             return;
         }
         let added = net::connect(address).and_then(|s| self.add(s, false, Role::Peer(peer)));
@@ -640,7 +663,7 @@
         if let Some(hall) = &mut self.fleet.hall {
             hall.leaves = true;
         }
-        self.tell_member_of_council(Input::Able(false));
+        self.look_at_able();
         self.step_council(now);
     }
 
@@ -668,7 +691,7 @@
             "why_not_voting": m.unfit(), "waits_for_its_disk": hall.seat_again.is_some(),
             "log_term": m.council().map(|c| c.term()), "entries": m.council().map(|c| c.entries()),
             "followers": m.followers(), "seats": m.seats(), "reached": reached, "refused": hall.refused,
-            "able": hall.able && !hall.leaves })
+            "able": hall.told_able })
     }
 
     /// What can be seen of duties, and why one has no owner who acts, as far as this gateway can tell.
