--- a/lab/src/owners.rs
+++ b/lab/src/owners.rs
@@ -16,7 +16,7 @@
 
 use crate::history::{self, Line, Note};
 use crate::links::{Faults, Link, Way};
-use crate::stand_in::gateway::{command, Folder, SAFE};
+use crate::stand_in::gateway::{command, Folder, SAFE, SOCKETS};
 use crate::stand_in::{status, Caller, Gateway, Worker, PATIENCE};
 
 /// The lease that rounds play with, milliseconds.
@@ -52,6 +52,8 @@
     pub without: Option<String>,
     /// The lease, milliseconds.
     pub lease_ms: u64,
+    /// Descriptors that each may hold.
+    pub sockets: usize,
 }
 
 impl Default for Shape {
@@ -64,6 +66,7 @@
             council: true,
             without: None,
             lease_ms: LEASE_MS,
+            sockets: SOCKETS,
         }
     }
 }
@@ -204,7 +207,7 @@
             return Gateway::talking(&home, &self.workers, None);
         }
         let (file, without) = (home.join("council.toml"), self.shape.without.as_deref());
-        Gateway::meeting(&home, &self.workers, &file, without, &self.operator)
+        Gateway::meeting(&home, &self.workers, &file, without, &self.operator, self.shape.sockets)
     }
 
     /// Asks an instance by the operators' commands, such as `council show`.
--- a/src/node/council.rs
+++ b/src/node/council.rs
@@ -38,7 +38,7 @@
 /// Connections accepted in one turn.
 const MOST_IN_TURN: usize = 64;
 /// Descriptors left below which this gateway does no duties: workers' connections are refused at 24.
-const FEW_SOCKETS: usize = 48;
+const FEW_SOCKETS: usize = 52;
 /// How long after a connection failed the next is tried.
 const AGAIN: Micros = 100_000;
 /// How long after the seat's disk was held by another process it is looked at again.
@@ -326,7 +326,7 @@
     fn look_at_able(&mut self) {
         let left = self.sockets().saturating_sub(self.conns.len());
         let Some(hall) = &mut self.fleet.hall else { return };
-        hall.room = if hall.room { left >= FEW_SOCKETS } else { left >= 2 * FEW_SOCKETS };
+        hall.room = if hall.room { left >= FEW_SOCKETS } else { left >= FEW_SOCKETS + FEW_SOCKETS / 4 };
         let able = hall.able && hall.room && !hall.leaves;
         if std::mem::replace(&mut hall.told_able, able) != able {
             tracing::warn!(
