Give nothing to a process that declines duties, and have it give back what it is granted

Checked and ruled out: a recall (there was one duty); trials finding the gateway cut off (it was to end already). Why its offer still stood was not found.

Change: a grantor passes over offers older than a refusal, for a lease's time; a holder that declines gives back at once what it is granted.

--- a/src/duty/grantor.rs
+++ b/src/duty/grantor.rs
@@ -69,6 +69,8 @@
     until: BTreeMap<Duty, Micros>,
     /// Who would take duties, and until when that is believed.
     offers: BTreeMap<Owner, Micros>,
+    /// Who would take none, by which question, and until when an older one of theirs may still come.
+    declined: BTreeMap<Owner, (u64, Micros)>,
     /// Entries under way, and when they are proposed again.
     proposed: BTreeMap<Duty, (Term, Micros)>,
     recalled: BTreeMap<Duty, Term>,
@@ -97,6 +99,7 @@
             gathers: 0,
             until: BTreeMap::new(),
             offers: BTreeMap::new(),
+            declined: BTreeMap::new(),
             proposed: BTreeMap::new(),
             recalled: BTreeMap::new(),
             waiting: VecDeque::new(),
@@ -198,7 +201,8 @@
     }
 
     fn asked(&mut self, now: Micros, ask: Ask) {
-        if ask.able {
+        let late = self.declined.get(&ask.from).is_some_and(|(stamp, _)| *stamp > ask.stamp);
+        if ask.able && !late {
             self.offers.insert(ask.from.clone(), now + self.settings.lease);
             if self.offers.len() > MOST_OFFERS {
                 let oldest = self.offers.iter().min_by_key(|(_, t)| **t).map(|(o, _)| o.clone());
@@ -206,6 +210,9 @@
             }
         } else {
             self.offers.remove(&ask.from);
+            if !late && self.declined.len() < MOST_OFFERS {
+                self.declined.insert(ask.from.clone(), (ask.stamp, now + self.settings.lease));
+            }
         }
         for (duty, term) in &ask.back {
             let stands = self.ledger.standing(duty);
@@ -252,6 +259,7 @@
     /// Grants what nobody holds, and recalls what is to move.
     fn decide(&mut self, now: Micros) {
         self.offers.retain(|_, until| now < *until);
+        self.declined.retain(|_, (_, until)| now < *until);
         if now < self.gathers {
             return;
         }
--- a/src/duty/holder.rs
+++ b/src/duty/holder.rs
@@ -147,8 +147,12 @@
                 self.drop_held(&duty, |held| held < term);
                 if owner == self.me {
                     // No lease runs yet: this may be heard of long after it was granted.
-                    self.held.insert(duty, Held { term, until: None, acts: false });
+                    self.held.insert(duty.clone(), Held { term, until: None, acts: false });
                     self.next = now;
+                    // Granted on an older word of its.
+                    if !self.able {
+                        self.give_back(now, &duty);
+                    }
                 }
             }
             Input::Applied(Entry::GivenBack { duty, term }) => {
--- a/src/duty/tests.rs
+++ b/src/duty/tests.rs
@@ -303,3 +303,36 @@
     }
     assert!(rig.owner_of(&duty(0)).is_some_and(|n| n != old));
 }
+
+/// Seed 1006 of `owners`: a process that was to end was granted its duty anew three milliseconds after it had given it back,
+/// and ended with it.
+#[test]
+fn one_that_declines_gets_nothing_on_an_older_word_of_its() {
+    let ask = |stamp, able, back: Vec<(Duty, Term)>| holder::Ask {
+        from: owner(0),
+        stamp,
+        able,
+        holds: vec![],
+        back,
+    };
+    let mut grantor = Grantor::new(settings(), [duty(0)].into());
+    grantor.handle(0, grantor::Input::Leads);
+    grantor.handle(0, grantor::Input::Ask(ask(1, true, vec![])));
+    grantor.handle(2 * SECOND, grantor::Input::Ask(ask(2, true, vec![])));
+    let grant = Entry::Grant { duty: duty(0), owner: owner(0), term: 1 };
+    assert_eq!(grantor.output(), Some(grantor::Output::Propose(grant.clone())));
+    grantor.handle(2 * SECOND, grantor::Input::Applied(grant.clone()));
+    grantor.handle(2 * SECOND + 1, grantor::Input::Ask(ask(4, false, vec![(duty(0), 1)])));
+    grantor.handle(2 * SECOND + 2, grantor::Input::Ask(ask(3, true, vec![])));
+    let back = Entry::GivenBack { duty: duty(0), term: 1 };
+    assert_eq!(grantor.output(), Some(grantor::Output::Propose(back.clone())));
+    grantor.handle(2 * SECOND + 3, grantor::Input::Applied(back));
+    assert_eq!(grantor.output(), None, "granted on a word that came late");
+    // And the holder gives back what it is granted all the same.
+    let mut holder = Holder::new(settings(), owner(0), 0);
+    holder.handle(0, holder::Input::Able(false));
+    while holder.output().is_some() {}
+    holder.handle(SECOND, holder::Input::Applied(grant));
+    let Some(Output::Ask(ask)) = holder.output() else { panic!("no word of it") };
+    assert_eq!((ask.holds, ask.back), (vec![], vec![(duty(0), 1)]));
+}
