--- a/lab/src/emulator/mod.rs
+++ b/lab/src/emulator/mod.rs
@@ -843,6 +843,7 @@
                     self.instances[n].trials.handle(now, heard);
                 }
             }
+            Output::Sets => {}
             Output::Noted(note) => {
                 if matches!(note, member::Note::Agreed { .. } | member::Note::Restored { .. }) {
                     self.know_loads(n);
--- a/lab/src/history/mod.rs
+++ b/lab/src/history/mod.rs
@@ -3,6 +3,8 @@
 //! A history is a folder of files with a line of JSON for each thing noted, in the order in which its process noted it. Only
 //! that order and what the lines say of one another count; no two clocks are compared, and no span of time is judged.
 
+pub mod promises;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::io::{Error, Result};
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod load;
 pub mod owners;
 pub mod rate;
+pub mod rounds;
 pub mod stand_in;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use molelug_lab::{bench, conformance, crash, demo, emulator, gossip, load, owners, rate};
+use molelug_lab::{bench, conformance, crash, demo, emulator, gossip, load, owners, rate, rounds};
 
 /// Tools and stand-ins around the molelug gateway; all of it on loopback
 #[derive(Clone, Debug, Bpaf)]
@@ -43,6 +43,31 @@
         #[bpaf(long, argument("S"), fallback(60))]
         seconds: u64,
     },
+    /// Gateways that hold copies for one another, machines lost with their disks; judged by histories
+    #[bpaf(command)]
+    Rounds {
+        /// Gateways
+        #[bpaf(long, argument("N"), fallback(6))]
+        instances: usize,
+        /// Disks that a promise stands on
+        #[bpaf(long, argument("N"), fallback(2))]
+        copies: usize,
+        /// Rounds
+        #[bpaf(long, argument("N"), fallback(3))]
+        rounds: u64,
+        /// The first round's seed
+        #[bpaf(long, argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Faults a round
+        #[bpaf(long, argument("N"), fallback(4))]
+        faults: usize,
+        /// A guard to take out, in a build for tests
+        #[bpaf(long, argument("GUARD"))]
+        without: Option<String>,
+        /// The subject: copies
+        #[bpaf(positional("SUBJECT"))]
+        subject: String,
+    },
     /// Gateways that share duties over links that fail, their owners stopped, killed and cut off; judged by histories
     #[bpaf(command)]
     Owners {
@@ -267,6 +292,16 @@
             };
             owners::run(&shape, rounds, seed, faults, history.as_deref())
         }
+        Command::Rounds { instances, copies, rounds, seed, faults, without, subject } => match subject
+            .as_str()
+        {
+            "copies" => {
+                let shape =
+                    rounds::fleet::Shape { instances, copies, without, ..rounds::fleet::Shape::default() };
+                rounds::copies::run(&shape, rounds, seed, faults)
+            }
+            other => Err(std::io::Error::other(format!("no subject '{other}': there is copies"))),
+        },
         Command::Calls { seconds, turns } => owners::calls(seconds, turns),
         Command::Gain { instances, seconds } => owners::gain(instances, seconds),
         Command::Emulate { seeds, seed, instances, json, plot, scenario } => {
--- a/lab/src/owners.rs
+++ b/lab/src/owners.rs
@@ -106,7 +106,7 @@
 }
 
 /// A port that nothing else takes between a process's end and the next one's start: below those that the machine hands out.
-fn free() -> Result<SocketAddr> {
+pub(crate) fn free() -> Result<SocketAddr> {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     for _ in 0..2_000 {
         let n = NEXT.fetch_add(1, Ordering::Relaxed) + u64::from(std::process::id()) * 97;
@@ -392,7 +392,7 @@
 }
 
 /// Makes the disk of a founder among these, or of one who may vote later, as an operator does.
-fn make_seat(home: &Path, founders: &[String]) -> Result<()> {
+pub(crate) fn make_seat(home: &Path, founders: &[String]) -> Result<()> {
     let file = home.join("council.toml").display().to_string();
     let what = if founders.is_empty() { "seat" } else { "found" };
     let args = [&["council".to_owned(), what.into(), "--council".into(), file], founders].concat();
--- a/lab/src/stand_in/gateway.rs
+++ b/lab/src/stand_in/gateway.rs
@@ -147,6 +147,24 @@
         Gateway::run_with(None, folder, operator, None, Some((council, without)))
     }
 
+    /// Starts one with webhooks that takes part in a council and holds copies, if a file for that is given.
+    pub fn holding(
+        folder: &Path,
+        workers: &[Worker],
+        council: &Path,
+        copies: Option<&Path>,
+        without: Option<&str>,
+        operator: &str,
+    ) -> Result<Gateway> {
+        std::fs::write(folder.join("config.json"), config(workers, 3_000.0, SOCKETS).to_string())?;
+        std::fs::write(folder.join("operator.toml"), operator)?;
+        let mut command = Gateway::command(None, folder, None, Some((council, without)))?;
+        if let Some(copies) = copies {
+            command.arg("--copies").arg(copies);
+        }
+        Gateway::spawn(command, operator)
+    }
+
     /// Starts one on the files that are in a folder.
     pub fn again(folder: &Path, operator: &str) -> Result<Gateway> {
         Gateway::run(None, folder, operator)
@@ -163,6 +181,15 @@
         gossip: Option<&Path>,
         council: Option<(&Path, Option<&str>)>,
     ) -> Result<Gateway> {
+        Gateway::spawn(Gateway::command(program, folder, gossip, council)?, operator)
+    }
+
+    fn command(
+        program: Option<&Path>,
+        folder: &Path,
+        gossip: Option<&Path>,
+        council: Option<(&Path, Option<&str>)>,
+    ) -> Result<Command> {
         let mut command = command(program)?;
         command.args(["serve", "--operator"]).arg(folder.join("operator.toml"));
         if let Some(gossip) = gossip {
@@ -175,6 +202,10 @@
             .env("RELAY_CONFIG", folder.join("config.json"))
             .env_remove("RELAY_NAME")
             .env_remove("RELAY_LISTEN");
+        Ok(command)
+    }
+
+    fn spawn(mut command: Command, operator: &str) -> Result<Gateway> {
         let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn()?;
         let errors = child.stderr.take().ok_or_else(|| Error::other("no log"))?;
         let (tell, lines) = mpsc::channel();
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -78,6 +78,7 @@
 #[derive(Debug)]
 pub struct Caller {
     to: SocketAddr,
+    patience: Duration,
     stream: Option<(TcpStream, Vec<u8>)>,
 }
 
@@ -91,7 +92,12 @@
 impl Caller {
     /// A caller of one address.
     pub fn new(to: SocketAddr) -> Caller {
-        Caller { to, stream: None }
+        Caller { to, patience: PATIENCE, stream: None }
+    }
+
+    /// One that waits so many seconds for an answer.
+    pub fn patient(to: SocketAddr, seconds: u64) -> Caller {
+        Caller { to, patience: Duration::from_secs(seconds), stream: None }
     }
 
     /// Sends a signed call and returns the whole answer. After an error the connection is made anew.
@@ -112,7 +118,7 @@
             Some(both) => both,
             None => {
                 let stream = TcpStream::connect(self.to)?;
-                stream.set_read_timeout(Some(PATIENCE))?;
+                stream.set_read_timeout(Some(self.patience))?;
                 stream.set_nodelay(true)?;
                 (stream, Vec::new())
             }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -41,6 +41,9 @@
         /// A council file: work on behalf of the fleet, with one owner at a time
         #[bpaf(long, argument("FILE"))]
         council: Option<PathBuf>,
+        /// A copies file: what is held for others stands on several machines; needs --council and webhooks.store
+        #[bpaf(long, argument("FILE"))]
+        copies: Option<PathBuf>,
         #[allow(missing_docs)]
         #[bpaf(external(log::logging))]
         logging: Logging,
@@ -116,9 +119,9 @@
         Command::Store(what) => accepted(store::run(what)),
         Command::Council(what) => council::run(what),
         Command::Duties(what) => council::duties(&what),
-        Command::Serve { operator, gossip, council, logging } => {
+        Command::Serve { operator, gossip, council, copies, logging } => {
             logging.begin();
-            serve(operator, gossip, council)
+            serve(operator, gossip, council, copies)
         }
         Command::CheckConfig { operator, file } => check(operator, file).map_err(Into::into),
         Command::Version => {
@@ -139,6 +142,7 @@
     operator: Option<PathBuf>,
     gossip: Option<PathBuf>,
     council: Option<PathBuf>,
+    copies: Option<PathBuf>,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let socket = inherited::take()?;
     let config = Config::from_env()?;
@@ -146,7 +150,8 @@
     let operator = operator.map_or_else(|| Ok(Operator::default()), |path| Operator::read(&path))?;
     let gossip = gossip.map(|path| Gossip::read(&path)).transpose()?;
     let council = council.map(|path| File::read(&path)).transpose()?;
-    let extras = Extras { gossip, council };
+    let copies = copies.map(|path| crate::replication::config::File::read(&path)).transpose()?;
+    let extras = Extras { gossip, council, copies };
     let mut events = EventLoop::try_new()?;
     Node::heed_signals(&events.handle())?;
     let mut node = Node::new(config, operator, extras, socket, events.handle(), Clock::system())?;
--- a/src/council/config.rs
+++ b/src/council/config.rs
@@ -154,7 +154,8 @@
     }
     let ledger = from.map_or_else(Ledger::default, |s| s.ledger.founded_anew(generation));
     // As if one entry had been agreed: a seat that joins later has it not, and is sent the state.
-    let state = State { generation, applied: FIRST, voters, ledger };
+    let sets = from.map_or_else(Default::default, |s| s.sets.clone());
+    let state = State { generation, applied: FIRST, voters, ledger, sets };
     Ok(seat_of(founder(generation, me), &state))
 }
 
@@ -180,7 +181,7 @@
 
 /// The state that a disk's snapshot and its agreed entries come to; for founding anew from it.
 pub fn state_of(head: &Head, lines: &[Line]) -> Option<State> {
-    let mut state: State = postcard::from_bytes(&head.snapshot.3).ok()?;
+    let mut state = State::read(&head.snapshot.3).ok()?;
     for line in lines.iter().filter(|l| l.index <= head.hard.2) {
         let bytes = if line.voters { &line.context } else { &line.data };
         state.apply(line.index, &postcard::from_bytes(bytes).unwrap_or(super::state::Entry::Nothing));
--- a/src/council/machine.rs
+++ b/src/council/machine.rs
@@ -208,7 +208,7 @@
         }
         kept.head.boots += 1;
         let (index, _, _, data) = &kept.head.snapshot;
-        let state: State = postcard::from_bytes(data).map_err(|e| Unfit::Raft(e.to_string()))?;
+        let state = State::read(data).map_err(|e| Unfit::Raft(e.to_string()))?;
         let (seat, snapshot, head) = (kept.head.seat, *index, kept.head.clone());
         let config = Config {
             id: seat,
@@ -438,7 +438,7 @@
         self.outputs.push_back(Output::Retired(why));
     }
 
-    fn propose(&mut self, entry: &Entry) {
+    pub(super) fn propose(&mut self, entry: &Entry) {
         // An entry always packs; one that `raft` drops is proposed again by whoever wants it.
         let Ok(data) = postcard::to_stdvec(entry) else { return };
         if self.leads.is_some() {
@@ -533,7 +533,7 @@
             head.voters.clone_from(&voters);
             head.snapshot = (meta.index, meta.term, voters, data.to_vec());
             record.anew = true;
-            if let Ok(state) = postcard::from_bytes(data) {
+            if let Ok(state) = State::read(data) {
                 self.state = state;
             }
             self.snapshot = meta.index;
--- a/src/council/member.rs
+++ b/src/council/member.rs
@@ -17,6 +17,7 @@
 use crate::duty::holder::{self, Answer, Ask, Holder};
 use crate::duty::ledger;
 use crate::duty::{Duty, Owner, Term};
+use crate::replication::sets;
 
 /// Ways back to those who asked through another voter; the oldest are forgotten, and asked again.
 const MOST_ROUTES: usize = 4096;
@@ -70,6 +71,8 @@
     Act(Duty, Vec<u8>),
     /// Something for whoever owns a duty; it may get lost.
     Report(Duty, Vec<u8>),
+    /// An entry of shards is to be agreed; it may get lost.
+    Sets(sets::Entry),
     /// An operator has one gateway vote, or another no more.
     Exchange {
         /// Who comes; it has a seat and follows here.
@@ -98,6 +101,8 @@
     Take(Effect),
     /// Another has something for this owner of a duty.
     Hear(Duty, Arc<str>, Vec<u8>),
+    /// What is agreed of shards has changed.
+    Sets,
     /// Something to be recorded, in order.
     Noted(Note),
 }
@@ -417,6 +422,7 @@
                 let from = self.settings.name.clone();
                 self.report(Report { duty, from, content }, false);
             }
+            Input::Sets(entry) => self.sets(entry, false),
             Input::Exchange { joins, leaves } => {
                 let joins = joins.and_then(|n| Some((self.followed.seat(&n)?, n)));
                 // A name may have an old seat that votes and a new one that does not yet.
@@ -536,6 +542,13 @@
                     self.report(report, passed);
                 }
             }
+            Body::Sets(entry, passed) => {
+                if entry.by() == from || passed && self.is_voter(from) {
+                    self.sets(entry, passed);
+                }
+            }
+            // The driver has given it to whom it is for.
+            Body::Copies(_) => {}
             Body::Effect(effect) => {
                 // Its owner itself, or a voter that passes it on.
                 let straight = effect.owner == *from;
@@ -584,10 +597,14 @@
             let (index, ledger) = (self.follower.state().applied, self.follower.state().ledger.clone());
             self.note(Note::Restored { index });
             self.holder.handle(now, holder::Input::Restored(ledger));
+            self.outputs.push_back(Output::Sets);
         }
         for (index, entry, held) in news.applied {
-            if let (Entry::Duty(entry), true) = (entry, held) {
-                self.agreed(now, index, entry);
+            match entry {
+                Entry::Duty(entry) if held => self.agreed(now, index, entry),
+                // Also one without effect: whoever proposed it learns what stands.
+                Entry::Sets(_) => self.outputs.push_back(Output::Sets),
+                _ => {}
             }
         }
         for effect in news.effects {
@@ -652,6 +669,19 @@
         }
     }
 
+    /// To whoever leads, by the shortest way that there may be; it is proposed again by whoever wants it.
+    fn sets(&mut self, entry: sets::Entry, passed: bool) {
+        if self.leads() {
+            if let Some(c) = &mut self.council {
+                c.propose(&Entry::Sets(entry));
+            }
+        } else if let Some(leader) = self.leader().filter(|l| !passed && *l != self.settings.name) {
+            self.say(leader, Body::Sets(entry, true));
+        } else if let Some(to) = self.asks().cloned().filter(|_| !passed) {
+            self.say(to, Body::Sets(entry, false));
+        }
+    }
+
     fn other_voters(&self) -> Vec<Arc<str>> {
         self.state().voters.values().filter(|n| **n != self.settings.name).cloned().collect()
     }
@@ -717,6 +747,7 @@
         if std::mem::replace(&mut self.voted, votes) != votes {
             let ledger = self.state().ledger.clone();
             self.holder.handle(now, holder::Input::Restored(ledger));
+            self.outputs.push_back(Output::Sets);
             if !votes {
                 self.followed = Followed::default();
             }
@@ -745,6 +776,9 @@
                 }
             }
             machine::Output::Keep(number, record) => self.outputs.push_back(Output::Keep(number, record)),
+            machine::Output::Applied(_, Entry::Sets(_), _) if self.voted => {
+                self.outputs.push_back(Output::Sets)
+            }
             machine::Output::Applied(index, entry, held) => {
                 if let (Entry::Duty(entry), true) = (entry, held) {
                     self.grantor.handle(now, grantor::Input::Applied(entry.clone()));
@@ -759,6 +793,7 @@
                 if self.voted {
                     self.note(Note::Restored { index });
                     self.holder.handle(now, holder::Input::Restored(ledger));
+                    self.outputs.push_back(Output::Sets);
                 }
             }
             machine::Output::Leads => {
--- a/src/council/wire.rs
+++ b/src/council/wire.rs
@@ -18,9 +18,10 @@
 use crate::duty::{Duty, Term};
 use crate::membership::is_name;
 use crate::membership::keys::Keys;
+use crate::replication::sets;
 
-/// The version of this wire.
-pub const VERSION: u32 = 1;
+/// The version of this wire: 2 has shards in the agreed state.
+pub const VERSION: u32 = 2;
 /// Bytes of a frame at most.
 pub const LONGEST: usize = 1 << 20;
 /// Bytes of the word that who accepts says first.
@@ -98,6 +99,10 @@
     Effect(Effect),
     /// Something for a duty's owner; whether a voter passed it on.
     Report(Report, bool),
+    /// An entry of shards that somebody wants agreed; whether a voter passed it on.
+    Sets(sets::Entry, bool),
+    /// Between gateways that hold copies: not the council's.
+    Copies(crate::replication::wire::Body),
 }
 
 /// A follower's question.
--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -35,6 +35,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Seq(pub u64);
 
+/// Where the shard stands in a number, and the epoch in which it was given.
+const SHARD_AT: u32 = 52;
+const EPOCH_AT: u32 = 32;
+
+impl Seq {
+    /// One of a shard, given under an epoch; numbers of one epoch are given by one process.
+    pub fn of_shard(shard: u16, epoch: u64, number: u32) -> Seq {
+        Seq(u64::from(shard) << SHARD_AT | (epoch & 0xf_ffff) << EPOCH_AT | u64::from(number))
+    }
+
+    /// The shard whose it is; 0 if it is this gateway's alone.
+    pub fn shard(self) -> u16 {
+        (self.0 >> SHARD_AT) as u16
+    }
+}
+
 /// What is known of a message that waits.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Waiting {
@@ -259,6 +275,11 @@
         self.wheel.next()
     }
 
+    /// Messages of a shard that are known here.
+    pub fn of_shard(&self, shard: u16) -> Vec<Seq> {
+        self.loaded.keys().filter(|s| s.shard() == shard).copied().collect()
+    }
+
     /// Attempts that are out.
     pub fn out(&self) -> u32 {
         self.out
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod net;
 pub mod node;
 pub mod operations;
+pub mod replication;
 pub mod settings;
 pub mod store;
 pub mod tenancy;
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
 
 mod clients;
 mod commands;
+mod copies;
 mod council;
 mod gossip;
 mod handover;
@@ -63,6 +65,7 @@
 const COUNCIL: Token = Token { kind: 2, number: 9 };
 const TRIALS: Token = Token { kind: 2, number: 10 };
 const LOADS: Token = Token { kind: 2, number: 11 };
+const COPIES: Token = Token { kind: 2, number: 12 };
 
 /// A client's connection without an open request is closed after this; clients themselves close after 4 s, but
 /// for those that ask once and stay.
@@ -196,6 +199,7 @@
     hall: Option<council::Hall>,
     trials: Option<trials::TrialSide>,
     loads: Option<loads::LoadSide>,
+    copies: Option<copies::Side>,
 }
 
 impl Fleet {
@@ -213,6 +217,8 @@
     pub gossip: Option<Gossip>,
     /// The council.
     pub council: Option<crate::council::config::File>,
+    /// Copies of what is held for others.
+    pub copies: Option<crate::replication::config::File>,
 }
 
 /// One gateway.
@@ -318,6 +324,9 @@
         if let Some(c) = &extras.council {
             node.set_up_council(now, c, ready)?;
         }
+        if let Some(c) = &extras.copies {
+            node.set_up_copies(now, c)?;
+        }
         Ok(node)
     }
 
@@ -498,6 +507,7 @@
                 RETAIN => self.retain(now),
                 GOSSIP => self.tick_gossip(now),
                 COUNCIL => self.tick_council(),
+                COPIES => self.tick_copies(),
                 TRIALS => self.tick_trials(now),
                 LOADS => self.tick_loads(now),
                 LINE_AGAIN => self.accept_lines_again(),
--- /dev/null
+++ b/src/node/copies.rs
@@ -0,0 +1,395 @@
+//! Drives what gateways hold for one another: records to the disk and to copies, questions to a shard's primary, and what
+//! stands of a shard that comes to be led here. It decides nothing: that is [`Copies`]'.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs::File;
+use std::io::Write;
+
+use super::webhooks::Caller;
+use super::*;
+use crate::config::ConfigError;
+use crate::council::{member, wire as frames};
+use crate::replication::config::{self, Guards, WhenFewer};
+use crate::replication::error::Refusal;
+use crate::replication::history::Note;
+use crate::replication::machine::{Copies, Input, Output};
+use crate::replication::wire::{Body, Told};
+use crate::replication::{Epoch, Name, Place, ShardId};
+use crate::store::records::{CallRecord, CallState, Mark, Reply, StoreError};
+
+/// What is asked of a shard's primary.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub(super) enum Asked {
+    /// Take a call.
+    Take(Box<CallRecord>, Mark, Micros),
+    /// How does a call stand?
+    State(u64, String),
+}
+
+/// Who waits here for a primary's answer.
+#[derive(Debug)]
+pub(super) enum Waits {
+    /// A caller whose call is to be taken, and its identity.
+    Take(ConnKey, Mark),
+    /// A caller who asked how a call stands.
+    State(ConnKey, String),
+}
+
+/// Copies, while they are on.
+#[derive(Debug)]
+pub(super) struct Side {
+    machine: Copies,
+    file: config::File,
+    /// The shards that are led here and whose content was taken up, with the identities taken.
+    pub(super) open: BTreeMap<ShardId, HashMap<Mark, Micros>>,
+    /// What the disk here said to a record that is not promised yet.
+    kept: HashMap<u64, Reply>,
+    waits: HashMap<u64, Waits>,
+    tickets: u64,
+    hung: Option<Micros>,
+    history: Option<File>,
+}
+
+/// The guards that this build can take out, for the lab's runs; a build for use has none to take out.
+fn guards() -> Guards {
+    let mut guards = Guards::default();
+    if cfg!(debug_assertions) {
+        match std::env::var("MOLELUG_WITHOUT").as_deref() {
+            Ok("epochs") => guards.epochs = true,
+            Ok("all") => guards.all = true,
+            Ok("process") => guards.process = true,
+            Ok("chain") => guards.chain = true,
+            _ => {}
+        }
+    }
+    guards
+}
+
+impl Side {
+    /// How many disks a call of a class asks for.
+    pub(super) fn wants(&self, class: &str) -> usize {
+        match self.file.when_fewer.get(class).copied().unwrap_or_default() {
+            WhenFewer::Refuse => self.file.copies,
+            WhenFewer::Fewer => 1,
+        }
+    }
+
+    /// The shard of an identity.
+    pub(super) fn shard_of(&self, mark: &Mark) -> ShardId {
+        crate::replication::shard_of(mark, self.file.shards)
+    }
+
+    fn record(&mut self, note: &Note) {
+        let Some(file) = &mut self.history else { return };
+        let line = serde_json::json!({ "name": self.machine.settings().name,
+            "process": self.machine.settings().process, "note": note });
+        if let Err(e) = file.write_all(format!("{line}\n").as_bytes()) {
+            tracing::warn!("the history of copies is not written any more: {e}");
+            self.history = None;
+        }
+    }
+}
+
+impl Node {
+    /// Begins to hold copies.
+    pub(super) fn set_up_copies(&mut self, now: Micros, file: &config::File) -> Result<(), NodeError> {
+        let needs = |what: &'static str| {
+            Err(NodeError::Operator(ConfigError::Value(what, "absent, and copies need it".into())))
+        };
+        let Some((name, process, history)) = self.council_identity() else { return needs("--council") };
+        if !self.second.hooks.as_ref().is_some_and(webhooks::Hooks::durable) {
+            return needs("webhooks.store");
+        }
+        if !file.members.contains_key(&*name) {
+            return Err(NodeError::Operator(ConfigError::Value(
+                "copies.members",
+                format!("{name} is not among them"),
+            )));
+        }
+        let machine = Copies::new(file.settings(&name, process, guards()), council::uptime());
+        let open = |p: PathBuf| File::options().create(true).append(true).open(p);
+        let history = history.map(|p| open(p.with_extension("copies.jsonl"))).transpose();
+        let history = history.map_err(|e| NodeError::Loop(e.into()))?;
+        self.know_addresses(file.members.iter().map(|(n, m)| (n.as_str().into(), m.address)));
+        self.fleet.copies = Some(Side {
+            machine,
+            file: file.clone(),
+            open: BTreeMap::new(),
+            kept: HashMap::new(),
+            waits: HashMap::new(),
+            tickets: 0,
+            hung: None,
+            history,
+        });
+        self.copies_agreed();
+        if let Some(hooks) = &mut self.second.hooks {
+            hooks.begin_disk(process ^ self.config.seed, false);
+        }
+        self.step_copies(now);
+        Ok(())
+    }
+
+    pub(super) fn tell_copies(&mut self, input: Input) {
+        if let Some(side) = &mut self.fleet.copies {
+            side.machine.handle(council::uptime(), input);
+        }
+    }
+
+    /// What is agreed has changed.
+    pub(super) fn copies_agreed(&mut self) {
+        if self.fleet.copies.is_none() {
+            return;
+        }
+        if let Some(sets) = self.agreed_sets() {
+            self.tell_copies(Input::Agreed(std::sync::Arc::new(sets)));
+        }
+    }
+
+    /// Another gateway said something of copies.
+    pub(super) fn copies_frame(&mut self, from: Name, body: Body) {
+        self.tell_copies(Input::Frame(from, body));
+    }
+
+    pub(super) fn tick_copies(&mut self) {
+        if let Some(side) = &mut self.fleet.copies {
+            side.hung = None;
+        }
+        self.tell_copies(Input::Tick);
+    }
+
+    /// On how many disks a shard's promises stand.
+    pub(super) fn disks_of(&self, shard: ShardId) -> u8 {
+        let set = self.fleet.copies.as_ref().and_then(|s| s.machine.shards().get(&shard));
+        // A set has five members at most.
+        set.map_or(0, |s| s.set.members.len().min(255) as u8)
+    }
+
+    /// Those with whom a connection is kept for copies.
+    pub(super) fn copies_peers(&self) -> Vec<Name> {
+        self.fleet.copies.as_ref().map_or(Vec::new(), |s| s.machine.peers().cloned().collect())
+    }
+
+    /// Does what there is to do; whether there was something.
+    pub(super) fn step_copies(&mut self, now: Micros) -> bool {
+        let Some(side) = &mut self.fleet.copies else { return false };
+        if let Some((ticket, shard, bytes, want)) =
+            self.second.hooks.as_mut().and_then(|h| h.shared.pop_front())
+        {
+            side.machine.handle(council::uptime(), Input::Append { shard, ticket, bytes, want });
+            return true;
+        }
+        if let Some(output) = side.machine.output() {
+            self.copies_output(now, output);
+            return true;
+        }
+        let up = council::uptime();
+        let next = Some(now + side.machine.next_deadline().saturating_sub(up).max(1));
+        if side.hung.is_none_or(|old| Some(old) > next || old <= now) {
+            if let Some(old) = side.hung.take() {
+                self.core.unhang(old, COPIES);
+            }
+            side.hung = next;
+            if let Some(at) = next {
+                self.core.hang(at, COPIES);
+            }
+        }
+        false
+    }
+
+    fn copies_output(&mut self, now: Micros, output: Output) {
+        let (Some(side), Some(hooks)) = (&mut self.fleet.copies, &mut self.second.hooks) else { return };
+        match output {
+            Output::Send(to, body) => self.say(now, &to, frames::Body::Copies(body)),
+            Output::Propose(entry) => self.tell_member_of_council(member::Input::Sets(entry)),
+            Output::Store(shard, place, bytes, ticket) => hooks.keep_record(shard, place, &bytes, ticket),
+            Output::Install(shard, place, bytes) => hooks.keep_shard(shard, place, bytes),
+            Output::Read(shard, to) => hooks.read_shard(shard, to),
+            Output::Promised(ticket, _) => {
+                let reply = side.kept.remove(&ticket).unwrap_or(Reply::Done);
+                hooks.reply(ticket, Ok(reply));
+            }
+            Output::Refused(ticket, why) => {
+                side.kept.remove(&ticket);
+                hooks.reply(ticket, Err(StoreError::NotPromised(why)));
+            }
+            Output::Lead(shard, epoch) => hooks.lead_shard(shard, epoch),
+            Output::Rest(shard) => {
+                side.open.remove(&shard);
+                tracing::warn!(shard, "a shard is led here no more");
+                let over = hooks.rest_shard(now, shard);
+                over.into_iter().for_each(|key| self.core.caller_gone(now, key));
+            }
+            Output::Hear(shard, from, number, bytes) => self.asked_of_shard(now, shard, from, number, &bytes),
+            Output::Told(ticket, told) => self.told_by_primary(now, ticket, told),
+            Output::DiskRefused => {
+                tracing::error!(
+                    "the disk is an old copy, or another process has begun on it since: what it held for others is let go \
+                     of and copied anew; start each gateway on its own newest disk"
+                );
+                hooks.begin_disk(self.config.seed ^ council::uptime(), true);
+            }
+            Output::Noted(note) => {
+                if let Note::Lost { shard } = note {
+                    tracing::error!(
+                        shard,
+                        "all disks that held this shard are lost, and what was promised in it with them; raise copies, \
+                         or spread members over more halls"
+                    );
+                }
+                if let Note::Led { shard, epoch, members, .. } = &note {
+                    tracing::info!(shard, epoch, ?members, "a shard is led here");
+                }
+                side.record(&note);
+            }
+        }
+    }
+
+    /// The disk's answers.
+    pub(super) fn disk_began(&mut self, reply: Result<Reply, StoreError>) {
+        if let Ok(Reply::Disk(id, boot, places)) = reply {
+            self.tell_copies(Input::Disk { id, boot, places: places.into_iter().collect() });
+        }
+    }
+
+    pub(super) fn record_stored(
+        &mut self,
+        shard: ShardId,
+        ticket: Option<u64>,
+        reply: Result<Reply, StoreError>,
+    ) {
+        let Ok(reply) = reply else { return };
+        if let (Some(side), Some(ticket)) = (&mut self.fleet.copies, ticket) {
+            side.kept.insert(ticket, reply);
+        }
+        self.tell_copies(Input::Kept(shard));
+    }
+
+    pub(super) fn shard_read(&mut self, shard: ShardId, to: Name, reply: Result<Reply, StoreError>) {
+        if let Ok(Reply::Shard(place, bytes)) = reply {
+            let place: Place = place;
+            self.tell_copies(Input::Read(shard, to, place, bytes));
+        }
+    }
+
+    /// What stands of a shard that is led here: it goes on as after a start.
+    pub(super) fn shard_taken_up(
+        &mut self,
+        now: Micros,
+        shard: ShardId,
+        epoch: Epoch,
+        reply: Result<Reply, StoreError>,
+    ) {
+        let (Some(side), Ok(Reply::Stands(stands))) = (&mut self.fleet.copies, reply) else { return };
+        if !side.machine.leads(shard) {
+            return;
+        }
+        side.open.insert(shard, stands.marks.iter().copied().collect());
+        let Some(hooks) = &mut self.second.hooks else { return };
+        hooks.numbers_of(shard, epoch);
+        let (calls, waits, begun) = (stands.calls.len(), stands.waits.len(), stands.begun.len());
+        hooks.settle(now, stands.begun);
+        hooks.wait(now, stands.waits);
+        for call in stands.calls {
+            // Times of another machine are not compared with this one's.
+            self.go_on(now, call, true);
+        }
+        tracing::info!(shard, epoch, calls, waits, begun, "went on with what stood of a shard");
+    }
+
+    /// A caller's question goes to whoever leads its shard.
+    pub(super) fn ask_primary(&mut self, shard: ShardId, asked: &Asked, waits: Waits) {
+        let Some(side) = &mut self.fleet.copies else { return };
+        side.tickets += 1;
+        let ticket = side.tickets;
+        side.waits.insert(ticket, waits);
+        // A question always packs.
+        let bytes = postcard::to_stdvec(asked).unwrap_or_default();
+        self.tell_copies(Input::Ask { shard, ticket, bytes });
+    }
+
+    pub(super) fn tell_asker(&mut self, to: Name, number: u64, told: Told) {
+        self.tell_copies(Input::Tell(to, number, told));
+    }
+
+    /// A question to this primary.
+    fn asked_of_shard(&mut self, now: Micros, shard: ShardId, from: Name, number: u64, bytes: &[u8]) {
+        let asked: Option<Asked> = postcard::from_bytes(bytes).ok();
+        let why = match asked {
+            None => Refusal::Unknown { what: "question".into() },
+            Some(Asked::State(serial, id)) => {
+                let Some(hooks) = &mut self.second.hooks else { return };
+                return hooks.ask_state(serial, id, from, number);
+            }
+            Some(Asked::Take(mut call, mark, until)) => {
+                // It tells for how long it is of use still.
+                call.expires = now.saturating_add(call.expires);
+                let primary = self.fleet.copies.as_ref().map(|s| s.machine.settings().name.clone());
+                let Some(side) = &mut self.fleet.copies else { return };
+                match side.open.get_mut(&shard) {
+                    // What stands of it is still being read.
+                    None => Refusal::NotPrimary { shard, primary },
+                    Some(marks) if marks.get(&mark).is_some_and(|t| *t >= now) => Refusal::Seen,
+                    Some(marks) => {
+                        if marks.len() > super::webhooks::MOST_MARKS {
+                            marks.retain(|_, t| *t >= now);
+                        }
+                        let want = side.wants(&call.class);
+                        match self.take_asked(
+                            now,
+                            shard,
+                            *call,
+                            mark,
+                            until,
+                            want,
+                            Caller::Gateway(from.clone(), number),
+                        ) {
+                            Ok(()) => {
+                                if let Some(marks) =
+                                    self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard))
+                                {
+                                    marks.insert(mark, until);
+                                }
+                                return;
+                            }
+                            Err(why) => why,
+                        }
+                    }
+                }
+            }
+        };
+        self.tell_asker(from, number, Told::Refused(why));
+    }
+
+    /// The identity was not taken after all.
+    pub(super) fn forget_mark(&mut self, shard: ShardId, mark: &Mark) {
+        if let Some(marks) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
+            marks.remove(mark);
+        }
+    }
+
+    /// A primary's answer to a question from here.
+    fn told_by_primary(&mut self, now: Micros, ticket: u64, told: Told) {
+        let waits = self.fleet.copies.as_mut().and_then(|s| s.waits.remove(&ticket));
+        match (waits, told) {
+            (Some(Waits::Take(conn, _)), Told::Promised(copies)) => self.promised_call(now, conn, copies),
+            (Some(Waits::Take(conn, mark)), Told::Refused(why)) => self.refused_call(now, conn, &mark, &why),
+            (Some(Waits::State(conn, id)), Told::Content(bytes)) => {
+                let state: Option<CallState> = postcard::from_bytes(&bytes).unwrap_or_default();
+                self.answer_state(now, conn, &id, Ok(state));
+            }
+            (Some(Waits::State(conn, id)), _) => {
+                self.answer_state(
+                    now,
+                    conn,
+                    &id,
+                    Err(crate::front::http::plain(503, "nobody who knows of the call answered")),
+                );
+            }
+            (Some(Waits::Take(conn, mark)), Told::Content(_)) => {
+                let why = Refusal::Unknown { what: "question".into() };
+                self.refused_call(now, conn, &mark, &why);
+            }
+            (None, _) => {}
+        }
+    }
+}
--- a/src/node/council.rs
+++ b/src/node/council.rs
@@ -87,7 +87,7 @@
 }
 
 /// Microseconds since the machine started, those asleep counted.
-fn uptime() -> Micros {
+pub(super) fn uptime() -> Micros {
     let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     t.tv_sec as Micros * 1_000_000 + t.tv_nsec as Micros / 1_000
 }
@@ -411,6 +411,7 @@
                 self.trials_heard(now, &duty, &content);
                 self.loads_heard(now, &duty, &from, &content);
             }
+            Output::Sets => self.copies_agreed(),
             Output::Noted(note) => {
                 match &note {
                     Note::Agreed { duty, owner, .. } => self.loads_known(now, duty, owner.is_some()),
@@ -426,8 +427,10 @@
 
     /// Connections to those whom the member wants to speak with.
     fn meet(&mut self, now: Micros) {
+        let copies = self.copies_peers();
         let Some(hall) = &mut self.fleet.hall else { return };
-        let wanted: BTreeSet<Arc<str>> = hall.member.peers();
+        let mut wanted: BTreeSet<Arc<str>> = hall.member.peers();
+        wanted.extend(copies);
         let over: Vec<ConnKey> =
             hall.out.iter().filter(|(n, _)| !wanted.contains(*n)).map(|(_, k)| *k).collect();
         hall.again.retain(|_, t| *t > now);
@@ -467,6 +470,7 @@
         if let Some(hall) = &mut self.fleet.hall {
             hall.member.handle(uptime(), Input::Lost(name.clone()));
         }
+        self.tell_copies(crate::replication::machine::Input::Lost(name.clone()));
     }
 
     fn accept_peers(&mut self, now: Micros) {
@@ -538,7 +542,9 @@
             for body in queued {
                 self.push(key, &body, net::KEPT_FRAME);
             }
-            if let (Some(body), Some(hall)) = (body, &mut self.fleet.hall) {
+            if let Some(Body::Copies(body)) = body {
+                self.copies_frame(name, body);
+            } else if let (Some(body), Some(hall)) = (body, &mut self.fleet.hall) {
                 hall.member.handle(uptime(), Input::Frame(name, body));
             }
         }
@@ -583,7 +589,27 @@
         }
     }
 
-    fn say(&mut self, now: Micros, to: &Arc<str>, body: Body) {
+    /// Who this gateway is to others, which process, and where it records.
+    pub(super) fn council_identity(&self) -> Option<(Arc<str>, u64, Option<PathBuf>)> {
+        let hall = self.fleet.hall.as_ref()?;
+        Some((hall.member.name().clone(), hall.process, hall.file.history.clone()))
+    }
+
+    /// What is agreed of shards, as far as it is known here.
+    pub(super) fn agreed_sets(&self) -> Option<crate::replication::sets::Sets> {
+        self.fleet.hall.as_ref().map(|h| h.member.state().sets.clone())
+    }
+
+    /// Where others than voters are reached; voters stay as the council's file has them.
+    pub(super) fn know_addresses(&mut self, all: impl Iterator<Item = (Arc<str>, SocketAddr)>) {
+        if let Some(hall) = &mut self.fleet.hall {
+            for (name, at) in all {
+                hall.book.entry(name).or_insert(at);
+            }
+        }
+    }
+
+    pub(super) fn say(&mut self, now: Micros, to: &Arc<str>, body: Body) {
         if self.fleet.hall.as_ref().is_some_and(|h| h.connection(to).is_none() && !h.again.contains_key(to)) {
             self.connect_peer(now, to);
         }
--- a/src/node/webhooks.rs
+++ b/src/node/webhooks.rs
@@ -8,6 +8,7 @@
 use calloop::channel;
 use slotmap::{new_key_type, SecondaryMap, SlotMap};
 
+use super::copies::{Asked, Waits as Question};
 use super::*;
 use crate::api::{Arrival, Effect, RequestId};
 use crate::config::{ConfigError, Webhooks};
@@ -20,11 +21,15 @@
 use crate::front::webhook::answer::{self, Progress};
 use crate::front::webhook::inbound::{Inbound, Job};
 use crate::front::webhook::message::{self, Outcome};
-use crate::front::webhook::replay::Replays;
+use crate::front::webhook::replay::{self, Replays};
 use crate::net::KEPT_FRAME;
+use crate::replication::error::Refusal;
+use crate::replication::wire::Told;
+use crate::replication::{Epoch, Name, Place, ShardId};
 use crate::store::disk::Disk;
 use crate::store::records::*;
 use crate::store::recovery::{fate, Fate};
+use crate::store::shared::Shared;
 use crate::store::space::Memory;
 use crate::store::tables::{Found, Tables};
 use crate::store::writer::Writer;
@@ -51,6 +56,18 @@
 /// How long after the last call the disk is waited for at the end.
 const LAST_WORD: Micros = 2_000_000;
 
+/// Identities of one shard beyond which those that are over are let go of.
+pub(super) const MOST_MARKS: usize = 65_536;
+
+/// Who is owed the word that a call is taken.
+#[derive(Clone, Debug)]
+pub(super) enum Caller {
+    /// A caller of this gateway.
+    Here(ConnKey),
+    /// Another gateway, or this one, by the number of its question.
+    Gateway(Name, u64),
+}
+
 /// A connection to a portal.
 #[derive(Debug)]
 pub(super) struct PortalLink {
@@ -80,6 +97,8 @@
     seq: Seq,
     job: Job,
     id: Rc<str>,
+    /// The call in the core, while it runs.
+    request: Option<RequestKey>,
 }
 
 /// A call that must not run twice, by the identity that workers are told.
@@ -106,7 +125,7 @@
 #[derive(Debug)]
 enum Ask {
     Take {
-        conn: ConnKey,
+        caller: Caller,
         call: Box<Call<Job>>,
         seq: Seq,
         mark: Mark,
@@ -128,6 +147,18 @@
         key: Option<(String, String)>,
     },
     Quiet,
+    /// The disk's own number.
+    Disk,
+    /// A record or a snapshot of a shard.
+    Record(ShardId, Option<u64>),
+    /// A shard's content, for a copy.
+    Shard(ShardId, Name),
+    /// What stands of a shard.
+    Lead(ShardId, Epoch),
+    /// A callback whose attempt had begun, once that is settled.
+    Settled(Waiting, State),
+    /// How a call stands, for another gateway.
+    State(Name, u64),
 }
 
 enum Backend {
@@ -165,6 +196,10 @@
     answer_limit: Micros,
     retention: (Micros, u64),
     stopping: Option<Micros>,
+    /// What is to be copied before it counts: the question's number, the shard, the record and how many disks it asks for.
+    pub(super) shared: VecDeque<(u64, ShardId, Vec<u8>, usize)>,
+    /// The epoch and the last number given in each shard that is led here.
+    numbers: HashMap<ShardId, (Epoch, u32)>,
 }
 
 impl Hooks {
@@ -176,14 +211,26 @@
         }
     }
 
-    fn durable(&self) -> bool {
+    pub(super) fn durable(&self) -> bool {
         matches!(self.backend, Backend::Disk(_))
     }
 
     fn ask(&mut self, ask: Ask, op: Op) {
+        self.ask_for(ask, op, 0);
+    }
+
+    /// Asks for something that is to stand on so many disks, if it is a shard's.
+    fn ask_for(&mut self, ask: Ask, op: Op, want: usize) {
         self.last_ask += 1;
         let number = self.last_ask;
         self.asked.insert(number, ask);
+        if let (Some(shard), Some(shared)) = (op.shard(), Shared::of(&op)) {
+            match shared.pack() {
+                Ok(bytes) => self.shared.push_back((number, shard, bytes, want)),
+                Err(e) => self.replies.push_back((number, Err(e))),
+            }
+            return;
+        }
         match &mut self.backend {
             Backend::Disk(writer) => writer.ask(number, op),
             Backend::Memory(both) => {
@@ -194,6 +241,88 @@
         }
     }
 
+    // ---- Shards ----
+
+    /// Has the disk tell its number, and how often it was begun; with another one if it is to begin anew.
+    pub(super) fn begin_disk(&mut self, id: u64, anew: bool) {
+        self.ask(Ask::Disk, Op::BeginDisk(id.max(1), anew));
+    }
+
+    /// A record of a shard goes to the disk. One that cannot be read keeps its place, and does nothing.
+    pub(super) fn keep_record(&mut self, shard: ShardId, place: Place, bytes: &[u8], ticket: Option<u64>) {
+        let op = Shared::read(bytes).map_or(Op::Publish(Vec::new()), Shared::op);
+        self.ask(Ask::Record(shard, ticket), Op::Shard(shard, place, Box::new(op)));
+    }
+
+    /// Another disk's content takes the place of what this one holds of a shard.
+    pub(super) fn keep_shard(&mut self, shard: ShardId, place: Place, bytes: Vec<u8>) {
+        self.ask(Ask::Record(shard, None), Op::WriteShard(shard, place, bytes));
+    }
+
+    /// What the disk holds of a shard is read for a copy.
+    pub(super) fn read_shard(&mut self, shard: ShardId, to: Name) {
+        self.ask(Ask::Shard(shard, to), Op::ReadShard(shard));
+    }
+
+    /// A shard is led here: what stands of it is read.
+    pub(super) fn lead_shard(&mut self, shard: ShardId, epoch: Epoch) {
+        self.ask(Ask::Lead(shard, epoch), Op::Lead(shard));
+    }
+
+    /// Numbers of a shard are given here under an epoch.
+    pub(super) fn numbers_of(&mut self, shard: ShardId, epoch: Epoch) {
+        self.numbers.insert(shard, (epoch, 0));
+    }
+
+    /// A shard is led here no more: nothing of it is run or delivered here. Calls to be given up.
+    pub(super) fn rest_shard(&mut self, now: Micros, shard: ShardId) -> Vec<RequestKey> {
+        self.numbers.remove(&shard);
+        let mut over = Vec::new();
+        self.jobs.retain(|_, held| {
+            let goes = held.seq.shard() == shard;
+            if goes {
+                self.guards.remove(&held.id);
+                over.extend(held.request);
+            }
+            !goes
+        });
+        for seq in self.delivery.of_shard(shard) {
+            self.out.remove(&seq);
+            self.delivery.handle(now, Input::Gone(seq));
+        }
+        self.ask(Ask::Quiet, Op::Rest(shard));
+        over
+    }
+
+    /// Callbacks whose attempt had begun where their shard was led before: by their class they wait again, or nobody can tell.
+    pub(super) fn settle(&mut self, now: Micros, begun: Vec<(Waiting, Micros)>) {
+        for (mut w, at) in begun {
+            let (state, attempt) = crate::store::recovery::settled(&mut w, at, now);
+            self.ask(Ask::Settled(w, state), Op::Ended(Box::new(w), state, Some(attempt)));
+        }
+    }
+
+    /// Callbacks wait.
+    pub(super) fn wait(&mut self, now: Micros, waits: Vec<Waiting>) {
+        waits.into_iter().for_each(|w| self.delivery.handle(now, Input::Waits(w)));
+    }
+
+    /// How a call stands, for another gateway.
+    pub(super) fn ask_state(&mut self, serial: u64, id: String, from: Name, number: u64) {
+        self.ask(Ask::State(from, number), Op::Call(serial, id));
+    }
+
+    /// The next number in a shard, or of this gateway's own.
+    fn seq_in(&mut self, shard: ShardId) -> Seq {
+        match self.numbers.get_mut(&shard) {
+            Some((epoch, last)) => {
+                *last += 1;
+                Seq::of_shard(shard, *epoch, *last)
+            }
+            None => self.seq(),
+        }
+    }
+
     fn seq(&mut self) -> Seq {
         self.last_seq += 1;
         Seq(self.last_seq)
@@ -308,6 +437,8 @@
             answer_limit: w.callback_answer_ms * 1000,
             retention: (w.retention_days * 86_400_000_000, w.retention_mb << 20),
             stopping: None,
+            shared: VecDeque::new(),
+            numbers: HashMap::new(),
         });
         let names: Vec<String> = self.second.tenants.iter().map(|(name, _)| name.clone()).collect();
         names.iter().for_each(|name| self.tell_endpoints(now, name));
@@ -332,51 +463,10 @@
         self.core.counters.callbacks_unknown += found.unknown;
         let (mut run, mut refused, mut unknown) = (0, 0, 0);
         for call in found.calls {
-            let place = Names::place(&self.config.names.classes, &call.class);
-            let tenant = self.second.tenants.same(&call.tenant, call.serial).map(|t| t.id);
-            let job = Job {
-                tenant: call.tenant.clone(),
-                serial: call.serial,
-                webhook_id: call.webhook_id.clone(),
-                class: call.class.clone(),
-                effect: call.effect,
-                function: FunctionId(call.function),
-                order: call.order.clone(),
-            };
-            let id: Rc<str> = call.worker_id.as_str().into();
-            let Some(hooks) = &mut self.second.hooks else { return };
-            let key = hooks.jobs.insert(Held { seq: call.seq, job, id: id.clone() });
-            match (fate(&call, now, found.stepped_back), place, tenant) {
-                (Fate::Run, Some(place), Some(tenant)) => {
-                    run += 1;
-                    if call.effect != Effect::Safe {
-                        hooks.guards.insert(id.clone(), Guard { seq: call.seq, ran: false });
-                    }
-                    let arrival = Arrival {
-                        request: RequestId(0),
-                        class: ClassId(place as u8),
-                        tenant,
-                        function: FunctionId(call.function),
-                        expires: call.expires,
-                        work: call.work,
-                        memory_mb: call.memory_mb,
-                        lanes: call.lanes,
-                        load_time: call.load_time,
-                    };
-                    self.core.call(
-                        now,
-                        Call { origin: Origin::Webhook(key), id, body: call.body.into(), arrival },
-                    );
-                }
-                (Fate::Unknown, ..) => {
-                    unknown += 1;
-                    self.call_back(now, key, &Outcome::Unknown);
-                }
-                // Its class or tenant is gone; it never ran, or may run again.
-                _ => {
-                    refused += 1;
-                    self.call_back(now, key, &Outcome::Answered(Answer::Refused { retry_after: 0 }));
-                }
+            match self.go_on(now, call, found.stepped_back) {
+                Fate::Run => run += 1,
+                Fate::Unknown => unknown += 1,
+                Fate::Refuse => refused += 1,
             }
         }
         if run + refused + unknown + found.unknown > 0 {
@@ -388,6 +478,121 @@
         }
     }
 
+    /// Goes on with a call that another process has taken: by its class and stage it runs, is refused, or nobody can tell.
+    pub(super) fn go_on(&mut self, now: Micros, call: CallRecord, stepped_back: bool) -> Fate {
+        let fate = fate(&call, now, stepped_back);
+        let made = self.call_of(&call).filter(|_| !self.core.is_open(&call.worker_id));
+        let Some(hooks) = &mut self.second.hooks else { return Fate::Refuse };
+        let (job, id): (Job, Rc<str>) = (job_of(&call), call.worker_id.as_str().into());
+        let key = hooks.jobs.insert(Held { seq: call.seq, job, id: id.clone(), request: None });
+        match (fate, made) {
+            (Fate::Run, Some(made)) => {
+                if call.effect != Effect::Safe {
+                    hooks.guards.insert(id, Guard { seq: call.seq, ran: false });
+                }
+                let request = self.core.call(now, made.with(Origin::Webhook(key)));
+                self.runs(key, request);
+                Fate::Run
+            }
+            (Fate::Unknown, _) => {
+                self.call_back(now, key, &Outcome::Unknown);
+                Fate::Unknown
+            }
+            // Its class or tenant is gone; it never ran, or may run again.
+            _ => {
+                self.call_back(now, key, &Outcome::Answered(Answer::Refused { retry_after: 0 }));
+                Fate::Refuse
+            }
+        }
+    }
+
+    fn runs(&mut self, key: JobKey, request: RequestKey) {
+        if let Some(held) = self.second.hooks.as_mut().and_then(|h| h.jobs.get_mut(key)) {
+            held.request = Some(request);
+        }
+    }
+
+    /// The call that a record is of; none if its class or tenant is not known here.
+    fn call_of(&self, call: &CallRecord) -> Option<Call<Job>> {
+        let place = Names::place(&self.config.names.classes, &call.class)?;
+        let tenant = self.second.tenants.same(&call.tenant, call.serial)?.id;
+        let arrival = Arrival {
+            request: RequestId(0),
+            class: ClassId(place as u8),
+            tenant,
+            function: FunctionId(call.function),
+            expires: call.expires,
+            work: call.work,
+            memory_mb: call.memory_mb,
+            lanes: call.lanes,
+            load_time: call.load_time,
+        };
+        let id = call.worker_id.as_str().into();
+        Some(Call { origin: job_of(call), id, body: call.body.clone().into(), arrival })
+    }
+
+    /// A call that another gateway, or a caller here, wants this primary to take.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn take_asked(
+        &mut self,
+        now: Micros,
+        shard: ShardId,
+        mut record: CallRecord,
+        mark: Mark,
+        until: Micros,
+        want: usize,
+        caller: Caller,
+    ) -> Result<(), Refusal> {
+        let unknown = |what: &str| Refusal::Unknown { what: what.into() };
+        if now >= record.expires {
+            return Err(Refusal::Unreached { shard });
+        }
+        if self.core.is_open(&record.worker_id) {
+            return Err(Refusal::Seen);
+        }
+        let call = self.call_of(&record).ok_or(unknown("class or tenant"))?;
+        let hooks = self.second.hooks.as_mut().ok_or(unknown("front"))?;
+        if hooks.stopping.is_some() {
+            return Err(Refusal::Leaving);
+        }
+        if hooks.jobs.len() >= hooks.pending || hooks.asked.len() >= MOST_ASKED {
+            return Err(Refusal::Full);
+        }
+        let seq = hooks.seq_in(shard);
+        record.seq = seq;
+        let ask = Ask::Take { caller, call: Box::new(call), seq, mark };
+        hooks.ask_for(ask, Op::Take(Box::new(record), mark, until), want);
+        Ok(())
+    }
+
+    /// A caller's call is promised by whoever leads its shard.
+    pub(super) fn promised_call(&mut self, now: Micros, conn: ConnKey, copies: u8) {
+        self.core.counters.webhooks_taken += 1;
+        let head = format!("X-Kept-In: store\r\nX-Copies: {copies}\r\n");
+        self.answer_second(conn, now, |stays| http::response(202, &head, b"", stays));
+    }
+
+    /// A caller's call is not promised.
+    pub(super) fn refused_call(&mut self, now: Micros, conn: ConnKey, mark: &Mark, why: &Refusal) {
+        if let Some(hooks) = self.second.hooks.as_mut().filter(|_| *why != Refusal::Seen) {
+            hooks.inbound.replays.forget(mark);
+        }
+        self.core.counters.webhooks_refused += 1;
+        let (status, text) = match why {
+            Refusal::Seen => (409, "already taken"),
+            Refusal::TooLong { .. } => (413, "longer than a record may be"),
+            Refusal::Unknown { .. } => (422, "unknown to the gateway that would take it"),
+            Refusal::Fewer { .. } => (503, "held by fewer machines than it has to be"),
+            Refusal::Full | Refusal::Busy { .. } | Refusal::Behind { .. } => {
+                (503, "too many calls under way")
+            }
+            Refusal::Leaving => (503, "the gateway is about to end"),
+            _ => (503, "nobody can promise it now"),
+        };
+        tracing::debug!(remedy = why.remedy(), "a call is not promised: {why}");
+        self.answer_second(conn, now, |stays| refuse(&plain(status, text), stays));
+    }
+
     /// Tells delivery of a tenant's endpoints as they are now.
     pub(super) fn tell_endpoints(&mut self, now: Micros, tenant: &str) {
         let (Some(hooks), Some(t)) = (&mut self.second.hooks, self.second.tenants.get(tenant)) else {
@@ -423,6 +628,14 @@
         let Some(hooks) = &mut self.second.hooks else { return Some(refuse(&plain(404, "off"), stays)) };
         if r.method == "GET" {
             return match hooks.inbound.ask(r, tenants, now) {
+                Ok((serial, id)) if self.fleet.copies.is_some() => {
+                    let tenant = r.path.strip_prefix("/webhooks/").and_then(|p| p.split_once('/'));
+                    let mark = replay::mark(tenant.map_or("", |(t, _)| t), id);
+                    let (id, shard) =
+                        (id.to_owned(), self.fleet.copies.as_ref().map_or(0, |s| s.shard_of(&mark)));
+                    self.ask_primary(shard, &Asked::State(serial, id.clone()), Question::State(key, id));
+                    None
+                }
                 Ok((serial, id)) => {
                     let ask = Ask::Call { conn: key, id: id.to_owned() };
                     hooks.ask(ask, Op::Call(serial, id.to_owned()));
@@ -464,7 +677,13 @@
                     order: job.order.clone(),
                     sent: None,
                 };
-                let ask = Ask::Take { conn: key, call: Box::new(call), seq, mark };
+                if let Some(shard) = self.fleet.copies.as_ref().map(|s| s.shard_of(&mark)) {
+                    let left = record.expires.saturating_sub(now);
+                    let asked = Asked::Take(Box::new(CallRecord { expires: left, ..record }), mark, until);
+                    self.ask_primary(shard, &asked, Question::Take(key, mark));
+                    return None;
+                }
+                let ask = Ask::Take { caller: Caller::Here(key), call: Box::new(call), seq, mark };
                 hooks.ask(ask, Op::Take(Box::new(record), mark, until));
                 None
             }
@@ -479,7 +698,7 @@
     fn taken(
         &mut self,
         now: Micros,
-        conn: ConnKey,
+        caller: Caller,
         call: Call<Job>,
         seq: Seq,
         mark: Mark,
@@ -487,22 +706,45 @@
     ) {
         let Some(hooks) = &mut self.second.hooks else { return };
         if let Err(e) = kept {
-            hooks.inbound.replays.forget(&mark);
-            self.core.counters.webhooks_refused += 1;
-            let why = if e == StoreError::Full { "the store is full" } else { "the call cannot be kept" };
-            return self.answer_second(conn, now, |stays| refuse(&plain(503, why), stays));
+            return match (caller, e) {
+                (Caller::Here(conn), e) => {
+                    hooks.inbound.replays.forget(&mark);
+                    self.core.counters.webhooks_refused += 1;
+                    let full = e == StoreError::Full;
+                    let why = if full { "the store is full" } else { "the call cannot be kept" };
+                    self.answer_second(conn, now, |stays| refuse(&plain(503, why), stays))
+                }
+                (Caller::Gateway(to, number), e) => {
+                    let shard = seq.shard();
+                    self.forget_mark(shard, &mark);
+                    let why = match e {
+                        StoreError::NotPromised(why) => why,
+                        _ => Refusal::Unreached { shard },
+                    };
+                    self.tell_asker(to, number, Told::Refused(why));
+                }
+            };
         }
         let kept = if hooks.durable() { "store" } else { "memory" };
         let id = call.id.clone();
         if call.origin.effect != Effect::Safe && hooks.durable() {
             hooks.guards.insert(id.clone(), Guard { seq, ran: false });
         }
-        let job = hooks.jobs.insert(Held { seq, job: call.origin.clone(), id });
-        self.core.counters.webhooks_taken += 1;
-        self.answer_second(conn, now, |stays| {
-            http::response(202, &format!("X-Kept-In: {kept}\r\n"), b"", stays)
-        });
-        self.core.call(now, call.with(Origin::Webhook(job)));
+        let job = hooks.jobs.insert(Held { seq, job: call.origin.clone(), id, request: None });
+        match caller {
+            Caller::Here(conn) => {
+                self.core.counters.webhooks_taken += 1;
+                self.answer_second(conn, now, |stays| {
+                    http::response(202, &format!("X-Kept-In: {kept}\r\n"), b"", stays)
+                });
+            }
+            Caller::Gateway(to, number) => {
+                let disks = self.disks_of(seq.shard());
+                self.tell_asker(to, number, Told::Promised(disks));
+            }
+        }
+        let request = self.core.call(now, call.with(Origin::Webhook(job)));
+        self.runs(job, request);
     }
 
     /// An attempt of a call that must not run twice waits until it is recorded that it leaves.
@@ -567,12 +809,14 @@
         let tenant = self.second.tenants.same(&held.job.tenant, held.job.serial);
         let mut messages = Vec::new();
         for e in tenant.iter().flat_map(|t| t.endpoints.values()).filter(|e| e.wants(COMPLETED)) {
-            let mut m = new_message(hooks.seq(), e, COMPLETED, now, &body);
+            let shard = held.seq.shard();
+            let mut m = new_message(hooks.seq_in(shard), e, COMPLETED, now, &body);
             m.id = format!("msg_{}", held.id);
             (m.tenant, m.serial) = (held.job.tenant.clone(), held.job.serial);
             m.waiting.effect = held.job.effect;
             m.call = Some(held.job.webhook_id.clone());
-            m.order = held.job.order.as_ref().filter(|_| e.ordered).map(|k| order(k));
+            // Each shard has its own order of a key.
+            m.order = held.job.order.as_ref().filter(|_| e.ordered).map(|k| order(k) ^ u64::from(shard));
             messages.push((m, body.clone()));
         }
         if messages.is_empty() {
@@ -646,7 +890,24 @@
     fn replied(&mut self, now: Micros, ask: Ask, reply: Result<Reply, StoreError>) {
         let Some(hooks) = &mut self.second.hooks else { return };
         match ask {
-            Ask::Take { conn, call, seq, mark } => self.taken(now, conn, *call, seq, mark, reply),
+            Ask::Take { caller, call, seq, mark } => self.taken(now, caller, *call, seq, mark, reply),
+            Ask::Disk => self.disk_began(reply),
+            Ask::Record(shard, ticket) => self.record_stored(shard, ticket, reply),
+            Ask::Shard(shard, to) => self.shard_read(shard, to, reply),
+            Ask::Lead(shard, epoch) => self.shard_taken_up(now, shard, epoch, reply),
+            Ask::Settled(w, state) => {
+                if reply.is_ok() && state == State::Waiting {
+                    hooks.delivery.handle(now, Input::Waits(w));
+                }
+                self.now_wait(now, reply);
+            }
+            Ask::State(to, number) => {
+                let told = match reply {
+                    Ok(Reply::Call(state)) => Told::Content(postcard::to_stdvec(&state).unwrap_or_default()),
+                    _ => Told::Refused(Refusal::Unknown { what: "call".into() }),
+                };
+                self.tell_asker(to, number, told);
+            }
             Ask::Go(attempt) => self.recorded(now, attempt, reply.is_ok()),
             Ask::Publish | Ask::Quiet => self.now_wait(now, reply),
             Ask::Begin(seq) => match reply {
@@ -681,15 +942,7 @@
                     Ok(Reply::Call(state)) => Ok(state),
                     _ => Err(plain(503, "the store cannot be read")),
                 };
-                self.answer_second(conn, now, |stays| match body {
-                    Ok(Some(state)) => {
-                        let outcome = state.outcome.as_deref().unwrap_or("open");
-                        let body = serde_json::json!({ "call": id, "outcome": outcome }).to_string();
-                        http::response(200, "Content-Type: application/json\r\n", body.as_bytes(), stays)
-                    }
-                    Ok(None) => refuse(&plain(404, "no such call"), stays),
-                    Err(bad) => refuse(&bad, stays),
-                });
+                self.answer_state(now, conn, &id, body);
             }
             Ask::Admin { conn, limit, key } => {
                 let waits = match &reply {
@@ -702,6 +955,25 @@
         }
     }
 
+    /// Tells a caller how its call stands.
+    pub(super) fn answer_state(
+        &mut self,
+        now: Micros,
+        conn: ConnKey,
+        id: &str,
+        body: Result<Option<CallState>, Bad>,
+    ) {
+        self.answer_second(conn, now, |stays| match body {
+            Ok(Some(state)) => {
+                let outcome = state.outcome.as_deref().unwrap_or("open");
+                let body = serde_json::json!({ "call": id, "outcome": outcome }).to_string();
+                http::response(200, "Content-Type: application/json\r\n", body.as_bytes(), stays)
+            }
+            Ok(None) => refuse(&plain(404, "no such call"), stays),
+            Err(bad) => refuse(&bad, stays),
+        });
+    }
+
     fn now_wait(&mut self, now: Micros, reply: Result<Reply, StoreError>) {
         let (Some(hooks), Ok(Reply::Waits(all))) = (&mut self.second.hooks, reply) else { return };
         all.into_iter().for_each(|w| hooks.delivery.handle(now, Input::Waits(w)));
@@ -932,6 +1204,18 @@
     Report { ending, left: Left::Some, status: Some(status), advice }
 }
 
+fn job_of(call: &CallRecord) -> Job {
+    Job {
+        tenant: call.tenant.clone(),
+        serial: call.serial,
+        webhook_id: call.webhook_id.clone(),
+        class: call.class.clone(),
+        effect: call.effect,
+        function: FunctionId(call.function),
+        order: call.order.clone(),
+    }
+}
+
 fn order(key: &str) -> u64 {
     let mark = crate::front::webhook::replay::mark("", key);
     mark.iter().take(8).fold(0, |n, b| n << 8 | u64::from(*b))
--- /dev/null
+++ b/src/replication/history.rs
@@ -0,0 +1,83 @@
+//! What a process records of shards, for a checker apart from it.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Epoch, Name, Number, ShardId};
+
+/// A note; digests are cut to eight bytes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "copies", rename_all = "snake_case")]
+pub enum Note {
+    /// This process gives a shard's records their numbers from here on.
+    Led {
+        /// Which shard.
+        shard: ShardId,
+        /// Under which epoch.
+        epoch: Epoch,
+        /// How far its records go.
+        number: Number,
+        /// Their digest.
+        chain: u64,
+        /// The set.
+        members: Vec<Name>,
+    },
+    /// It does so no more.
+    Rested {
+        /// Which shard.
+        shard: ShardId,
+        /// Under which epoch it did.
+        epoch: Epoch,
+    },
+    /// A record stands on the disks of all the set.
+    Promised {
+        /// Which shard.
+        shard: ShardId,
+        /// Under which epoch.
+        epoch: Epoch,
+        /// Which record.
+        number: Number,
+        /// The digest of all up to it.
+        chain: u64,
+        /// On how many disks.
+        disks: usize,
+    },
+    /// A record stands on this process's disk.
+    Stored {
+        /// Which shard.
+        shard: ShardId,
+        /// Under which epoch it came.
+        epoch: Epoch,
+        /// Which record.
+        number: Number,
+        /// The digest of all up to it.
+        chain: u64,
+    },
+    /// A snapshot took the place of what stood here.
+    Installed {
+        /// Which shard.
+        shard: ShardId,
+        /// Up to which record.
+        number: Number,
+        /// The digest of all up to it.
+        chain: u64,
+    },
+    /// What an older primary sent was refused.
+    Declined {
+        /// Which shard.
+        shard: ShardId,
+        /// Its epoch.
+        theirs: Epoch,
+        /// The agreed one.
+        ours: Epoch,
+    },
+    /// All that held a shard were lost, and it was founded anew: what was promised in it is gone.
+    Lost {
+        /// Which shard.
+        shard: ShardId,
+    },
+}
+
+/// A digest as histories have it.
+pub fn short(chain: &super::Chain) -> u64 {
+    chain.first_chunk::<8>().map_or(0, |b| u64::from_le_bytes(*b))
+}
--- /dev/null
+++ b/src/replication/leading.rs
@@ -0,0 +1,315 @@
+//! What a shard's primary knows of its records and of those who are to have them.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use super::wire::{Body, LONGEST_RECORD, PART};
+use super::{Epoch, Name, Number, Place, ShardId};
+use crate::api::Micros;
+
+/// Bytes of records kept for those who are behind.
+pub const MOST_TAIL: usize = 4 << 20;
+/// Bytes of records that may wait for other disks.
+pub const MOST_OWED: usize = 4 << 20;
+/// Records and bytes on their way to one copy at once.
+const WINDOW: Number = 256;
+/// Parts of a snapshot on their way at once.
+const PARTS: u32 = 3;
+
+/// Where a record's promise is told.
+pub type Ticket = u64;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Record {
+    before: Place,
+    bytes: Arc<[u8]>,
+    ticket: Option<Ticket>,
+}
+
+/// How one copy is brought along.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Step {
+    /// It was asked how far it has come.
+    Asked,
+    /// Records are sent to it, up to this one so far.
+    Tail(Number),
+    /// The disk here is read for it.
+    Reads,
+    /// A snapshot is sent: as of where, its bytes, the next part and how many it has taken.
+    Sends(Place, Arc<[u8]>, u32, u32),
+}
+
+/// One copy.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Peer {
+    /// How it is brought along.
+    pub step: Step,
+    /// All up to this is on its disk, of the history here.
+    pub has: Number,
+    /// Since when it owes a word; none if it owes none.
+    pub owes: Option<Micros>,
+    /// When it was asked or sent something again last.
+    again: Micros,
+}
+
+/// A shard while it is led here.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Leading {
+    shard: ShardId,
+    /// Under which epoch.
+    pub epoch: Epoch,
+    /// The agreed set.
+    pub set: BTreeSet<Name>,
+    /// Those that a change under this epoch may already have let in: promises wait for them too.
+    pub maybe: BTreeSet<Name>,
+    /// The last record.
+    pub head: Place,
+    /// How far this process's own disk has come.
+    pub stored: Number,
+    /// How far all that count have come.
+    pub promised: Number,
+    tail: VecDeque<Record>,
+    bytes: usize,
+    owed: usize,
+    /// The copies.
+    pub peers: BTreeMap<Name, Peer>,
+    /// When a change of the set was last proposed.
+    pub proposed: Option<Micros>,
+}
+
+impl Leading {
+    /// Begins under an epoch, with what the disk here holds.
+    pub fn new(shard: ShardId, epoch: Epoch, set: BTreeSet<Name>, head: Place, stored: Number) -> Leading {
+        Leading {
+            shard,
+            epoch,
+            set,
+            maybe: BTreeSet::new(),
+            head,
+            stored,
+            // What stands here may lack at others; it counts as promised once they have it.
+            promised: 0,
+            tail: VecDeque::new(),
+            bytes: 0,
+            owed: 0,
+            peers: BTreeMap::new(),
+            proposed: None,
+        }
+    }
+
+    /// The set has changed under the same primary.
+    pub fn changed(&mut self, epoch: Epoch, set: BTreeSet<Name>) {
+        (self.epoch, self.set, self.proposed) = (epoch, set, None);
+        self.maybe.clear();
+        for peer in self.peers.values_mut() {
+            // What was under way was under the old epoch, and does not count.
+            (peer.step, peer.again) = (Step::Asked, 0);
+        }
+    }
+
+    /// Bytes that wait for other disks.
+    pub fn owed(&self) -> usize {
+        self.owed
+    }
+
+    /// One more record.
+    pub fn append(&mut self, bytes: Arc<[u8]>, ticket: Ticket) -> Place {
+        let before = self.head;
+        self.head = before.then(&bytes);
+        self.bytes += bytes.len();
+        self.owed += bytes.len();
+        self.tail.push_back(Record { before, bytes, ticket: Some(ticket) });
+        self.head
+    }
+
+    /// How many disks a record is promised on.
+    pub fn disks(&self) -> usize {
+        self.set.len()
+    }
+
+    /// Those whose word a promise waits for, this process apart.
+    fn needed<'a>(&'a self, me: &'a Name) -> impl Iterator<Item = &'a Name> {
+        self.set.iter().chain(self.maybe.difference(&self.set)).filter(move |n| *n != me)
+    }
+
+    /// What can be promised now: tickets with their places, in order.
+    pub fn promise(&mut self, me: &Name, without_all: bool) -> Vec<(Ticket, Place)> {
+        let has = |n: &Name| self.peers.get(n).map_or(0, |p| p.has);
+        let all = self.needed(me).map(has).min().unwrap_or(Number::MAX);
+        let upto = if without_all { self.stored } else { self.stored.min(all) };
+        let mut told = Vec::new();
+        if upto > self.promised {
+            self.promised = upto;
+            for r in self.tail.iter_mut().filter(|r| r.before.number < upto) {
+                if let Some(ticket) = r.ticket.take() {
+                    self.owed -= r.bytes.len();
+                    told.push((ticket, r.before.then(&r.bytes)));
+                }
+            }
+        }
+        // The oldest that all have go first; none that somebody is still owed a promise for.
+        while self.bytes > MOST_TAIL && self.tail.front().is_some_and(|r| r.before.number < self.promised) {
+            if let Some(r) = self.tail.pop_front() {
+                self.bytes -= r.bytes.len();
+            }
+        }
+        told
+    }
+
+    /// Tickets of what was never promised, for the end.
+    pub fn unpromised(&self) -> Vec<Ticket> {
+        self.tail.iter().filter_map(|r| r.ticket).collect()
+    }
+
+    /// Begins to bring somebody along.
+    pub fn meet(&mut self, name: &Name) {
+        let peer = Peer { step: Step::Asked, has: 0, owes: None, again: 0 };
+        self.peers.entry(name.clone()).or_insert(peer);
+    }
+
+    /// The connection to somebody has ended: it is asked anew.
+    pub fn lost(&mut self, name: &Name) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            (peer.step, peer.again) = (Step::Asked, 0);
+        }
+    }
+
+    fn chain_at(&self, number: Number) -> Option<super::Chain> {
+        if number == self.head.number {
+            return Some(self.head.chain);
+        }
+        let first = self.tail.front()?.before.number;
+        let at = usize::try_from(number.checked_sub(first)?).ok()?;
+        self.tail.get(at).map(|r| r.before.chain)
+    }
+
+    /// A copy tells how far it has come; whether the disk here has to be read for it.
+    pub fn at(&mut self, now: Micros, name: &Name, place: Place, without_chain: bool) -> bool {
+        let same = match without_chain {
+            true => self.chain_at(place.number).is_some(),
+            false => self.chain_at(place.number) == Some(place.chain),
+        };
+        let Some(peer) = self.peers.get_mut(name) else { return false };
+        if matches!(peer.step, Step::Reads | Step::Sends(..)) && !same {
+            return false;
+        }
+        peer.again = now;
+        if same {
+            (peer.step, peer.has) = (Step::Tail(place.number), place.number);
+            if peer.has >= self.head.number {
+                peer.owes = None;
+            }
+            return false;
+        }
+        peer.step = Step::Reads;
+        true
+    }
+
+    /// The disk here was read for a copy.
+    pub fn read(&mut self, now: Micros, name: &Name, place: Place, bytes: Arc<[u8]>) {
+        if let Some(peer) = self.peers.get_mut(name).filter(|p| p.step == Step::Reads) {
+            (peer.step, peer.again) = (Step::Sends(place, bytes, 0, 0), now);
+        }
+    }
+
+    /// A copy has taken a part of a snapshot.
+    pub fn took(&mut self, now: Micros, name: &Name, part: u32) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        if let Step::Sends(.., taken) = &mut peer.step {
+            *taken = (*taken).max(part + 1);
+            peer.again = now;
+            peer.owes = Some(now);
+        }
+    }
+
+    /// A copy has all up to a record on its disk.
+    pub fn has(&mut self, now: Micros, name: &Name, number: Number) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        if let Step::Sends(place, ..) = &peer.step {
+            if number != place.number {
+                return;
+            }
+            peer.step = Step::Tail(number);
+        }
+        if number > peer.has {
+            peer.has = number;
+            peer.again = now;
+            peer.owes = (number < self.head.number).then_some(now);
+        }
+    }
+
+    /// What is to be said to copies now.
+    pub fn say(&mut self, now: Micros, retry: Micros) -> Vec<(Name, Body)> {
+        let (mut said, shard, epoch) = (Vec::new(), self.shard, self.epoch);
+        let first = self.tail.front().map_or(self.head.number, |r| r.before.number);
+        for (name, peer) in &mut self.peers {
+            if peer.has < self.head.number && peer.owes.is_none() {
+                peer.owes = Some(now);
+            }
+            let late = peer.again + retry <= now || peer.again == 0;
+            match &mut peer.step {
+                Step::Asked if late => {
+                    peer.again = now.max(1);
+                    peer.owes.get_or_insert(now);
+                    said.push((name.clone(), Body::Where(shard, epoch)));
+                }
+                Step::Asked | Step::Reads => {}
+                // What was sent may have got lost: it tells where it stands.
+                Step::Tail(sent) if late && peer.has < *sent => {
+                    (peer.step, peer.again) = (Step::Asked, now);
+                    said.push((name.clone(), Body::Where(shard, epoch)));
+                }
+                Step::Tail(sent) => {
+                    while *sent < self.head.number && *sent < peer.has + WINDOW {
+                        let at = sent.checked_sub(first).and_then(|at| usize::try_from(at).ok());
+                        let Some(r) = at.and_then(|at| self.tail.get(at)) else {
+                            // Its next record is not kept any more.
+                            (peer.step, peer.again) = (Step::Asked, 0);
+                            break;
+                        };
+                        said.push((name.clone(), Body::Record(shard, epoch, r.before, r.bytes.to_vec())));
+                        *sent += 1;
+                        peer.again = now;
+                    }
+                }
+                Step::Sends(place, bytes, next, taken) => {
+                    if peer.again + 4 * retry <= now {
+                        *next = *taken;
+                        peer.again = now;
+                    }
+                    let parts = bytes.len().div_ceil(PART).max(1) as u32;
+                    while *next < parts && *next < *taken + PARTS {
+                        let from = *next as usize * PART;
+                        let part = bytes[from..bytes.len().min(from + PART)].to_vec();
+                        let body = Body::Part(shard, epoch, *place, *next, *next + 1 == parts, part);
+                        said.push((name.clone(), body));
+                        *next += 1;
+                    }
+                }
+            }
+        }
+        said
+    }
+
+    /// A member of the set that has owed its word for too long.
+    pub fn stalled(&self, now: Micros, me: &Name, stall: Micros) -> Option<Name> {
+        let owes = |n: &&Name| self.peers.get(*n).and_then(|p| p.owes).is_some_and(|t| t + stall <= now);
+        self.set.iter().filter(|n| *n != me).find(owes).cloned()
+    }
+
+    /// Somebody outside the set who has all that was promised, and may be let in.
+    pub fn arrived(&self) -> Option<Name> {
+        let all = |p: &Peer| matches!(p.step, Step::Tail(_)) && p.has >= self.promised.max(self.stored);
+        self.peers.iter().find(|(n, p)| !self.set.contains(*n) && all(p)).map(|(n, _)| n.clone())
+    }
+
+    /// Whether somebody outside the set is being brought along.
+    pub fn joining(&self) -> Option<&Name> {
+        self.peers.keys().find(|n| !self.set.contains(*n))
+    }
+}
+
+/// Whether a record is short enough.
+pub fn fits(bytes: usize) -> bool {
+    bytes <= LONGEST_RECORD
+}
--- /dev/null
+++ b/src/replication/mod.rs
@@ -0,0 +1,70 @@
+//! What a gateway holds for others, copied to further gateways: shards, epochs, sets in sync, repair. No I/O.
+//!
+//! Identities are spread over [`shards`](config::Settings::shards). For each the agreed log names an *epoch*, a *primary* and
+//! the *set in sync* ([`sets`]). The primary gives each record a number and a chained digest, has it on its own disk and on
+//! those of all the set, and only then is it promised ([`leading`]). Whoever is in the set can take the shard over with all
+//! that was promised ([`shard`]); whoever is not can come to it by a tail of records or a snapshot, and counts once it has
+//! all. Which gateways hold a shard follows from [`order`]. [`machine::Copies`] is one gateway's part in all shards; [`wire`]
+//! what parts say to one another; [`history`] what each process records for a checker.
+//!
+//! Kept by id: shards (at most [`MOST_SHARDS`]), members (the file's), records of a tail (by bytes, the oldest go first),
+//! questions under way (at most [`machine::MOST_ASKED`], each with its end).
+
+pub mod config;
+pub mod error;
+pub mod history;
+pub mod leading;
+pub mod machine;
+pub mod order;
+pub mod sets;
+pub mod shard;
+#[cfg(test)]
+mod tests;
+pub mod wire;
+
+use std::sync::Arc;
+
+/// A gateway's name.
+pub type Name = Arc<str>;
+/// One of the parts that identities are spread over; 0 is what a gateway holds for itself alone.
+pub type ShardId = u16;
+/// Counts the agreed changes of one shard's set; it only grows.
+pub type Epoch = u64;
+/// The place of a record in its shard.
+pub type Number = u64;
+/// The digest of a record and of all before it.
+pub type Chain = [u8; 32];
+
+/// Shards at most.
+pub const MOST_SHARDS: u16 = 1024;
+/// A shard's gateways at most.
+pub const MOST_COPIES: usize = 5;
+
+/// How far a shard's records go, and the digest of all of them.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Place {
+    /// The last record's number.
+    pub number: Number,
+    /// Its chained digest.
+    pub chain: Chain,
+}
+
+impl Place {
+    /// The place behind one more record.
+    pub fn then(&self, record: &[u8]) -> Place {
+        let mut hash = blake3::Hasher::new_derive_key("molelug shard's records 1");
+        hash.update(&self.chain);
+        hash.update(&(self.number + 1).to_le_bytes());
+        hash.update(record);
+        Place { number: self.number + 1, chain: *hash.finalize().as_bytes() }
+    }
+}
+
+/// The shard of an identity's digest.
+pub fn shard_of(mark: &[u8; 32], shards: u16) -> ShardId {
+    let word = u64::from_le_bytes([mark[0], mark[1], mark[2], mark[3], mark[4], mark[5], mark[6], mark[7]]);
+    // The rest of a division always fits.
+    (word % u64::from(shards.max(1))) as ShardId + 1
+}
--- /dev/null
+++ b/src/replication/sets.rs
@@ -0,0 +1,218 @@
+//! What the agreed log says of shards and of the disks that hold them; the same at every gateway.
+//!
+//! A change names the epoch that it follows; one that follows another has no effect. So of two that are proposed at once one
+//! takes hold. A disk is told by a number drawn when it was made and by how often it was begun: a lost disk, and yesterday's
+//! copy of one, are in no set any more from the moment at which their name begins anew.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Epoch, Name, ShardId, MOST_COPIES, MOST_SHARDS};
+
+/// Gateways with disks at most.
+pub const MOST_DISKS: usize = 1024;
+
+/// A disk, and the process that has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Disk {
+    /// Drawn when it was made.
+    pub id: u64,
+    /// How often it was begun.
+    pub boot: u64,
+    /// The process that has it now.
+    pub process: u64,
+}
+
+/// A shard's gateways.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Set {
+    /// Counts the changes.
+    pub epoch: Epoch,
+    /// Who gives records their numbers; none if it lost its disk.
+    pub primary: Option<Name>,
+    /// The process that has the right to: another one of the same name has to ask for an epoch of its own.
+    pub process: u64,
+    /// All whose disks hold what was promised, the primary among them.
+    pub members: BTreeSet<Name>,
+}
+
+/// An entry of the agreed log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Entry {
+    /// A process has begun on a disk.
+    Begun {
+        /// Its name.
+        name: Name,
+        /// The disk.
+        disk: Disk,
+    },
+    /// A shard's set is to change.
+    Change {
+        /// Which shard.
+        shard: ShardId,
+        /// The epoch that it follows.
+        was: Epoch,
+        /// Who asks.
+        by: Name,
+        /// The primary from here on.
+        primary: Name,
+        /// Its process; 0 if whoever asks does not know it.
+        process: u64,
+        /// The set from here on.
+        members: BTreeSet<Name>,
+    },
+}
+
+impl Entry {
+    /// Whose word it is.
+    pub fn by(&self) -> &Name {
+        match self {
+            Entry::Begun { name, .. } => name,
+            Entry::Change { by, .. } => by,
+        }
+    }
+}
+
+/// The state at one place in the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Sets {
+    /// Whose disks are known.
+    pub disks: BTreeMap<Name, Disk>,
+    /// The shards that were founded.
+    pub shards: BTreeMap<ShardId, Set>,
+}
+
+impl Sets {
+    /// A shard's set; epoch 0 and nobody if it was never founded.
+    pub fn of(&self, shard: ShardId) -> Set {
+        self.shards.get(&shard).cloned().unwrap_or_default()
+    }
+
+    /// Applies an entry; tells whether it took hold.
+    pub fn apply(&mut self, entry: &Entry) -> bool {
+        match entry {
+            Entry::Begun { name, disk } => self.begun(name, *disk),
+            Entry::Change { shard, was, by, primary, process, members } => {
+                let Some(set) = self.after(*shard, *was, by, primary, *process, members) else {
+                    return false;
+                };
+                self.shards.insert(*shard, set);
+                true
+            }
+        }
+    }
+
+    fn begun(&mut self, name: &Name, disk: Disk) -> bool {
+        let known = self.disks.get(name).copied();
+        match known {
+            Some(k) if k.id == disk.id && disk.boot <= k.boot => return false,
+            None if self.disks.len() >= MOST_DISKS => return false,
+            _ => {}
+        }
+        self.disks.insert(name.clone(), disk);
+        if known.is_some_and(|k| k.id != disk.id) {
+            // What it held is gone with the old disk.
+            for set in self.shards.values_mut().filter(|s| s.members.contains(name)) {
+                set.epoch += 1;
+                set.members.remove(name);
+                if set.primary.as_ref() == Some(name) {
+                    (set.primary, set.process) = (None, 0);
+                }
+            }
+        }
+        true
+    }
+
+    /// The set that a change leads to, if it may take hold.
+    fn after(
+        &self,
+        shard: ShardId,
+        was: Epoch,
+        by: &Name,
+        primary: &Name,
+        process: u64,
+        members: &BTreeSet<Name>,
+    ) -> Option<Set> {
+        let now = self.of(shard);
+        let sound = (1..=MOST_SHARDS).contains(&shard)
+            && now.epoch == was
+            && members.contains(primary)
+            && members.len() <= MOST_COPIES
+            && members.iter().all(|m| self.disks.contains_key(m));
+        let may = if now.members.is_empty() {
+            // Founded, or founded anew after all that held it were lost.
+            by == primary && members.len() == 1
+        } else if now.primary.as_ref() == Some(by) {
+            // The primary lets others in and out, and hands over to one that has all.
+            now.members.contains(primary)
+        } else {
+            // One that has all takes over, and lets nobody in by the same word.
+            now.members.contains(by) && by == primary && members.is_subset(&now.members)
+        };
+        let members = members.clone();
+        (sound && may).then_some(Set { epoch: was + 1, primary: Some(primary.clone()), process, members })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn n(name: &str) -> Name {
+        name.into()
+    }
+
+    fn change(was: Epoch, by: &str, primary: &str, members: &[&str]) -> Entry {
+        let members = members.iter().map(|m| n(m)).collect();
+        Entry::Change { shard: 1, was, by: n(by), primary: n(primary), process: 9, members }
+    }
+
+    fn begun(name: &str, id: u64, boot: u64) -> Entry {
+        Entry::Begun { name: n(name), disk: Disk { id, boot, process: id * 100 + boot } }
+    }
+
+    fn three() -> Sets {
+        let mut s = Sets::default();
+        for (i, name) in ["a", "b", "c"].into_iter().enumerate() {
+            assert!(s.apply(&begun(name, i as u64 + 1, 1)));
+        }
+        s
+    }
+
+    #[test]
+    fn only_one_that_has_all_takes_over_and_one_change_follows_an_epoch() {
+        let mut s = three();
+        assert!(!s.apply(&change(0, "a", "a", &["a", "b"])), "nobody has anything to begin with");
+        assert!(s.apply(&change(0, "a", "a", &["a"])));
+        assert!(!s.apply(&change(0, "b", "b", &["b"])), "founded already");
+        assert!(!s.apply(&change(1, "b", "b", &["b"])), "b has nothing");
+        assert!(!s.apply(&change(1, "b", "a", &["a", "b"])), "only the primary lets in");
+        assert!(s.apply(&change(1, "a", "a", &["a", "b"])));
+        assert!(!s.apply(&change(2, "b", "b", &["b", "c"])), "who takes over lets nobody in");
+        assert!(s.clone().apply(&change(2, "b", "b", &["b", "a"])));
+        assert!(!s.apply(&change(2, "a", "a", &["a", "d"])), "d has no disk");
+        assert!(s.clone().apply(&change(2, "a", "b", &["a", "b"])), "handed over");
+        assert!(s.apply(&change(2, "b", "b", &["b"])));
+        assert!(!s.apply(&change(2, "a", "a", &["a"])), "too late");
+        assert_eq!((s.of(1).epoch, s.of(1).primary), (3, Some(n("b"))));
+    }
+
+    #[test]
+    fn a_lost_disk_and_yesterdays_leave_every_set() {
+        let mut s = three();
+        s.apply(&change(0, "a", "a", &["a"]));
+        s.apply(&change(1, "a", "a", &["a", "b"]));
+        assert!(s.apply(&begun("b", 2, 2)), "begun again");
+        assert_eq!(s.of(1).members.len(), 2);
+        assert!(!s.apply(&begun("b", 2, 2)), "yesterday's copy of it");
+        assert!(!s.apply(&begun("b", 2, 1)));
+        assert!(s.apply(&begun("b", 77, 1)), "an empty disk");
+        assert_eq!((s.of(1).epoch, s.of(1).members.len()), (3, 1));
+        assert!(s.apply(&begun("b", 2, 3)), "the old disk again counts as another");
+        assert!(!s.of(1).members.contains("b"));
+        assert!(s.apply(&begun("a", 78, 1)));
+        assert_eq!((s.of(1).primary, s.of(1).members.len()), (None, 0));
+        assert!(s.apply(&change(4, "c", "c", &["c"])), "founded anew");
+    }
+}
--- /dev/null
+++ b/src/replication/shard.rs
@@ -0,0 +1,183 @@
+//! One shard at one gateway: what its disk holds, what the log says, and what a copy answers to whoever sends.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use super::error::Declined;
+use super::leading::Leading;
+use super::sets::Set;
+use super::wire::{Body, LONGEST_SNAPSHOT};
+use super::{Epoch, Name, Place, ShardId};
+
+/// A snapshot that is coming.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Coming {
+    epoch: Epoch,
+    place: Place,
+    next: u32,
+    bytes: Vec<u8>,
+}
+
+/// What is on its way to the disk here.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Pending {
+    /// Under which epoch it came.
+    pub epoch: Epoch,
+    /// From whom; none if this process leads.
+    pub from: Option<Name>,
+    /// Where it leads.
+    pub place: Place,
+    /// Whether it is a snapshot.
+    pub whole: bool,
+}
+
+/// What a copy does with what it was sent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Taken {
+    /// Say something to whoever sent.
+    Say(Body),
+    /// Have a record on the disk.
+    Store(Place, Arc<[u8]>),
+    /// Have a snapshot take the place of what the disk holds.
+    Install(Place, Vec<u8>),
+    /// An older primary was refused.
+    Declined(Declined),
+}
+
+/// One shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Shard {
+    /// What the log says.
+    pub set: Set,
+    /// The last record that came, on the disk or on its way there.
+    pub place: Place,
+    /// What is on its way there, in order.
+    pub pending: VecDeque<Pending>,
+    /// The shard while it is led here.
+    pub leading: Option<Leading>,
+    coming: Option<Coming>,
+    /// Who waits to hear how far the disk has come.
+    waits: Option<(Name, Epoch)>,
+}
+
+impl Shard {
+    /// How far the disk has come.
+    pub fn stored(&self) -> u64 {
+        self.pending.front().map_or(self.place.number, |_| {
+            self.pending.front().map_or(0, |p| if p.whole { 0 } else { p.place.number.saturating_sub(1) })
+        })
+    }
+
+    fn epoch_of(&self, shard: ShardId, from: &Name, epoch: Epoch, without: bool) -> Result<bool, Declined> {
+        if without {
+            return Ok(true);
+        }
+        if epoch < self.set.epoch {
+            return Err(Declined::Stale { shard, theirs: epoch, ours: self.set.epoch });
+        }
+        // Of an epoch that was not heard of here yet: said again until it is.
+        Ok(epoch == self.set.epoch && self.set.primary.as_ref() == Some(from))
+    }
+
+    /// The primary asks how far this copy has come.
+    pub fn asked(&mut self, shard: ShardId, from: &Name, epoch: Epoch, without: bool) -> Option<Taken> {
+        match self.epoch_of(shard, from, epoch, without) {
+            Err(e) => Some(Taken::Declined(e)),
+            Ok(false) => None,
+            Ok(true) if self.pending.is_empty() => Some(Taken::Say(Body::At(shard, epoch, self.place))),
+            Ok(true) => {
+                self.waits = Some((from.clone(), epoch));
+                None
+            }
+        }
+    }
+
+    /// A record came.
+    pub fn record(
+        &mut self,
+        shard: ShardId,
+        from: &Name,
+        (epoch, before): (Epoch, Place),
+        bytes: Vec<u8>,
+        without: (bool, bool),
+    ) -> Option<Taken> {
+        match self.epoch_of(shard, from, epoch, without.0) {
+            Err(e) => return Some(Taken::Declined(e)),
+            Ok(false) => return None,
+            Ok(true) => {}
+        }
+        let fits = before == self.place || without.1 && before.number == self.place.number;
+        if self.leading.is_some() || !fits {
+            return self.asked(shard, from, epoch, without.0).filter(|_| self.leading.is_none());
+        }
+        self.coming = None;
+        self.place = before.then(&bytes);
+        self.pending.push_back(Pending { epoch, from: Some(from.clone()), place: self.place, whole: false });
+        Some(Taken::Store(self.place, bytes.into()))
+    }
+
+    /// A part of a snapshot came.
+    #[allow(clippy::too_many_arguments)]
+    pub fn part(
+        &mut self,
+        shard: ShardId,
+        from: &Name,
+        epoch: Epoch,
+        place: Place,
+        (part, last): (u32, bool),
+        bytes: &[u8],
+        without: bool,
+    ) -> Vec<Taken> {
+        match self.epoch_of(shard, from, epoch, without) {
+            Err(e) => return vec![Taken::Declined(e)],
+            Ok(false) => return Vec::new(),
+            Ok(true) if self.leading.is_some() => return Vec::new(),
+            Ok(true) => {}
+        }
+        if part == 0 {
+            self.coming = Some(Coming { epoch, place, next: 0, bytes: Vec::new() });
+        }
+        let of = |c: &&mut Coming| c.epoch == epoch && c.place == place;
+        let Some(coming) = self.coming.as_mut().filter(of) else { return Vec::new() };
+        if part > coming.next {
+            return Vec::new();
+        }
+        let took = Taken::Say(Body::Took(shard, epoch, part));
+        if part < coming.next {
+            return vec![took];
+        }
+        if coming.bytes.len() + bytes.len() > LONGEST_SNAPSHOT {
+            self.coming = None;
+            return vec![Taken::Declined(Declined::TooLong { shard, most: LONGEST_SNAPSHOT })];
+        }
+        coming.bytes.extend(bytes);
+        coming.next += 1;
+        if !last {
+            return vec![took];
+        }
+        let bytes = std::mem::take(&mut coming.bytes);
+        self.coming = None;
+        self.place = place;
+        self.pending.push_back(Pending { epoch, from: Some(from.clone()), place, whole: true });
+        vec![took, Taken::Install(place, bytes)]
+    }
+
+    /// The oldest that was on its way is on the disk: what it was, and what is to be said to whom.
+    pub fn kept(&mut self, shard: ShardId, without: bool) -> (Option<Pending>, Vec<(Name, Body)>) {
+        let Some(done) = self.pending.pop_front() else { return (None, Vec::new()) };
+        let mut said = Vec::new();
+        // What came under an older epoch is told by its place only, which whoever leads now compares.
+        let counts = self.leading.is_none() && (without || done.epoch == self.set.epoch);
+        if let Some(from) = done.from.clone().filter(|_| counts) {
+            said.push((from, Body::Has(shard, done.epoch, done.place.number)));
+        }
+        if self.pending.is_empty() {
+            if let Some((to, epoch)) = self.waits.take() {
+                if epoch == self.set.epoch && self.leading.is_none() {
+                    said.push((to, Body::At(shard, epoch, self.place)));
+                }
+            }
+        }
+        (Some(done), said)
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -7,6 +7,8 @@
 pub mod log;
 pub mod records;
 pub mod recovery;
+mod shards;
+pub mod shared;
 pub mod space;
 pub mod tables;
 pub mod writer;
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -8,6 +8,8 @@
 use crate::council::kept::Record;
 use crate::delivery::verdict::State;
 use crate::delivery::{EndpointId, Seq, Waiting};
+use crate::replication::error::Refusal;
+use crate::replication::{Place, ShardId};
 
 /// The digest of a call's identity.
 pub type Mark = [u8; 32];
@@ -27,6 +29,8 @@
     Disk(String),
     /// As many bytes wait as may.
     Full,
+    /// It does not stand on as many machines as it has to.
+    NotPromised(Refusal),
 }
 
 impl fmt::Display for StoreError {
@@ -38,6 +42,7 @@
             StoreError::Damaged(what) => write!(f, "the store holds {what} that cannot be read"),
             StoreError::Disk(e) => write!(f, "the store cannot be written or read: {e}"),
             StoreError::Full => f.write_str("the store holds as much as it may"),
+            StoreError::NotPromised(why) => write!(f, "{why}"),
         }
     }
 }
@@ -128,6 +133,8 @@
     pub taken: Micros,
     /// `served`, `refused`, `failed` or `unknown`; none while it is open.
     pub outcome: Option<String>,
+    /// Its shard; 0 if it is this gateway's alone.
+    pub shard: ShardId,
 }
 
 /// A list of messages to look for; all that is given must hold.
@@ -191,6 +198,33 @@
     Export(Option<Seq>, usize),
     /// Keep a change of a voter's log.
     Log(Box<Record>),
+    /// A process begins on this disk, which gets this number if it has none; `true` takes a new one whatever it has, and lets
+    /// go of all that is held for others.
+    BeginDisk(u64, bool),
+    /// A record of a shard, and the place it leads to.
+    Shard(ShardId, Place, Box<Op>),
+    /// All that the disk holds of a shard, for a copy.
+    ReadShard(ShardId),
+    /// What another disk holds of a shard takes the place of what this one does.
+    WriteShard(ShardId, Place, Vec<u8>),
+    /// A shard is led here from now on: what stands of it.
+    Lead(ShardId),
+    /// It is led here no more: nothing of it waits here.
+    Rest(ShardId),
+}
+
+impl Op {
+    /// The shard whose copies must have this before it counts; none if it is this gateway's alone.
+    pub fn shard(&self) -> Option<ShardId> {
+        let seq = match self {
+            Op::Take(call, ..) => call.seq,
+            Op::Begin(seq, true, _) | Op::Sent(seq, _) | Op::Unsent(seq) | Op::Answer(seq, ..) => *seq,
+            Op::Untake(seq, _) => *seq,
+            Op::Ended(waiting, ..) => waiting.seq,
+            _ => return None,
+        };
+        Some(seq.shard()).filter(|s| *s > 0)
+    }
 }
 
 /// What the store answers.
@@ -219,6 +253,25 @@
     Retained(Vec<Seq>, Vec<Waiting>, bool),
     /// Figures.
     Stat(Stat),
+    /// The disk's number, how often it was begun, and how far the shards on it have come.
+    Disk(u64, u64, Vec<(ShardId, Place)>),
+    /// A shard's content, as of a place.
+    Shard(Place, Vec<u8>),
+    /// What stands of a shard.
+    Stands(Box<Stands>),
+}
+
+/// What stands of a shard that is taken over.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Stands {
+    /// Calls without an answer.
+    pub calls: Vec<CallRecord>,
+    /// Identities taken, and until when they count.
+    pub marks: Vec<(Mark, Micros)>,
+    /// Callbacks that wait.
+    pub waits: Vec<Waiting>,
+    /// Callbacks of which an attempt had begun, and when.
+    pub begun: Vec<(Waiting, Micros)>,
 }
 
 /// All that is kept of one message.
--- a/src/store/recovery.rs
+++ b/src/store/recovery.rs
@@ -1,9 +1,11 @@
 //! What becomes of a call that got a 202 and has no answer when the gateway starts: one row for each stage and
 //! class. Callbacks whose attempt had begun are settled by [`super::tables::Tables::open`].
 
-use super::records::CallRecord;
+use super::records::{AttemptRecord, CallRecord};
 use crate::api::{Effect, Micros};
 use crate::brain::allowed;
+use crate::delivery::verdict::{Dead, State};
+use crate::delivery::Waiting;
 
 /// What is done with a call found at a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,3 +33,25 @@
         Fate::Refuse
     }
 }
+
+/// What becomes of a callback whose attempt had begun when its gateway was lost: by its class it waits again, or nobody can
+/// tell. A keyed one is not sent again with a clock that has stepped back.
+pub fn settled_with(
+    w: &mut Waiting,
+    begun: Micros,
+    now: Micros,
+    stepped_back: bool,
+) -> (State, AttemptRecord) {
+    w.ran.get_or_insert(begun);
+    let keyed = matches!(w.effect, Effect::Keyed { .. });
+    let again = allowed(w.effect, w.ran, now, 0).resend && !(stepped_back && keyed);
+    let state = if again { State::Waiting } else { State::Dead(Dead::Unknown) };
+    w.tries += 1;
+    (state, AttemptRecord { at: now, took: 0, ending: "killed".into(), status: None, may_have_arrived: true })
+}
+
+/// The same where another machine's clock said when it had begun: a keyed one is not sent again, as clocks of two machines
+/// are not compared.
+pub fn settled(w: &mut Waiting, begun: Micros, now: Micros) -> (State, AttemptRecord) {
+    settled_with(w, begun, now, true)
+}
--- a/src/store/space.rs
+++ b/src/store/space.rs
@@ -23,11 +23,12 @@
     Heads,
     Behind,
     Log,
+    Shards,
 }
 
 impl Table {
     /// All of them.
-    pub const ALL: [Table; 15] = [
+    pub const ALL: [Table; 16] = [
         Table::Meta,
         Table::Calls,
         Table::Messages,
@@ -43,6 +44,7 @@
         Table::Heads,
         Table::Behind,
         Table::Log,
+        Table::Shards,
     ];
 
     /// Its name in the file.
@@ -63,6 +65,7 @@
             Table::Heads => "heads",
             Table::Behind => "behind",
             Table::Log => "log",
+            Table::Shards => "shards",
         }
     }
 }
--- a/src/store/tables.rs
+++ b/src/store/tables.rs
@@ -12,6 +12,7 @@
 //! | replays, replay_ages | digest; time before it | until when | retention, once no stamp of that time is taken |
 //! | heads, behind | endpoint, order key (, number) | who is first; who waits behind | the end of the last of the key |
 //! | log | index | an entry of the agreed log | a snapshot |
+//! | shards | shard | the place of its last record; whether it is led here | never |
 //! | meta | name | format, figures, highest number; a voter's seat and snapshot | never |
 
 use serde::de::DeserializeOwned;
@@ -19,15 +20,19 @@
 
 use super::log;
 use super::records::*;
+use super::recovery::settled_with;
+use super::shards;
 use super::space::{Pair, Space, Table};
 use crate::api::{Effect, Micros};
-use crate::brain::allowed;
 use crate::council::kept::{Head as Seat, Line};
 use crate::delivery::verdict::{Dead, State};
 use crate::delivery::{EndpointId, Seq, Waiting};
+use crate::replication::{Place, ShardId};
 
 /// The format of the tables; a file of a higher one is left alone.
-pub const FORMAT: u32 = 1;
+pub const FORMAT: u32 = 2;
+/// The format of one that holds nothing for others: earlier versions read it.
+const ALONE: u32 = 1;
 /// Attempts of one message that are kept.
 const MOST_ATTEMPTS: usize = 100;
 pub(super) const TOP: [u8; 32] = [0xff; 32];
@@ -95,11 +100,11 @@
     word.map_or(0, u64::from_be_bytes)
 }
 
-fn waiting_key(w: &Waiting) -> Vec<u8> {
+pub(super) fn waiting_key(w: &Waiting) -> Vec<u8> {
     key(&[w.endpoint.0, w.due, w.seq.0])
 }
 
-fn call_key(serial: u64, id: &str) -> Vec<u8> {
+pub(super) fn call_key(serial: u64, id: &str) -> Vec<u8> {
     [&key(&[serial])[..], id.as_bytes()].concat()
 }
 
@@ -119,10 +124,15 @@
             Found { next: head.next, forgotten: head.forgotten, stepped_back, ..Found::default() };
         for (k, v) in space.scan(Table::Begun, &[], &TOP, usize::MAX, false)? {
             let begun: Micros = unpack(&v, "an attempt's beginning")?;
+            if Seq(number(&k, 0)).shard() > 0 {
+                // Whoever leads its shard settles it.
+                continue;
+            }
             found.unknown += u64::from(tables.settle(space, Seq(number(&k, 0)), begun, now, stepped_back)?);
         }
         for (_, v) in space.scan(Table::Calls, &[], &TOP, usize::MAX, false)? {
-            found.calls.push(unpack(&v, "a call")?);
+            let call: CallRecord = unpack(&v, "a call")?;
+            found.calls.extend(Some(call).filter(|c| c.seq.shard() == 0));
         }
         let mut from = key(&[0]);
         while let Some((k, _)) = space.scan(Table::Waiting, &from, &TOP, 1, false)?.pop() {
@@ -134,6 +144,7 @@
             let mark = k.try_into().map_err(|_| StoreError::Damaged("a digest"))?;
             found.replays.push((mark, unpack(&v, "a digest")?));
         }
+        shards::rest_all(space)?;
         found.log = log::read(space)?;
         tables.finish(space, now)?;
         Ok((tables, found))
@@ -144,7 +155,7 @@
         let head = match space.get(Table::Meta, b"head")? {
             Some(bytes) => unpack::<Head>(&bytes, "a head")?,
             None if space.scan(Table::Messages, &[], &TOP, 1, false)?.is_empty() => {
-                Head { format: FORMAT, ..Head::default() }
+                Head { format: ALONE, ..Head::default() }
             }
             None => return Err(StoreError::Foreign("it has messages and no head".into())),
         };
@@ -169,15 +180,9 @@
             return Ok(false);
         }
         let mut w = message.waiting;
-        w.ran.get_or_insert(begun);
-        let keyed = matches!(w.effect, Effect::Keyed { .. });
-        let again = allowed(w.effect, w.ran, now, 0).resend && !(stepped_back && keyed);
-        let state = if again { State::Waiting } else { State::Dead(Dead::Unknown) };
-        let attempt =
-            AttemptRecord { at: now, took: 0, ending: "killed".into(), status: None, may_have_arrived: true };
-        w.tries += 1;
+        let (state, attempt) = settled_with(&mut w, begun, now, stepped_back);
         self.ended(space, w, state, Some(attempt))?;
-        Ok(!again)
+        Ok(state != State::Waiting)
     }
 
     /// Its figures.
@@ -205,19 +210,23 @@
     pub fn apply(&mut self, space: &mut dyn Space, op: Op) -> Result<Reply, StoreError> {
         match op {
             Op::Take(call, mark, until) => {
-                if self.head.stat.bytes + call.body.len() as u64 > self.most_bytes {
+                if call.seq.shard() == 0 && self.head.stat.bytes + call.body.len() as u64 > self.most_bytes {
                     return Err(StoreError::Full);
                 }
-                self.head.next = self.head.next.max(call.seq.0);
+                self.given(call.seq);
                 self.head.stat.calls += 1;
                 self.head.stat.bytes += call.body.len() as u64;
                 space.put(Table::Calls, &key(&[call.seq.0]), &pack(&*call)?)?;
-                space.put(Table::Replays, &mark, &pack(&until)?)?;
+                space.put(Table::Replays, &mark, &pack(&(until, call.seq.shard()))?)?;
                 space.put(Table::ReplayAges, &[&key(&[until])[..], &mark].concat(), &[])?;
                 let taken = call.expires;
                 let name = call_key(call.serial, &call.webhook_id);
                 space.put(Table::CallAges, &[&key(&[taken])[..], &name].concat(), &[])?;
-                space.put(Table::ByCall, &name, &pack(&CallState { taken, outcome: None })?)?;
+                space.put(
+                    Table::ByCall,
+                    &name,
+                    &pack(&CallState { taken, outcome: None, shard: call.seq.shard() })?,
+                )?;
                 Ok(Reply::Done)
             }
             Op::Untake(seq, mark) => {
@@ -242,7 +251,7 @@
                 self.uncount(&call);
                 let name = call_key(call.serial, &call.webhook_id);
                 if let Some(bytes) = space.get(Table::ByCall, &name)? {
-                    let state: CallState = unpack(&bytes, "a call's state")?;
+                    let state = shards::state(&bytes)?;
                     if self.history {
                         let state = CallState { outcome: Some(outcome), ..state };
                         space.put(Table::ByCall, &name, &pack(&state)?)?;
@@ -255,7 +264,8 @@
             }
             Op::Publish(messages) => self.publish(space, messages),
             Op::Begin(seq, recorded, at) => {
-                let Some(message) = self.message(space, seq)?.filter(|m| m.state == State::Waiting) else {
+                let message = self.message(space, seq)?.filter(|m| m.state == State::Waiting);
+                let Some(message) = message.filter(|_| recorded || shards::is_led(space, seq)) else {
                     return Ok(Reply::Begun(None));
                 };
                 if recorded {
@@ -307,11 +317,20 @@
             }
             Op::Call(serial, id) => {
                 let bytes = space.get(Table::ByCall, &call_key(serial, &id))?;
-                Ok(Reply::Call(bytes.map(|b| unpack(&b, "a call's state")).transpose()?))
+                Ok(Reply::Call(bytes.map(|b| shards::state(&b)).transpose()?))
             }
             Op::Retain(now, age, bytes, limit) => self.retain(space, now, age, bytes, limit),
             Op::Stat => Ok(Reply::Stat(self.head.stat)),
             Op::Log(record) => log::keep(space, &record).map(|()| Reply::Done),
+            Op::BeginDisk(id, anew) => self.begin_disk(space, id, anew),
+            Op::Shard(shard, place, op) => {
+                shards::keep(space, shard, place)?;
+                self.apply(space, *op)
+            }
+            Op::ReadShard(shard) => shards::read(space, shard),
+            Op::WriteShard(shard, place, bytes) => self.write_shard(space, shard, place, &bytes),
+            Op::Lead(shard) => shards::lead(space, shard),
+            Op::Rest(shard) => shards::rest(space, shard).map(|()| Reply::Done),
             Op::Export(after, limit) => {
                 let from = key(&[after.map_or(0, |s| s.0 + 1)]);
                 let page = space.scan(Table::Messages, &from, &TOP, limit, false)?;
@@ -321,6 +340,49 @@
         }
     }
 
+    /// A number was given; those of shards are counted by whoever leads them.
+    fn given(&mut self, seq: Seq) {
+        if seq.shard() == 0 {
+            self.head.next = self.head.next.max(seq.0);
+        }
+    }
+
+    fn begin_disk(&mut self, space: &mut dyn Space, id: u64, anew: bool) -> Result<Reply, StoreError> {
+        let known =
+            space.get(Table::Meta, b"disk")?.map(|b| unpack::<(u64, u64)>(&b, "a disk")).transpose()?;
+        let (id, boot) = known.filter(|_| !anew).map_or((id, 1), |(id, boot)| (id, boot + 1));
+        space.put(Table::Meta, b"disk", &pack(&(id, boot))?)?;
+        self.head.format = FORMAT;
+        let mut places = shards::places(space)?;
+        if anew {
+            for (shard, _) in places.drain(..) {
+                self.write_shard(space, shard, Default::default(), &pack(&shards::Content::default())?)?;
+                space.remove(Table::Shards, &key(&[u64::from(shard)]))?;
+            }
+        }
+        Ok(Reply::Disk(id, boot, places))
+    }
+
+    fn write_shard(
+        &mut self,
+        space: &mut dyn Space,
+        shard: ShardId,
+        place: Place,
+        bytes: &[u8],
+    ) -> Result<Reply, StoreError> {
+        let (gone, came) = shards::write(space, shard, place, bytes)?;
+        let stat = &mut self.head.stat;
+        for (now, out, into) in [
+            (&mut stat.calls, gone.calls, came.calls),
+            (&mut stat.messages, gone.messages, came.messages),
+            (&mut stat.waiting, gone.waiting, came.waiting),
+            (&mut stat.bytes, gone.bytes, came.bytes),
+        ] {
+            *now = now.saturating_sub(out) + into;
+        }
+        Ok(Reply::Done)
+    }
+
     fn uncount(&mut self, call: &CallRecord) {
         self.head.stat.calls = self.head.stat.calls.saturating_sub(1);
         self.head.stat.bytes = self.head.stat.bytes.saturating_sub(call.body.len() as u64);
@@ -342,7 +404,7 @@
         let mut waits = Vec::new();
         for (mut m, body) in messages {
             let (seq, w) = (m.waiting.seq, m.waiting);
-            self.head.next = self.head.next.max(seq.0);
+            self.given(seq);
             if let Some(order) = m.order {
                 let head = key(&[w.endpoint.0, order]);
                 if space.get(Table::Heads, &head)?.is_some() {
@@ -352,7 +414,7 @@
                     space.put(Table::Heads, &head, &key(&[seq.0]))?;
                 }
             }
-            if m.state == State::Waiting {
+            if m.state == State::Waiting && shards::is_led(space, seq) {
                 space.put(Table::Waiting, &waiting_key(&w), &pack(&w)?)?;
                 waits.push(w);
             }
@@ -395,7 +457,9 @@
         (m.waiting, m.state) = (waiting, state);
         space.put(Table::Messages, &key(&[seq.0]), &pack(&m)?)?;
         if state == State::Waiting {
-            space.put(Table::Waiting, &waiting_key(&waiting), &pack(&waiting)?)?;
+            if shards::is_led(space, seq) {
+                space.put(Table::Waiting, &waiting_key(&waiting), &pack(&waiting)?)?;
+            }
             return Ok(Vec::new());
         }
         if !was_over {
@@ -429,7 +493,9 @@
             };
             next.state = State::Waiting;
             space.put(Table::Heads, &head, &key(&[seq.0]))?;
-            space.put(Table::Waiting, &waiting_key(&next.waiting), &pack(&next.waiting)?)?;
+            if shards::is_led(space, seq) {
+                space.put(Table::Waiting, &waiting_key(&next.waiting), &pack(&next.waiting)?)?;
+            }
             space.put(Table::Messages, &key(&[seq.0]), &pack(&next)?)?;
             return Ok(vec![next.waiting]);
         }
@@ -553,7 +619,7 @@
             // As it stands now: the one before it in the page may have brought it forward.
             let Some(m) = self.message(space, seq)? else { continue };
             let old = m.created.saturating_add(age) < now;
-            let out = space.get(Table::Begun, &k)?.is_some();
+            let out = space.get(Table::Begun, &k)?.is_some() || !shards::is_led(space, seq);
             if m.state.is_over() && (old || self.head.stat.bytes > bytes) {
                 self.delete(space, seq, &m)?;
             } else if old && !m.state.is_over() && !out {
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -71,6 +71,11 @@
             | Op::Purge(..)
             | Op::Publish(_)
             | Op::Log(_)
+            | Op::Shard(..)
+            | Op::WriteShard(..)
+            | Op::Lead(_)
+            | Op::Rest(_)
+            | Op::BeginDisk(..)
     )
 }
 
