Have one that owes its word leave a shard's set only by the change by which another comes

A member that is late now counts until another has all, and leaves by that same change; a set is left smaller only where nobody else comes. Who takes over keeps the one before in the set likewise.

--- a/src/replication/leading.rs
+++ b/src/replication/leading.rs
@@ -75,6 +75,8 @@
     pub peers: BTreeMap<Name, Peer>,
     /// When a change of the set was last proposed.
     pub proposed: Option<Micros>,
+    /// Since when somebody of the set owes its word.
+    pub late: Option<Micros>,
 }
 
 impl Leading {
@@ -94,6 +96,7 @@
             owed: 0,
             peers: BTreeMap::new(),
             proposed: None,
+            late: None,
         }
     }
 
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -16,6 +16,8 @@
 
 /// Questions to other gateways under way at most.
 pub const MOST_ASKED: usize = 4096;
+/// So many times the stall a set that owes its word waits for another to come before it is left smaller.
+const GIVES_UP: Micros = 10;
 
 /// What happens.
 #[derive(Clone, Debug)]
@@ -504,7 +506,7 @@
                     self.propose(now, id, &set, [me.clone()].into());
                 }
             } else if set.members.contains(&me) {
-                let mut members = set.members.clone();
+                let members = set.members.clone();
                 match &set.primary {
                     // Of one's own name, and another process: a new epoch for this one.
                     Some(p) if *p == me => self.propose(now, id, &set, members),
@@ -514,10 +516,8 @@
                             members.iter().filter(|m| primary.as_ref() != Some(m)).position(|m| *m == me);
                         let waits =
                             self.settings.silent + self.settings.silent / 2 * turn.unwrap_or(0) as Micros;
+                        // The one before stays in the set until another has come: it has all that was promised.
                         if primary.as_ref().is_none_or(|p| !self.is_heard(now, p, waits)) {
-                            if let Some(p) = primary {
-                                members.remove(p);
-                            }
                             self.propose(now, id, &set, members);
                         }
                     }
@@ -526,62 +526,71 @@
         }
     }
 
-    /// What the primary of a shard does for its set; whether somebody new is brought along.
+    /// What the primary of a shard does for its set; whether somebody new begins to be brought along.
+    ///
+    /// One that owes its word leaves the set by the same change by which another comes: until then it counts, as it has all
+    /// that was promised before. Only where nobody else comes is the set left smaller.
     fn lead(&mut self, now: Micros, id: ShardId, room: bool) -> bool {
-        let (me, stall) = (self.settings.name.clone(), self.settings.stall);
+        let (me, stall, silent) = (self.settings.name.clone(), self.settings.stall, self.settings.silent);
         let Some(l) = self.shards.get(&id).and_then(|s| s.leading.as_ref()) else { return false };
-        let mut members = l.set.clone();
-        let set = Set {
-            epoch: l.epoch,
-            primary: Some(me.clone()),
-            process: self.settings.process,
-            members: l.set.clone(),
-        };
-        let again = l.proposed.is_none_or(|t| t + stall / 2 <= now);
-        let silent = l.set.iter().find(|n| !self.is_heard(now, n, self.settings.silent)).cloned();
-        if let Some(late) = l.stalled(now, &me, stall).or(silent) {
+        let (mut members, again) = (l.set.clone(), l.proposed.is_none_or(|t| t + stall / 2 <= now));
+        let set = Set { epoch: l.epoch, primary: Some(me.clone()), process: 0, members: members.clone() };
+        let unheard = || l.set.iter().find(|n| !self.is_heard(now, n, silent)).cloned();
+        let late = l.stalled(now, &me, stall).or_else(unheard);
+        let since = late.is_some().then(|| l.late.unwrap_or(now));
+        let (arrived, joining) = (l.arrived(), l.joining().cloned());
+        let gone = joining.as_ref().is_some_and(|n| !self.is_heard(now, n, silent) && !l.maybe.contains(n));
+        let wanted = late.is_some() || members.len() < self.settings.copies;
+        let given_up = since.is_some_and(|t| t + GIVES_UP * stall <= now);
+        let next = joining.is_none().then(|| self.next_for(now, id, &members)).flatten();
+        let Some(l) = self.shards.get_mut(&id).and_then(|s| s.leading.as_mut()) else { return false };
+        l.late = since;
+        if let (Some(comes), true) = (&arrived, wanted) {
             if again {
-                members.remove(&late);
-                // Not at once again, so that one that comes and goes costs no change each time.
-                self.calm.insert(late, now + 2 * stall);
+                l.maybe.insert(comes.clone());
+                members.insert(comes.clone());
+                self.leaves(now, late, &mut members);
                 self.propose(now, id, &set, members);
             }
             return false;
         }
-        if let Some(comes) = l.arrived().filter(|_| l.set.len() < self.settings.copies) {
-            if again {
-                members.insert(comes.clone());
-                if let Some(l) = self.shards.get_mut(&id).and_then(|s| s.leading.as_mut()) {
-                    l.maybe.insert(comes);
-                }
-                self.propose(now, id, &set, members);
-            }
+        if let Some(name) = joining.filter(|n| gone || !wanted && !l.maybe.contains(n)) {
+            l.peers.remove(&name);
             return false;
         }
-        let joining = l.joining().cloned();
-        if let Some(name) = joining {
-            let gone = !self.is_heard(now, &name, self.settings.silent);
-            let enough = members.len() >= self.settings.copies;
-            let Some(l) = self.shards.get_mut(&id).and_then(|s| s.leading.as_mut()) else { return false };
-            if (gone || enough) && !l.maybe.contains(&name) {
-                l.peers.remove(&name);
+        match next.filter(|_| wanted) {
+            Some(next) if room => {
+                l.meet(&next);
+                return true;
             }
-            return false;
+            Some(_) => {}
+            // Nobody is there to come, or none has come for long.
+            None if late.is_some() && again && (l.joining().is_none() || given_up) => {
+                self.leaves(now, late, &mut members);
+                self.propose(now, id, &set, members);
+            }
+            None => {}
         }
-        if !room || members.len() >= self.settings.copies {
-            return false;
+        false
+    }
+
+    /// One that owes its word leaves. Not at once again, so that one that comes and goes costs no change each time.
+    fn leaves(&mut self, now: Micros, late: Option<Name>, members: &mut BTreeSet<Name>) {
+        if let Some(late) = late {
+            members.remove(&late);
+            self.calm.insert(late, now + 2 * self.settings.stall);
         }
+    }
+
+    /// Who is to be brought along next, if anybody can be.
+    fn next_for(&self, now: Micros, id: ShardId, members: &BTreeSet<Name>) -> Option<Name> {
         let may = |n: &Name| {
-            *n != me
+            *n != self.settings.name
                 && self.sets.disks.contains_key(n)
                 && self.is_heard(now, n, self.settings.silent)
                 && self.calm.get(n).is_none_or(|t| *t <= now)
         };
-        let Some(next) = order::next(id, &self.settings.hosts, &members, may) else { return false };
-        if let Some(l) = self.shards.get_mut(&id).and_then(|s| s.leading.as_mut()) {
-            l.meet(&next);
-        }
-        true
+        order::next(id, &self.settings.hosts, members, may)
     }
 
     fn propose(&mut self, now: Micros, shard: ShardId, set: &Set, members: BTreeSet<Name>) {
