Prove copies between processes: machines lost at each step of a call, and links that fail

Promises are to hold between real processes with faults between them, and a checker apart from the program is to judge it.

lab/src/rounds starts six gateways in three halls with a relay for each ordered pair, workers and a portal that count; the checker (history/promises) goes by what each recorded and by what callers were told, and compares no times.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -64,7 +64,7 @@
         /// A guard to take out, in a build for tests
         #[bpaf(long, argument("GUARD"))]
         without: Option<String>,
-        /// The subject: copies
+        /// The subject: copies, or cost, where rounds are the seconds of each fleet
         #[bpaf(positional("SUBJECT"))]
         subject: String,
     },
@@ -300,7 +300,8 @@
                     rounds::fleet::Shape { instances, copies, without, ..rounds::fleet::Shape::default() };
                 rounds::copies::run(&shape, rounds, seed, faults)
             }
-            other => Err(std::io::Error::other(format!("no subject '{other}': there is copies"))),
+            "cost" => rounds::copies::cost(instances, rounds),
+            other => Err(std::io::Error::other(format!("no subject '{other}': there are copies and cost"))),
         },
         Command::Calls { seconds, turns } => owners::calls(seconds, turns),
         Command::Gain { instances, seconds } => owners::gain(instances, seconds),
--- a/lab/src/rounds/copies.rs
+++ b/lab/src/rounds/copies.rs
@@ -153,6 +153,42 @@
     Ok(round)
 }
 
+/// `rounds cost`: what a promise costs, without copies and with one to three: one fleet after the other, callers that wait
+/// for their answers.
+pub fn cost(instances: usize, seconds: u64) -> Result<bool> {
+    for callers in [1usize, 16, 128] {
+        for copies in [0usize, 1, 2, 3] {
+            let shape = Shape { instances, copies: copies.max(1), on: copies > 0, ..Shape::default() };
+            let fleet = Fleet::start(shape, 900)?;
+            if copies > 0 {
+                fleet.whole()?;
+            }
+            let end = Instant::now() + Duration::from_secs(seconds);
+            let threads: Vec<_> = (0..callers)
+                .map(|c| {
+                    let desk = fleet.desk();
+                    std::thread::spawn(move || desk.send_until(c % instances, &format!("c{c}"), end))
+                })
+                .collect();
+            let mut all = hdrhistogram::Histogram::<u64>::new(3).map_err(Error::other)?;
+            let mut refused = 0;
+            for t in threads {
+                let (micros, other) = t.join().map_err(|_| Error::other("a caller failed"))?;
+                micros.into_iter().for_each(|us| drop(all.record(us)));
+                refused += other;
+            }
+            println!(
+                "{callers} callers, {}: {} promised a second, p50 {} us, p99 {} us, {refused} turned away",
+                if copies == 0 { "store alone".to_owned() } else { format!("{copies} copies") },
+                all.len() / seconds.max(1),
+                all.value_at_quantile(0.5),
+                all.value_at_quantile(0.99),
+            );
+        }
+    }
+    Ok(true)
+}
+
 /// `rounds copies`: rounds from a seed on, and what came of them.
 pub fn run(shape: &Shape, rounds: u64, seed: u64, faults: usize) -> Result<bool> {
     let (mut passed, mut failed) = (0, 0);
--- a/lab/src/rounds/fleet.rs
+++ b/lab/src/rounds/fleet.rs
@@ -36,19 +36,65 @@
     pub without: Option<String>,
     /// How long a worker takes over a call.
     pub work: Duration,
+    /// A step of a call's life at which an instance ends once it is armed.
+    pub ends_at: Option<&'static str>,
     /// Whether copies are on at all; without them each gateway has its store alone.
     pub on: bool,
 }
 
 impl Default for Shape {
     fn default() -> Shape {
-        Shape { instances: 6, copies: 2, halls: 3, without: None, work: Duration::from_millis(3), on: true }
+        Shape {
+            instances: 6,
+            copies: 2,
+            halls: 3,
+            without: None,
+            work: Duration::from_millis(3),
+            on: true,
+            ends_at: None,
+        }
     }
 }
 
 /// What callers were told, by the identity of the call: its class and the gateway's status.
 pub type Told = Arc<Mutex<BTreeMap<String, (String, u16)>>>;
 
+/// Sends single calls.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    doors: Vec<Arc<AtomicU64>>,
+    told: Told,
+}
+
+impl Desk {
+    /// Sends one signed call to an instance; its status, 0 for none.
+    pub fn send(&self, n: usize, id: &str, class: &str) -> u16 {
+        let port = self.doors[n].load(Ordering::Relaxed) as u16;
+        let text = call_body(class, 7, None);
+        let answer = Caller::new(([127, 0, 0, 1], port).into()).call(TENANT, &secret(1), id, &text);
+        let status = answer.map_or(0, |a| status(&a));
+        note(&self.told, id, class, status);
+        status
+    }
+
+    /// Sends safe calls on one connection, each once the one before was answered: how long each promise took, microseconds,
+    /// and how many were turned away.
+    pub fn send_until(&self, n: usize, prefix: &str, end: Instant) -> (Vec<u64>, u64) {
+        let port = self.doors[n].load(Ordering::Relaxed) as u16;
+        let (mut caller, secret) = (Caller::new(([127, 0, 0, 1], port).into()), secret(1));
+        let (mut micros, mut refused) = (Vec::new(), 0);
+        while Instant::now() < end {
+            let id = format!("{prefix}-{}", micros.len() as u64 + refused);
+            let from = Instant::now();
+            match caller.call(TENANT, &secret, &id, &call_body(SAFE, 7, None)) {
+                Ok(answer) if status(&answer) == 202 => micros.push(from.elapsed().as_micros() as u64),
+                _ => refused += 1,
+            }
+        }
+        (micros, refused)
+    }
+}
+
 /// The fleet.
 #[derive(Debug)]
 pub struct Fleet {
@@ -166,8 +212,15 @@
         let council = home.join("council.toml");
         let copies = self.shape.on.then(|| home.join("copies.toml"));
         let without = self.shape.without.as_deref();
-        let gateway =
-            Gateway::holding(&home, &self.workers, &council, copies.as_deref(), without, &self.operator)?;
+        let gateway = Gateway::holding(
+            &home,
+            &self.workers,
+            &council,
+            copies.as_deref(),
+            without,
+            self.shape.ends_at,
+            &self.operator,
+        )?;
         let door = gateway.webhooks.ok_or_else(|| Error::other("no webhooks"))?;
         self.doors[n].store(u64::from(door.port()), Ordering::Relaxed);
         self.gateways[n] = Some(gateway);
@@ -200,6 +253,19 @@
         Ok(())
     }
 
+    /// Has an instance end at the step that all were given, and waits until it has.
+    pub fn ends(&mut self, n: usize) -> Result<()> {
+        std::fs::write(self.home(n).join("armed"), "")?;
+        let end = Instant::now() + PATIENCE;
+        while !self.gateways[n].as_mut().map_or(Ok(true), Gateway::has_ended)? {
+            if Instant::now() > end {
+                return Err(Error::other(format!("{} did not come to the step", name(n))));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Ok(())
+    }
+
     /// One instance's process.
     pub fn gateway(&self, n: usize) -> Result<&Gateway> {
         self.gateways[n].as_ref().ok_or_else(|| Error::other(format!("{} is down", name(n))))
@@ -223,14 +289,14 @@
         self.links.values().for_each(|l| l.set_both(faults));
     }
 
+    /// Where single calls are sent from; may be taken to other threads.
+    pub fn desk(&self) -> Desk {
+        Desk { doors: self.doors.clone(), told: self.told.clone() }
+    }
+
     /// Sends one signed call to an instance; its status, 0 for none.
     pub fn send(&self, n: usize, id: &str, class: &str) -> u16 {
-        let port = self.doors[n].load(Ordering::Relaxed) as u16;
-        let text = call_body(class, 7, None);
-        let answer = Caller::new(([127, 0, 0, 1], port).into()).call(TENANT, &secret(1), id, &text);
-        let status = answer.map_or(0, |a| status(&a));
-        note(&self.told, id, class, status);
-        status
+        self.desk().send(n, id, class)
     }
 
     /// Begins calls of all classes at every instance.
--- a/lab/src/stand_in/gateway.rs
+++ b/lab/src/stand_in/gateway.rs
@@ -154,6 +154,7 @@
         council: &Path,
         copies: Option<&Path>,
         without: Option<&str>,
+        ends_at: Option<&str>,
         operator: &str,
     ) -> Result<Gateway> {
         std::fs::write(folder.join("config.json"), config(workers, 3_000.0, SOCKETS).to_string())?;
@@ -162,6 +163,9 @@
         if let Some(copies) = copies {
             command.arg("--copies").arg(copies);
         }
+        if let Some(step) = ends_at {
+            command.env("MOLELUG_ENDS_AT", step).env("MOLELUG_ENDS_IF", folder.join("armed"));
+        }
         Gateway::spawn(command, operator)
     }
 
@@ -279,6 +283,11 @@
         Ok(())
     }
 
+    /// Whether it has ended by itself.
+    pub fn has_ended(&mut self) -> Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) -> Result<()> {
         self.child.kill()?;
--- /dev/null
+++ b/lab/tests/copies.rs
@@ -0,0 +1,214 @@
+//! Gateways as real processes that hold copies for one another; machines are lost with their disks, and links fail.
+
+use std::path::PathBuf;
+use std::sync::{Mutex, MutexGuard, TryLockError};
+use std::time::Duration;
+
+use molelug_lab::history::promises::{check, CopyNote, Wrong};
+use molelug_lab::links::Faults;
+use molelug_lab::rounds::copies::play;
+use molelug_lab::rounds::fleet::{Fleet, Shape};
+use molelug_lab::stand_in::gateway::{PROGRAM, SAFE, UNSAFE};
+
+/// Two fleets at a time: more would only wait for the machine, and their silences are told by the clock.
+static PLACES: [Mutex<()>; 2] = [Mutex::new(()), Mutex::new(())];
+
+fn program() -> MutexGuard<'static, ()> {
+    PROGRAM.get_or_init(|| PathBuf::from(env!("CARGO_BIN_EXE_molelug-lab")));
+    loop {
+        for place in &PLACES {
+            match place.try_lock() {
+                Ok(guard) => return guard,
+                Err(TryLockError::Poisoned(guard)) => return guard.into_inner(),
+                Err(TryLockError::WouldBlock) => {}
+            }
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// The shard of a call that was just sent, by the record that its primary promised next, and who leads it.
+fn led_by(fleet: &Fleet, shard: u16) -> usize {
+    fleet.led()[&shard].1
+}
+
+/// A machine that leads is lost with its disk while calls are under way, then another: each call that got a 202 has its
+/// end, and none that must not run twice did.
+#[test]
+fn machines_lost_with_their_disks_take_no_promise_along() {
+    let _place = program();
+    for (what, seed) in [("a primary's machine lost", 1), ("two machines lost one after the other", 2)] {
+        let round = play(&Shape::default(), seed, 1, Some(what)).unwrap_or_else(|e| panic!("{what}: {e}"));
+        assert!(round.held.calls > 20 && round.held.epochs > 16, "{round:?}");
+    }
+}
+
+/// A process that leads is stopped until another leads, and woken: what it still says is refused by its epoch.
+#[test]
+fn a_primary_that_is_stopped_and_woken_promises_nothing_more() {
+    let _place = program();
+    let shape = Shape::default();
+    let round = play(&shape, 3, 1, Some("a process stopped and woken")).unwrap_or_else(|e| panic!("{e}"));
+    assert!(round.held.declined > 0, "{round:?}");
+}
+
+/// Three copies; the primary and one more machine of one shard are lost at once.
+#[test]
+fn with_three_copies_two_machines_are_lost_at_once() {
+    let _place = program();
+    let mut fleet = Fleet::start(Shape { copies: 3, ..Shape::default() }, 4).unwrap();
+    fleet.whole().unwrap();
+    fleet.call(4);
+    fleet.promised_more(20).unwrap();
+    let members: Vec<usize> =
+        fleet.led()[&1].2.iter().map(|m| m.rsplit('-').next().unwrap().parse().unwrap()).collect();
+    for n in &members[..2] {
+        fleet.lose(*n).unwrap();
+    }
+    fleet.whole().unwrap();
+    fleet.promised_more(10).unwrap();
+    let (held, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+    assert!(held.installed > 0, "{held:?}");
+}
+
+/// One identity is given to three gateways at once, and again after its primary's machine was lost: it is taken once.
+#[test]
+fn one_identity_at_several_gateways_is_taken_once_also_after_a_loss() {
+    let _place = program();
+    let mut fleet = Fleet::start(Shape { work: Duration::from_millis(300), ..Shape::default() }, 5).unwrap();
+    fleet.whole().unwrap();
+    for n in 0..12 {
+        let id = format!("once-{n}");
+        let desk = fleet.desk();
+        let said: Vec<u16> = std::thread::scope(|s| {
+            let (desk, id) = (&desk, &id);
+            let all: Vec<_> = (0..3).map(|at| s.spawn(move || desk.send(at, id, UNSAFE))).collect();
+            all.into_iter().map(|t| t.join().unwrap()).collect()
+        });
+        assert_eq!(said.iter().filter(|s| **s == 202).count(), 1, "{said:?}");
+        assert_eq!(said.iter().filter(|s| **s == 409).count(), 2, "{said:?}");
+    }
+    // Whoever leads most loses its machine with calls under way; the same identities are given to the others again.
+    let primary = led_by(&fleet, 1);
+    fleet.lose(primary).unwrap();
+    fleet.whole().unwrap();
+    for n in 0..12 {
+        for at in (0..6).filter(|at| *at != primary) {
+            assert_eq!(fleet.send(at, &format!("once-{n}"), UNSAFE), 409, "once-{n} at {at}");
+        }
+    }
+    let (held, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+    assert_eq!(held.calls, 12);
+}
+
+/// Links fail: a primary is cut off one way, its replies are two seconds late, and a third of all frames is lost.
+#[test]
+fn links_that_fail_cost_no_promise() {
+    let _place = program();
+    for (what, seed) in
+        [("cut off one way", 6), ("replies two seconds slow", 7), ("a third of all frames lost", 8)]
+    {
+        play(&Shape::default(), seed, 1, Some(what)).unwrap_or_else(|e| panic!("{what}: {e}"));
+    }
+}
+
+/// All processes are killed at once; a gateway is started on yesterday's copy of its disk, which must not count.
+#[test]
+fn restarts_of_all_and_yesterdays_disk_lose_nothing() {
+    let _place = program();
+    for (what, seed) in [("all killed at once", 9), ("yesterday's disk", 10)] {
+        play(&Shape::default(), seed, 1, Some(what)).unwrap_or_else(|e| panic!("{what}: {e}"));
+    }
+}
+
+/// Without a majority of the council whole sets go on; a shard whose set is broken promises nothing, and says so.
+#[test]
+fn without_a_majority_whole_sets_go_on() {
+    let _place = program();
+    let mut fleet = Fleet::start(Shape::default(), 11).unwrap();
+    fleet.whole().unwrap();
+    let led = fleet.led();
+    // Nobody hears of anything agreed any more: all links to three of the five voters' councils would take their copies along,
+    // so three voters are stopped.
+    let gone = [0, 1, 2];
+    for n in gone {
+        fleet.gateway(n).unwrap().freeze().unwrap();
+    }
+    let names: Vec<String> = gone.iter().map(|n| molelug_lab::owners::name(*n)).collect();
+    let whole = led.values().filter(|s| s.2.iter().all(|m| !names.contains(m))).count();
+    let said: Vec<u16> = (0..24).map(|n| fleet.send(5, &format!("alone-{n}"), SAFE)).collect();
+    let taken = said.iter().filter(|s| **s == 202).count();
+    assert!(said.iter().all(|s| [202, 503].contains(s)), "{said:?}");
+    assert_eq!(taken > 0, whole > 0, "{said:?} {led:?}");
+    for n in gone {
+        fleet.gateway(n).unwrap().thaw().unwrap();
+    }
+    fleet.call(2);
+    fleet.promised_more(20).unwrap();
+    let (_, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+}
+
+/// With the guard taken out that has a promise wait for all of the set, a lost machine takes promises along, and the checker
+/// finds it.
+#[test]
+fn promises_that_do_not_wait_for_all_are_found() {
+    let _place = program();
+    let shape = Shape { without: Some("all".into()), ..Shape::default() };
+    let mut fleet = Fleet::start(shape, 12).unwrap();
+    fleet.whole().unwrap();
+    let (primary, shard) = (led_by(&fleet, 1), 1);
+    fleet.call(4);
+    fleet.promised_more(20).unwrap();
+    // What the primary says to copies is held on its way; it promises all the same.
+    fleet.around(primary, Faults { cut: true, ..Faults::default() }, Faults::default());
+    let promised = |fleet: &Fleet| {
+        let of = |n: &CopyNote| matches!(n, CopyNote::Promised { shard: s, .. } if *s == shard);
+        fleet.notes().iter().filter(|(who, _, n)| *who == molelug_lab::owners::name(primary) && of(n)).count()
+    };
+    let before = promised(&fleet);
+    for n in 0..40 {
+        fleet.send(primary, &format!("held-{n}"), SAFE);
+    }
+    assert!(promised(&fleet) > before);
+    fleet.lose(primary).unwrap();
+    fleet.around(primary, Faults::default(), Faults::default());
+    fleet.whole().unwrap();
+    let (_, wrong) =
+        check(&fleet.notes(), &Default::default(), &Default::default(), &Default::default(), &[]);
+    assert!(wrong.iter().any(|w| matches!(w, Wrong::Gone { .. } | Wrong::TwoPromised { .. })), "{wrong:?}");
+}
+
+/// The primary's process ends at each step of a call's life, and its machine is lost with the disk.
+#[test]
+fn a_machine_is_lost_at_each_step_of_a_call() {
+    let _place = program();
+    let steps = [
+        "call recorded here",
+        "call promised",
+        "intent recorded here",
+        "intent promised",
+        "attempt answered",
+        "answer recorded here",
+        "callback's intent recorded here",
+        "callback's intent promised",
+        "callback answered",
+    ];
+    for (seed, step) in steps.into_iter().enumerate() {
+        let shape = Shape { ends_at: Some(step), ..Shape::default() };
+        let mut fleet = Fleet::start(shape, 20 + seed as u64).unwrap();
+        fleet.whole().unwrap();
+        let primary = led_by(&fleet, 1);
+        fleet.call(4);
+        fleet.promised_more(10).unwrap();
+        fleet.ends(primary).unwrap_or_else(|e| panic!("{step}: {e}"));
+        fleet.lose(primary).unwrap();
+        fleet.whole().unwrap_or_else(|e| panic!("{step}: {e}"));
+        fleet.promised_more(20).unwrap_or_else(|e| panic!("{step}: {e}"));
+        let (held, wrong) = fleet.judge().unwrap();
+        assert_eq!(wrong, [], "{step}");
+        assert!(held.calls > 20, "{step}");
+    }
+}
--- a/src/node/copies.rs
+++ b/src/node/copies.rs
@@ -50,6 +50,15 @@
     history: Option<File>,
 }
 
+/// Ends the process at a step of a call's life, if a test has asked for it; a build for use never does.
+pub(super) fn step(what: &str) {
+    let asked = || std::env::var("MOLELUG_ENDS_AT").is_ok_and(|at| at == what);
+    let armed = || std::env::var("MOLELUG_ENDS_IF").is_ok_and(|file| std::path::Path::new(&file).exists());
+    if cfg!(debug_assertions) && asked() && armed() {
+        std::process::abort();
+    }
+}
+
 /// The guards that this build can take out, for the lab's runs; a build for use has none to take out.
 fn guards() -> Guards {
     let mut guards = Guards::default();
@@ -258,6 +267,9 @@
         reply: Result<Reply, StoreError>,
     ) {
         let Ok(reply) = reply else { return };
+        if let Some(what) = ticket.and_then(|t| self.second.hooks.as_ref()?.is_for(t)) {
+            step(what);
+        }
         if let (Some(side), Some(ticket)) = (&mut self.fleet.copies, ticket) {
             side.kept.insert(ticket, reply);
         }
--- a/src/node/webhooks.rs
+++ b/src/node/webhooks.rs
@@ -8,7 +8,7 @@
 use calloop::channel;
 use slotmap::{new_key_type, SecondaryMap, SlotMap};
 
-use super::copies::{Asked, Waits as Question};
+use super::copies::{step, Asked, Waits as Question};
 use super::*;
 use crate::api::{Arrival, Effect, RequestId};
 use crate::config::{ConfigError, Webhooks};
@@ -243,6 +243,17 @@
 
     // ---- Shards ----
 
+    /// What a question that is being kept is for, for tests that end the process there.
+    pub(super) fn is_for(&self, number: u64) -> Option<&'static str> {
+        match self.asked.get(&number)? {
+            Ask::Take { .. } => Some("call recorded here"),
+            Ask::Go(_) => Some("intent recorded here"),
+            Ask::Begin(_) => Some("callback's intent recorded here"),
+            Ask::Publish => Some("answer recorded here"),
+            _ => None,
+        }
+    }
+
     /// Has the disk tell its number, and how often it was begun; with another one if it is to begin anew.
     pub(super) fn begin_disk(&mut self, id: u64, anew: bool) {
         self.ask(Ask::Disk, Op::BeginDisk(id.max(1), anew));
@@ -739,6 +750,7 @@
                 });
             }
             Caller::Gateway(to, number) => {
+                step("call promised");
                 let disks = self.disks_of(seq.shard());
                 self.tell_asker(to, number, Told::Promised(disks));
             }
@@ -785,6 +797,7 @@
                 Left::Nothing,
             ));
         }
+        step("intent promised");
         self.go(now, attempt, w.worker, w.id, w.class, w.function, w.expires, &w.body);
     }
 
@@ -793,6 +806,7 @@
         let Some(hooks) = &mut self.second.hooks else { return };
         let Some(id) = hooks.guarded.remove(attempt) else { return };
         let Some(guard) = hooks.guards.get_mut(&id) else { return };
+        step("attempt answered");
         guard.ran |= !never_ran;
         let (seq, ran) = (guard.seq, guard.ran);
         if !ran {
@@ -911,7 +925,10 @@
             Ask::Go(attempt) => self.recorded(now, attempt, reply.is_ok()),
             Ask::Publish | Ask::Quiet => self.now_wait(now, reply),
             Ask::Begin(seq) => match reply {
-                Ok(Reply::Begun(Some(both))) => self.attempt(now, both.0, &both.1),
+                Ok(Reply::Begun(Some(both))) => {
+                    step("callback's intent promised");
+                    self.attempt(now, both.0, &both.1)
+                }
                 Ok(_) => hooks.delivery.handle(now, Input::Gone(seq)),
                 Err(_) => hooks.delivery.handle(now, Input::Ended(seq, Report::VOID)),
             },
@@ -1164,6 +1181,7 @@
     }
 
     fn portal_ended(&mut self, now: Micros, seq: Seq, report: Report) {
+        step("callback answered");
         if let Some(hooks) = &mut self.second.hooks {
             hooks.delivery.handle(now, Input::Ended(seq, report));
         }
