--- a/lab/src/rounds/copies.rs
+++ b/lab/src/rounds/copies.rs
@@ -174,7 +174,9 @@
             let mut refused = 0;
             for t in threads {
                 let (micros, other) = t.join().map_err(|_| Error::other("a caller failed"))?;
-                micros.into_iter().for_each(|us| drop(all.record(us)));
+                for us in micros {
+                    all.record(us).map_err(Error::other)?;
+                }
                 refused += other;
             }
             println!(
