--- a/lab/src/rounds/fleet.rs
+++ b/lab/src/rounds/fleet.rs
@@ -36,6 +36,8 @@
     pub without: Option<String>,
     /// How long a worker takes over a call.
     pub work: Duration,
+    /// Whether calls that are safe to repeat are taken also where fewer machines hold their shard.
+    pub fewer: bool,
     /// A step of a call's life at which an instance ends once it is armed.
     pub ends_at: Option<&'static str>,
     /// Whether copies are on at all; without them each gateway has its store alone.
@@ -51,6 +53,7 @@
             without: None,
             work: Duration::from_millis(3),
             on: true,
+            fewer: false,
             ends_at: None,
         }
     }
@@ -165,8 +168,10 @@
                     format!("{} = {{ address = \"{}\", hall = \"hall-{hall}\" }}\n", name(to), at(to))
                 })
                 .collect();
+            let fewer =
+                if shape.fewer { format!("[when_fewer]\n{SAFE} = \"fewer\"\n") } else { String::new() };
             let copies = format!(
-                "copies = {}\nshards = 8\nsilent_ms = 700\nstall_ms = 400\nask_ms = 1500\nrepairs = 4\n[members]\n{members}",
+                "copies = {}\nshards = 8\nsilent_ms = 700\nstall_ms = 400\nask_ms = 1500\nrepairs = 4\n{fewer}[members]\n{members}",
                 shape.copies
             );
             std::fs::write(home.join("copies.toml"), copies)?;
--- a/lab/tests/copies.rs
+++ b/lab/tests/copies.rs
@@ -123,6 +123,55 @@
     }
 }
 
+/// Five copies and four machines: a class that asks for all of them is refused, one that may stand on fewer is taken.
+#[test]
+fn with_fewer_machines_each_class_goes_by_what_the_file_says() {
+    let _place = program();
+    let mut fleet = Fleet::start(Shape { copies: 5, fewer: true, ..Shape::default() }, 13).unwrap();
+    fleet.whole().unwrap();
+    assert_eq!((fleet.send(0, "all-1", SAFE), fleet.send(0, "all-2", UNSAFE)), (202, 202));
+    fleet.lose(4).unwrap();
+    fleet.lose(5).unwrap();
+    let left = |fleet: &Fleet| {
+        fleet
+            .led()
+            .values()
+            .all(|s| s.1 < 4 && s.2.len() == 4 && s.2.iter().all(|m| m != "gw-4" && m != "gw-5"))
+    };
+    fleet.await_that("sets of four", || left(&fleet)).unwrap();
+    for n in 0..8 {
+        assert_eq!(fleet.send(n % 4, &format!("safe-{n}"), SAFE), 202);
+        assert_eq!(fleet.send(n % 4, &format!("unsafe-{n}"), UNSAFE), 503);
+    }
+    let (_, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+}
+
+/// SIGTERM: what it leads is handed to others before the process ends.
+#[test]
+fn one_that_ends_in_order_hands_its_shards_on_first() {
+    let _place = program();
+    let mut fleet = Fleet::start(Shape::default(), 14).unwrap();
+    fleet.whole().unwrap();
+    fleet.call(3);
+    fleet.promised_more(20).unwrap();
+    let leaves = led_by(&fleet, 1);
+    fleet.gateway(leaves).unwrap().end().unwrap();
+    fleet.gateways[leaves].as_mut().unwrap().wait().unwrap();
+    let rested = |n: &CopyNote| matches!(n, CopyNote::Rested { .. });
+    let led = |n: &CopyNote| matches!(n, CopyNote::Led { .. });
+    let name = molelug_lab::owners::name(leaves);
+    let notes = fleet.notes();
+    let of =
+        |is: &dyn Fn(&CopyNote) -> bool| notes.iter().filter(|(who, _, n)| *who == name && is(n)).count();
+    assert!(of(&led) > 0 && of(&rested) > 0, "it handed nothing on");
+    fleet.await_that("heirs", || fleet.led().values().all(|s| s.1 != leaves)).unwrap();
+    fleet.kill(leaves).unwrap();
+    fleet.promised_more(20).unwrap();
+    let (_, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+}
+
 /// Without a majority of the council whole sets go on; a shard whose set is broken promises nothing, and says so.
 #[test]
 fn without_a_majority_whole_sets_go_on() {
--- a/src/node.rs
+++ b/src/node.rs
@@ -485,7 +485,8 @@
         self.pump();
         let hooks = self.second.hooks.as_ref().is_none_or(|h| h.is_idle(now));
         if self.ops.life.is_ending() && self.listeners.is_empty() && self.clients == 0 && hooks {
-            self.stop = true;
+            let late = self.second.hooks.as_ref().is_some_and(|h| h.is_late(now));
+            self.stop = self.copies_left() || late;
         }
     }
 
--- a/src/node/copies.rs
+++ b/src/node/copies.rs
@@ -47,6 +47,7 @@
     waits: HashMap<u64, Waits>,
     tickets: u64,
     hung: Option<Micros>,
+    leaves: bool,
     history: Option<File>,
 }
 
@@ -59,6 +60,14 @@
     }
 }
 
+/// Whether no identity more may be remembered; those that are over are let go of first.
+fn is_full(marks: &mut HashMap<Mark, Micros>, now: Micros) -> bool {
+    if marks.len() >= super::webhooks::MOST_MARKS {
+        marks.retain(|_, t| *t >= now);
+    }
+    marks.len() >= super::webhooks::MOST_MARKS
+}
+
 /// The guards that this build can take out, for the lab's runs; a build for use has none to take out.
 fn guards() -> Guards {
     let mut guards = Guards::default();
@@ -128,6 +137,7 @@
             waits: HashMap::new(),
             tickets: 0,
             hung: None,
+            leaves: false,
             history,
         });
         self.copies_agreed();
@@ -178,6 +188,15 @@
         self.fleet.copies.as_ref().map_or(Vec::new(), |s| s.machine.peers().cloned().collect())
     }
 
+    /// Whether nothing is led here any more, at the end of the process: what is led is handed to others first.
+    pub(super) fn copies_left(&mut self) -> bool {
+        let leads = self.fleet.copies.as_ref().is_some_and(|s| s.machine.leads_any());
+        if leads && self.fleet.copies.as_mut().is_some_and(|s| !std::mem::replace(&mut s.leaves, true)) {
+            self.tell_copies(Input::Leave);
+        }
+        !leads
+    }
+
     /// Does what there is to do; whether there was something.
     pub(super) fn step_copies(&mut self, now: Micros) -> bool {
         let Some(side) = &mut self.fleet.copies else { return false };
@@ -335,43 +354,39 @@
             Some(Asked::Take(mut call, mark, until)) => {
                 // It tells for how long it is of use still.
                 call.expires = now.saturating_add(call.expires);
-                let primary = self.fleet.copies.as_ref().map(|s| s.machine.settings().name.clone());
-                let Some(side) = &mut self.fleet.copies else { return };
-                match side.open.get_mut(&shard) {
-                    // What stands of it is still being read.
-                    None => Refusal::NotPrimary { shard, primary },
-                    Some(marks) if marks.get(&mark).is_some_and(|t| *t >= now) => Refusal::Seen,
-                    Some(marks) => {
-                        if marks.len() > super::webhooks::MOST_MARKS {
-                            marks.retain(|_, t| *t >= now);
-                        }
-                        let want = side.wants(&call.class);
-                        match self.take_asked(
-                            now,
-                            shard,
-                            *call,
-                            mark,
-                            until,
-                            want,
-                            Caller::Gateway(from.clone(), number),
-                        ) {
-                            Ok(()) => {
-                                if let Some(marks) =
-                                    self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard))
-                                {
-                                    marks.insert(mark, until);
-                                }
-                                return;
-                            }
-                            Err(why) => why,
-                        }
-                    }
+                let caller = Caller::Gateway(from.clone(), number);
+                let may = self.may_take(now, shard, &mark, &call.class);
+                match may.and_then(|want| self.take_asked(now, shard, *call, mark, until, want, caller)) {
+                    Ok(()) => return self.remember_mark(shard, mark, until),
+                    Err(why) => why,
                 }
             }
         };
         self.tell_asker(from, number, Told::Refused(why));
     }
 
+    /// How many disks a call of a class asks for, if its identity may be taken in a shard that is led here.
+    fn may_take(&mut self, now: Micros, shard: ShardId, mark: &Mark, class: &str) -> Result<usize, Refusal> {
+        let Some(side) = &mut self.fleet.copies else { return Err(Refusal::Leaving) };
+        let (want, primary) = (side.wants(class), side.machine.settings().name.clone());
+        // None while what stands of it is still being read.
+        let marks = side.open.get_mut(&shard);
+        let marks = marks.ok_or(Refusal::NotPrimary { shard, primary: Some(primary) })?;
+        if marks.get(mark).is_some_and(|t| *t >= now) {
+            return Err(Refusal::Seen);
+        }
+        if is_full(marks, now) {
+            return Err(Refusal::Full);
+        }
+        Ok(want)
+    }
+
+    fn remember_mark(&mut self, shard: ShardId, mark: Mark, until: Micros) {
+        if let Some(marks) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
+            marks.insert(mark, until);
+        }
+    }
+
     /// The identity was not taken after all.
     pub(super) fn forget_mark(&mut self, shard: ShardId, mark: &Mark) {
         if let Some(marks) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
--- /dev/null
+++ b/src/node/webhooks/calls.rs
@@ -0,0 +1,243 @@
+//! Calls: taken, run and answered.
+
+use super::*;
+
+impl Node {
+    /// Takes a webhook, or turns it away; none while its answer waits for the store.
+    pub(in crate::node) fn take_webhook(
+        &mut self,
+        key: ConnKey,
+        r: &http::Request<'_>,
+        stays: bool,
+        now: Micros,
+    ) -> Option<Vec<u8>> {
+        let tenants = &self.second.tenants;
+        let Some(hooks) = &mut self.second.hooks else { return Some(refuse(&plain(404, "off"), stays)) };
+        if r.method == "GET" {
+            return match hooks.inbound.ask(r, tenants, now) {
+                Ok((serial, id)) if self.fleet.copies.is_some() => {
+                    let tenant = r.path.strip_prefix("/webhooks/").and_then(|p| p.split_once('/'));
+                    let mark = replay::mark(tenant.map_or("", |(t, _)| t), id);
+                    let (id, shard) =
+                        (id.to_owned(), self.fleet.copies.as_ref().map_or(0, |s| s.shard_of(&mark)));
+                    self.ask_primary(shard, &Asked::State(serial, id.clone()), Question::State(key, id));
+                    None
+                }
+                Ok((serial, id)) => {
+                    let ask = Ask::Call { conn: key, id: id.to_owned() };
+                    hooks.ask(ask, Op::Call(serial, id.to_owned()));
+                    None
+                }
+                Err(bad) => Some(refuse(&bad, stays)),
+            };
+        }
+        // Taken only with room for what follows: what got a 202 is owed a callback.
+        let full = hooks.jobs.len() + hooks.waiting() + hooks.asked.len().saturating_sub(MOST_ASKED)
+            >= hooks.pending;
+        let taken = if full || hooks.asked.len() >= MOST_ASKED {
+            Err(plain(503, "too many calls under way"))
+        } else {
+            hooks.inbound.take(r, tenants, &self.config.names, now)
+        };
+        match taken {
+            // Answers on workers' connections are told apart by identity alone.
+            Ok((call, ..)) if self.core.is_open(&call.id) => {
+                Some(refuse(&plain(409, "already taken"), stays))
+            }
+            Ok((call, mark, until)) => {
+                let (seq, job, a) = (hooks.seq(), &call.origin, &call.arrival);
+                let record = CallRecord {
+                    seq,
+                    tenant: job.tenant.clone(),
+                    serial: job.serial,
+                    webhook_id: job.webhook_id.clone(),
+                    worker_id: call.id.to_string(),
+                    class: job.class.clone(),
+                    effect: job.effect,
+                    function: job.function.0,
+                    expires: a.expires,
+                    work: a.work,
+                    memory_mb: a.memory_mb,
+                    lanes: a.lanes,
+                    load_time: a.load_time,
+                    body: call.body.to_vec(),
+                    order: job.order.clone(),
+                    sent: None,
+                };
+                if let Some(shard) = self.fleet.copies.as_ref().map(|s| s.shard_of(&mark)) {
+                    let left = record.expires.saturating_sub(now);
+                    let asked = Asked::Take(Box::new(CallRecord { expires: left, ..record }), mark, until);
+                    self.ask_primary(shard, &asked, Question::Take(key, mark));
+                    return None;
+                }
+                let ask = Ask::Take { caller: Caller::Here(key), call: Box::new(call), seq, mark };
+                hooks.ask(ask, Op::Take(Box::new(record), mark, until));
+                None
+            }
+            Err(bad) => {
+                self.core.counters.webhooks_refused += 1;
+                Some(refuse(&bad, stays))
+            }
+        }
+    }
+
+    /// A call is kept, or not: it gets its 202 and goes to the module, or is turned away.
+    pub(super) fn taken(
+        &mut self,
+        now: Micros,
+        caller: Caller,
+        call: Call<Job>,
+        seq: Seq,
+        mark: Mark,
+        kept: Result<Reply, StoreError>,
+    ) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        if let Err(e) = kept {
+            return match (caller, e) {
+                (Caller::Here(conn), e) => {
+                    hooks.inbound.replays.forget(&mark);
+                    self.core.counters.webhooks_refused += 1;
+                    let full = e == StoreError::Full;
+                    let why = if full { "the store is full" } else { "the call cannot be kept" };
+                    self.answer_second(conn, now, |stays| refuse(&plain(503, why), stays))
+                }
+                (Caller::Gateway(to, number), e) => {
+                    let shard = seq.shard();
+                    self.forget_mark(shard, &mark);
+                    let why = match e {
+                        StoreError::NotPromised(why) => why,
+                        _ => Refusal::Unreached { shard },
+                    };
+                    self.tell_asker(to, number, Told::Refused(why));
+                }
+            };
+        }
+        let kept = if hooks.durable() { "store" } else { "memory" };
+        let id = call.id.clone();
+        if call.origin.effect != Effect::Safe && hooks.durable() {
+            hooks.guards.insert(id.clone(), Guard { seq, ran: false });
+        }
+        let job = hooks.jobs.insert(Held { seq, job: call.origin.clone(), id, request: None });
+        match caller {
+            Caller::Here(conn) => {
+                self.core.counters.webhooks_taken += 1;
+                self.answer_second(conn, now, |stays| {
+                    http::response(202, &format!("X-Kept-In: {kept}\r\n"), b"", stays)
+                });
+            }
+            Caller::Gateway(to, number) => {
+                step("call promised");
+                let disks = self.disks_of(seq.shard());
+                self.tell_asker(to, number, Told::Promised(disks));
+            }
+        }
+        let request = self.core.call(now, call.with(Origin::Webhook(job)));
+        self.runs(job, request);
+    }
+
+    /// An attempt of a call that must not run twice waits until it is recorded that it leaves.
+    pub(in crate::node) fn wait_for_record(&mut self, now: Micros, command: &Command<Origin>) -> bool {
+        let Some(hooks) = &mut self.second.hooks else { return false };
+        let Command::Go { attempt, worker, id, class, function, expires, body } = command else {
+            return false;
+        };
+        let Some(guard) = hooks.guards.get(id) else { return false };
+        let seq = guard.seq;
+        let waits = Waits {
+            worker: *worker,
+            id: id.clone(),
+            class: *class,
+            function: *function,
+            expires: *expires,
+            body: body.clone(),
+            since: now,
+        };
+        hooks.guarded.insert(*attempt, id.clone());
+        hooks.unrecorded.insert(*attempt, waits);
+        hooks.ask(Ask::Go(*attempt), Op::Sent(seq, now));
+        true
+    }
+
+    /// Whether an attempt still waited for its record: then it never left.
+    pub(in crate::node) fn unrecorded(&mut self, attempt: AttemptKey) -> bool {
+        self.second.hooks.as_mut().is_some_and(|h| h.unrecorded.remove(attempt).is_some())
+    }
+
+    pub(super) fn recorded(&mut self, now: Micros, attempt: AttemptKey, kept: bool) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        let Some(w) = hooks.unrecorded.remove(attempt) else { return };
+        if !kept || now > w.since + STALE {
+            return self.done.push_back(Done::plain(
+                Open::Attempt(attempt),
+                Ending::Withdrawn,
+                Left::Nothing,
+            ));
+        }
+        step("intent promised");
+        self.go(now, attempt, w.worker, w.id, w.class, w.function, w.expires, &w.body);
+    }
+
+    /// An attempt has ended; whether it is proved never to have run.
+    pub(in crate::node) fn guarded_ended(&mut self, attempt: AttemptKey, never_ran: bool) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        let Some(id) = hooks.guarded.remove(attempt) else { return };
+        let Some(guard) = hooks.guards.get_mut(&id) else { return };
+        step("attempt answered");
+        guard.ran |= !never_ran;
+        let (seq, ran) = (guard.seq, guard.ran);
+        if !ran {
+            hooks.ask(Ask::Quiet, Op::Unsent(seq));
+        }
+    }
+
+    /// A webhook's call has its final answer: it is kept with its messages, in place of the call.
+    pub(in crate::node) fn call_back(&mut self, now: Micros, job: JobKey, outcome: &Outcome) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        let Some(held) = hooks.jobs.remove(job) else { return };
+        hooks.guards.remove(&held.id);
+        let body = message::event(COMPLETED, now, &message::completed(&held.job, outcome));
+        let tenant = self.second.tenants.same(&held.job.tenant, held.job.serial);
+        let mut messages = Vec::new();
+        for e in tenant.iter().flat_map(|t| t.endpoints.values()).filter(|e| e.wants(COMPLETED)) {
+            let shard = held.seq.shard();
+            let mut m = new_message(hooks.seq_in(shard), e, COMPLETED, now, &body);
+            m.id = format!("msg_{}", held.id);
+            (m.tenant, m.serial) = (held.job.tenant.clone(), held.job.serial);
+            m.waiting.effect = held.job.effect;
+            m.call = Some(held.job.webhook_id.clone());
+            // Each shard has its own order of a key.
+            m.order = held.job.order.as_ref().filter(|_| e.ordered).map(|k| order(k) ^ u64::from(shard));
+            messages.push((m, body.clone()));
+        }
+        if messages.is_empty() {
+            self.core.counters.callbacks_undelivered += 1;
+        }
+        hooks.ask(Ask::Publish, Op::Answer(held.seq, outcome.name().into(), messages));
+    }
+
+    /// An operational event to those of a tenant's endpoints that want it.
+    pub(in crate::node) fn tell_tenant(
+        &mut self,
+        now: Micros,
+        tenant: &str,
+        only: Option<&str>,
+        kind: &str,
+        data: &serde_json::Value,
+    ) {
+        let (Some(hooks), Some(t)) = (&mut self.second.hooks, self.second.tenants.get(tenant)) else {
+            return;
+        };
+        let body = message::event(kind, now, data);
+        let mut messages = Vec::new();
+        for (name, e) in &t.endpoints {
+            if only.map_or(e.wants(kind), |only| only == name) {
+                let mut m = new_message(hooks.seq(), e, kind, now, &body);
+                (m.tenant, m.serial) = (tenant.to_owned(), t.serial);
+                messages.push((m, body.clone()));
+            }
+        }
+        if !messages.is_empty() {
+            hooks.ask(Ask::Publish, Op::Publish(messages));
+        }
+    }
+}
--- /dev/null
+++ b/src/node/webhooks/replies.rs
@@ -0,0 +1,197 @@
+//! The store's replies, and what delivery asks for.
+
+use super::*;
+
+impl Node {
+    /// Does one thing that the store or delivery asks for; whether there was one.
+    pub(in crate::node) fn step_webhooks(&mut self, now: Micros) -> bool {
+        let Some(hooks) = &mut self.second.hooks else { return false };
+        if let Some((number, reply)) = hooks.replies.pop_front() {
+            if let Some(ask) = hooks.asked.remove(&number) {
+                self.replied(now, ask, reply);
+            }
+            return true;
+        }
+        if let Some(output) = hooks.delivery.output() {
+            self.deliver(now, output);
+            return true;
+        }
+        let next = hooks.delivery.next_deadline();
+        if next != hooks.hung {
+            if let Some(old) = hooks.hung {
+                self.core.unhang(old, DELIVER);
+            }
+            hooks.hung = next;
+            if let Some(at) = next {
+                self.core.hang(at, DELIVER);
+            }
+        }
+        false
+    }
+
+    /// Delivery's own deadline fell due.
+    pub(in crate::node) fn tick_webhooks(&mut self, now: Micros) {
+        if let Some(hooks) = &mut self.second.hooks {
+            hooks.hung = None;
+            hooks.delivery.handle(now, Input::Tick);
+        }
+    }
+
+    pub(super) fn replied(&mut self, now: Micros, ask: Ask, reply: Result<Reply, StoreError>) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        match ask {
+            Ask::Take { caller, call, seq, mark } => self.taken(now, caller, *call, seq, mark, reply),
+            Ask::Disk => self.disk_began(reply),
+            Ask::Record(shard, ticket) => self.record_stored(shard, ticket, reply),
+            Ask::Shard(shard, to) => self.shard_read(shard, to, reply),
+            Ask::Lead(shard, epoch) => self.shard_taken_up(now, shard, epoch, reply),
+            Ask::Settled(w, state) => {
+                if reply.is_ok() && state == State::Waiting {
+                    hooks.delivery.handle(now, Input::Waits(w));
+                }
+                self.now_wait(now, reply);
+            }
+            Ask::State(to, number) => {
+                let told = match reply {
+                    Ok(Reply::Call(state)) => Told::Content(postcard::to_stdvec(&state).unwrap_or_default()),
+                    _ => Told::Refused(Refusal::Unknown { what: "call".into() }),
+                };
+                self.tell_asker(to, number, told);
+            }
+            Ask::Go(attempt) => self.recorded(now, attempt, reply.is_ok()),
+            Ask::Publish | Ask::Quiet => self.now_wait(now, reply),
+            Ask::Begin(seq) => match reply {
+                Ok(Reply::Begun(Some(both))) => {
+                    step("callback's intent promised");
+                    self.attempt(now, both.0, &both.1)
+                }
+                Ok(_) => hooks.delivery.handle(now, Input::Gone(seq)),
+                Err(_) => hooks.delivery.handle(now, Input::Ended(seq, Report::VOID)),
+            },
+            Ask::Fetch(id) => match reply {
+                Ok(Reply::Fetched(all, next)) => hooks.delivery.handle(now, Input::Fetched(id, all, next)),
+                // The disk is sick: asked again after a while, and nothing known is lost by it.
+                _ => hooks.delivery.handle(now, Input::Fetched(id, Vec::new(), Some(now + 1_000_000))),
+            },
+            Ask::Purge(id) => {
+                if matches!(reply, Ok(Reply::More(true))) {
+                    hooks.ask(Ask::Purge(id), Op::Purge(id, RETAINED));
+                }
+            }
+            Ask::Retain => {
+                let (expired, forward, more) = match reply {
+                    Ok(Reply::Retained(expired, forward, more)) => (expired, forward, more),
+                    _ => (Vec::new(), Vec::new(), false),
+                };
+                forward.into_iter().for_each(|w| hooks.delivery.handle(now, Input::Waits(w)));
+                for seq in expired {
+                    hooks.delivery.handle(now, Input::Gone(seq));
+                    self.core.counters.callbacks_undelivered += 1;
+                }
+                self.core.hang(now + if more { RETAIN_SOON } else { RETAIN_LATER }, RETAIN);
+            }
+            Ask::Call { conn, id } => {
+                let body = match reply {
+                    Ok(Reply::Call(state)) => Ok(state),
+                    _ => Err(plain(503, "the store cannot be read")),
+                };
+                self.answer_state(now, conn, &id, body);
+            }
+            Ask::Admin { conn, limit, key } => {
+                let waits = match &reply {
+                    Ok(Reply::Waits(all)) => all.clone(),
+                    _ => Vec::new(),
+                };
+                self.now_wait(now, Ok(Reply::Waits(waits)));
+                self.answer_asked(now, conn, limit, key, reply);
+            }
+        }
+    }
+
+    /// Tells a caller how its call stands.
+    pub(in crate::node) fn answer_state(
+        &mut self,
+        now: Micros,
+        conn: ConnKey,
+        id: &str,
+        body: Result<Option<CallState>, Bad>,
+    ) {
+        self.answer_second(conn, now, |stays| match body {
+            Ok(Some(state)) => {
+                let outcome = state.outcome.as_deref().unwrap_or("open");
+                let body = serde_json::json!({ "call": id, "outcome": outcome }).to_string();
+                http::response(200, "Content-Type: application/json\r\n", body.as_bytes(), stays)
+            }
+            Ok(None) => refuse(&plain(404, "no such call"), stays),
+            Err(bad) => refuse(&bad, stays),
+        });
+    }
+
+    pub(super) fn now_wait(&mut self, now: Micros, reply: Result<Reply, StoreError>) {
+        let (Some(hooks), Ok(Reply::Waits(all))) = (&mut self.second.hooks, reply) else { return };
+        all.into_iter().for_each(|w| hooks.delivery.handle(now, Input::Waits(w)));
+    }
+
+    /// A pass of retention is due.
+    pub(in crate::node) fn retain(&mut self, now: Micros) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        let (age, bytes) = hooks.retention;
+        hooks.ask(Ask::Retain, Op::Retain(now, age, bytes, RETAINED));
+    }
+
+    pub(super) fn deliver(&mut self, now: Micros, output: Output) {
+        let Some(hooks) = &mut self.second.hooks else { return };
+        match output {
+            Output::Begin { seq, recorded, .. } => hooks.ask(Ask::Begin(seq), Op::Begin(seq, recorded, now)),
+            Output::Fetch(id, limit) => hooks.ask(Ask::Fetch(id), Op::Fetch(id, limit)),
+            Output::Purge(id) => hooks.ask(Ask::Purge(id), Op::Purge(id, RETAINED)),
+            Output::Keep { message, state, attempt } => {
+                let record = hooks.out.remove(&message.seq);
+                let attempt = attempt.map(|report| AttemptRecord {
+                    at: now,
+                    took: record.as_ref().map_or(0, |r| now.saturating_sub(r.waiting.due)),
+                    ending: report.ending.name().into(),
+                    status: report.status,
+                    may_have_arrived: report.may_have_arrived(),
+                });
+                if let (Some(r), Some(a)) = (&record, &attempt) {
+                    let _span = tracing::debug_span!("delivery", tenant = r.tenant, message = r.id).entered();
+                    let (endpoint, state) = (message.endpoint.0, state.name());
+                    tracing::debug!(
+                        endpoint,
+                        status = a.status,
+                        ending = a.ending,
+                        state,
+                        "an attempt has ended"
+                    );
+                }
+                hooks.ask(Ask::Publish, Op::Ended(Box::new(message), state, attempt));
+                if state.is_over() {
+                    self.count(&message, state);
+                    let record = record.filter(|r| r.kind == COMPLETED && matches!(state, State::Dead(_)));
+                    if let Some(r) = record.filter(|_| state != State::Dead(Dead::Gone)) {
+                        let data =
+                            serde_json::json!({ "message": r.id, "call": r.call, "state": state.name() });
+                        self.tell_tenant(now, &r.tenant, None, "message.exhausted", &data);
+                    }
+                }
+            }
+            Output::Disabled(id, why) => {
+                let Some((tenant, name)) = self.second.tenants.disable(id) else { return };
+                tracing::warn!(tenant, endpoint = name, why, "an endpoint is switched off");
+                self.keep_tenants();
+                let data = serde_json::json!({ "endpoint": name, "why": why });
+                self.tell_tenant(now, &tenant, None, "endpoint.disabled", &data);
+            }
+        }
+    }
+
+    pub(super) fn count(&mut self, message: &Waiting, state: State) {
+        let counters = &mut self.core.counters;
+        match state {
+            State::Delivered => counters.callbacks_delivered += 1,
+            _ if message.ran.is_some() => counters.callbacks_unknown += 1,
+            _ => counters.callbacks_undelivered += 1,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/webhooks/shards.rs
@@ -0,0 +1,219 @@
+//! Shards: what is copied before it counts, and calls that another gateway has taken.
+
+use super::*;
+
+impl Hooks {
+    /// What a question that is being kept is for, for tests that end the process there.
+    pub(in crate::node) fn is_for(&self, number: u64) -> Option<&'static str> {
+        match self.asked.get(&number)? {
+            Ask::Take { .. } => Some("call recorded here"),
+            Ask::Go(_) => Some("intent recorded here"),
+            Ask::Begin(_) => Some("callback's intent recorded here"),
+            Ask::Publish => Some("answer recorded here"),
+            _ => None,
+        }
+    }
+
+    /// Has the disk tell its number, and how often it was begun; with another one if it is to begin anew.
+    pub(in crate::node) fn begin_disk(&mut self, id: u64, anew: bool) {
+        self.ask(Ask::Disk, Op::BeginDisk(id.max(1), anew));
+    }
+
+    /// A record of a shard goes to the disk. One that cannot be read keeps its place, and does nothing.
+    pub(in crate::node) fn keep_record(
+        &mut self,
+        shard: ShardId,
+        place: Place,
+        bytes: &[u8],
+        ticket: Option<u64>,
+    ) {
+        let op = Shared::read(bytes).map_or(Op::Publish(Vec::new()), Shared::op);
+        self.ask(Ask::Record(shard, ticket), Op::Shard(shard, place, Box::new(op)));
+    }
+
+    /// Another disk's content takes the place of what this one holds of a shard.
+    pub(in crate::node) fn keep_shard(&mut self, shard: ShardId, place: Place, bytes: Vec<u8>) {
+        self.ask(Ask::Record(shard, None), Op::WriteShard(shard, place, bytes));
+    }
+
+    /// What the disk holds of a shard is read for a copy.
+    pub(in crate::node) fn read_shard(&mut self, shard: ShardId, to: Name) {
+        self.ask(Ask::Shard(shard, to), Op::ReadShard(shard));
+    }
+
+    /// A shard is led here: what stands of it is read.
+    pub(in crate::node) fn lead_shard(&mut self, shard: ShardId, epoch: Epoch) {
+        self.ask(Ask::Lead(shard, epoch), Op::Lead(shard));
+    }
+
+    /// Numbers of a shard are given here under an epoch.
+    pub(in crate::node) fn numbers_of(&mut self, shard: ShardId, epoch: Epoch) {
+        self.numbers.insert(shard, (epoch, 0));
+    }
+
+    /// A shard is led here no more: nothing of it is run or delivered here. Calls to be given up.
+    pub(in crate::node) fn rest_shard(&mut self, now: Micros, shard: ShardId) -> Vec<RequestKey> {
+        self.numbers.remove(&shard);
+        let mut over = Vec::new();
+        self.jobs.retain(|_, held| {
+            let goes = held.seq.shard() == shard;
+            if goes {
+                self.guards.remove(&held.id);
+                over.extend(held.request);
+            }
+            !goes
+        });
+        for seq in self.delivery.of_shard(shard) {
+            self.out.remove(&seq);
+            self.delivery.handle(now, Input::Gone(seq));
+        }
+        self.ask(Ask::Quiet, Op::Rest(shard));
+        over
+    }
+
+    /// Callbacks whose attempt had begun where their shard was led before: by their class they wait again, or nobody can tell.
+    pub(in crate::node) fn settle(&mut self, now: Micros, begun: Vec<(Waiting, Micros)>) {
+        for (mut w, at) in begun {
+            let (state, attempt) = crate::store::recovery::settled(&mut w, at, now);
+            self.ask(Ask::Settled(w, state), Op::Ended(Box::new(w), state, Some(attempt)));
+        }
+    }
+
+    /// Callbacks wait.
+    pub(in crate::node) fn wait(&mut self, now: Micros, waits: Vec<Waiting>) {
+        waits.into_iter().for_each(|w| self.delivery.handle(now, Input::Waits(w)));
+    }
+
+    /// How a call stands, for another gateway.
+    pub(in crate::node) fn ask_state(&mut self, serial: u64, id: String, from: Name, number: u64) {
+        self.ask(Ask::State(from, number), Op::Call(serial, id));
+    }
+
+    /// The next number in a shard, or of this gateway's own.
+    pub(super) fn seq_in(&mut self, shard: ShardId) -> Seq {
+        match self.numbers.get_mut(&shard) {
+            Some((epoch, last)) => {
+                *last += 1;
+                Seq::of_shard(shard, *epoch, *last)
+            }
+            None => self.seq(),
+        }
+    }
+}
+
+impl Node {
+    /// Goes on with a call that another process has taken: by its class and stage it runs, is refused, or nobody can tell.
+    pub(in crate::node) fn go_on(&mut self, now: Micros, call: CallRecord, stepped_back: bool) -> Fate {
+        let fate = fate(&call, now, stepped_back);
+        let made = self.call_of(&call).filter(|_| !self.core.is_open(&call.worker_id));
+        let Some(hooks) = &mut self.second.hooks else { return Fate::Refuse };
+        let (job, id): (Job, Rc<str>) = (job_of(&call), call.worker_id.as_str().into());
+        let key = hooks.jobs.insert(Held { seq: call.seq, job, id: id.clone(), request: None });
+        match (fate, made) {
+            (Fate::Run, Some(made)) => {
+                if call.effect != Effect::Safe {
+                    hooks.guards.insert(id, Guard { seq: call.seq, ran: false });
+                }
+                let request = self.core.call(now, made.with(Origin::Webhook(key)));
+                self.runs(key, request);
+                Fate::Run
+            }
+            (Fate::Unknown, _) => {
+                self.call_back(now, key, &Outcome::Unknown);
+                Fate::Unknown
+            }
+            // Its class or tenant is gone; it never ran, or may run again.
+            _ => {
+                self.call_back(now, key, &Outcome::Answered(Answer::Refused { retry_after: 0 }));
+                Fate::Refuse
+            }
+        }
+    }
+
+    pub(super) fn runs(&mut self, key: JobKey, request: RequestKey) {
+        if let Some(held) = self.second.hooks.as_mut().and_then(|h| h.jobs.get_mut(key)) {
+            held.request = Some(request);
+        }
+    }
+
+    /// The call that a record is of; none if its class or tenant is not known here.
+    pub(super) fn call_of(&self, call: &CallRecord) -> Option<Call<Job>> {
+        let place = Names::place(&self.config.names.classes, &call.class)?;
+        let tenant = self.second.tenants.same(&call.tenant, call.serial)?.id;
+        let arrival = Arrival {
+            request: RequestId(0),
+            class: ClassId(place as u8),
+            tenant,
+            function: FunctionId(call.function),
+            expires: call.expires,
+            work: call.work,
+            memory_mb: call.memory_mb,
+            lanes: call.lanes,
+            load_time: call.load_time,
+        };
+        let id = call.worker_id.as_str().into();
+        Some(Call { origin: job_of(call), id, body: call.body.clone().into(), arrival })
+    }
+
+    /// A call that another gateway, or a caller here, wants this primary to take.
+    #[allow(clippy::too_many_arguments)]
+    pub(in crate::node) fn take_asked(
+        &mut self,
+        now: Micros,
+        shard: ShardId,
+        mut record: CallRecord,
+        mark: Mark,
+        until: Micros,
+        want: usize,
+        caller: Caller,
+    ) -> Result<(), Refusal> {
+        let unknown = |what: &str| Refusal::Unknown { what: what.into() };
+        if now >= record.expires {
+            return Err(Refusal::Unreached { shard });
+        }
+        if self.core.is_open(&record.worker_id) {
+            return Err(Refusal::Seen);
+        }
+        let call = self.call_of(&record).ok_or(unknown("class or tenant"))?;
+        let hooks = self.second.hooks.as_mut().ok_or(unknown("front"))?;
+        if hooks.stopping.is_some() {
+            return Err(Refusal::Leaving);
+        }
+        if hooks.jobs.len() >= hooks.pending || hooks.asked.len() >= MOST_ASKED {
+            return Err(Refusal::Full);
+        }
+        let seq = hooks.seq_in(shard);
+        record.seq = seq;
+        let ask = Ask::Take { caller, call: Box::new(call), seq, mark };
+        hooks.ask_for(ask, Op::Take(Box::new(record), mark, until), want);
+        Ok(())
+    }
+
+    /// A caller's call is promised by whoever leads its shard.
+    pub(in crate::node) fn promised_call(&mut self, now: Micros, conn: ConnKey, copies: u8) {
+        self.core.counters.webhooks_taken += 1;
+        let head = format!("X-Kept-In: store\r\nX-Copies: {copies}\r\n");
+        self.answer_second(conn, now, |stays| http::response(202, &head, b"", stays));
+    }
+
+    /// A caller's call is not promised.
+    pub(in crate::node) fn refused_call(&mut self, now: Micros, conn: ConnKey, mark: &Mark, why: &Refusal) {
+        if let Some(hooks) = self.second.hooks.as_mut().filter(|_| *why != Refusal::Seen) {
+            hooks.inbound.replays.forget(mark);
+        }
+        self.core.counters.webhooks_refused += 1;
+        let (status, text) = match why {
+            Refusal::Seen => (409, "already taken"),
+            Refusal::TooLong { .. } => (413, "longer than a record may be"),
+            Refusal::Unknown { .. } => (422, "unknown to the gateway that would take it"),
+            Refusal::Fewer { .. } => (503, "held by fewer machines than it has to be"),
+            Refusal::Full | Refusal::Busy { .. } | Refusal::Behind { .. } => {
+                (503, "too many calls under way")
+            }
+            Refusal::Leaving => (503, "the gateway is about to end"),
+            _ => (503, "nobody can promise it now"),
+        };
+        tracing::debug!(remedy = why.remedy(), "a call is not promised: {why}");
+        self.answer_second(conn, now, |stays| refuse(&plain(status, text), stays));
+    }
+}
--- a/src/replication/leading.rs
+++ b/src/replication/leading.rs
@@ -306,6 +306,13 @@
         self.peers.iter().find(|(n, p)| !self.set.contains(*n) && all(p)).map(|(n, _)| n.clone())
     }
 
+    /// A member of the set that has all there is, once all of it is promised.
+    pub fn heir(&self, me: &Name) -> Option<Name> {
+        let has = |n: &&Name| self.peers.get(*n).is_some_and(|p| p.has >= self.head.number);
+        let all = self.promised >= self.head.number;
+        self.set.iter().filter(|n| *n != me && all).find(has).cloned()
+    }
+
     /// Whether somebody outside the set is being brought along.
     pub fn joining(&self) -> Option<&Name> {
         self.peers.keys().find(|n| !self.set.contains(*n))
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -9,11 +9,14 @@
 use super::leading::{fits, Leading, Ticket, MOST_OWED};
 use super::order;
 use super::sets::{Disk, Entry, Set, Sets};
-use super::shard::{Shard, Taken};
+use super::shard::{Pending, Shard, Taken};
 use super::wire::{Body, Told, LONGEST_RECORD};
 use super::{Epoch, Name, Place, ShardId};
 use crate::api::Micros;
 
+mod agreed;
+mod records;
+
 /// Questions to other gateways under way at most.
 pub const MOST_ASKED: usize = 4096;
 /// So many times the stall a set that owes its word waits for another to come before it is left smaller.
@@ -63,6 +66,8 @@
     },
     /// The answer to a question that came from another.
     Tell(Name, u64, Told),
+    /// The process is about to end: what it leads is handed to others that have all of it.
+    Leave,
     /// A deadline fell due.
     Tick,
 }
@@ -88,7 +93,7 @@
     Lead(ShardId, Epoch),
     /// It does so no more.
     Rest(ShardId),
-    /// A question for this primary: whose, and its number there. One's own has the ticket for a number.
+    /// A question for this primary: whose, and its number there.
     Hear(ShardId, Name, u64, Vec<u8>),
     /// A question of one's own is answered.
     Told(Ticket, Told),
@@ -122,6 +127,8 @@
     proposed: Micros,
     beat: Micros,
     ticked: Micros,
+    /// Whether the process is about to end.
+    leaving: bool,
     outputs: VecDeque<Output>,
 }
 
@@ -142,6 +149,7 @@
             proposed: 0,
             beat: 0,
             ticked: now,
+            leaving: false,
             outputs: VecDeque::new(),
         }
     }
@@ -161,6 +169,11 @@
         self.ticked + self.settings.silent / 8
     }
 
+    /// Whether this process leads any shard.
+    pub fn leads_any(&self) -> bool {
+        self.shards.values().any(|s| s.leading.is_some())
+    }
+
     /// Whether this process leads a shard.
     pub fn leads(&self, shard: ShardId) -> bool {
         self.shards.get(&shard).is_some_and(|s| s.leading.is_some())
@@ -221,411 +234,19 @@
             Input::Ask { shard, ticket, bytes } => self.ask(now, shard, ticket, bytes),
             Input::Tell(to, number, told) => {
                 if to == self.settings.name {
-                    self.outputs.push_back(Output::Told(number, told));
+                    self.told(number, told);
                 } else {
                     self.say(to, Body::Told(number, told));
                 }
             }
+            Input::Leave => {
+                self.leaving = true;
+                self.tick(now);
+            }
             Input::Tick => self.tick(now),
         }
         self.bring_along(now);
     }
-
-    /// The log is told which process has which disk; only then does it count for anything.
-    fn look_at_disk(&mut self, now: Micros) {
-        let Some(disk) = self.disk else { return };
-        match self.sets.disks.get(&self.settings.name) {
-            Some(k) if *k == disk => self.known = true,
-            Some(k) if k.id == disk.id && k.boot >= disk.boot => {
-                // Another process has begun on this disk since: it is yesterday's copy, or it was taken away.
-                (self.known, self.disk) = (false, None);
-                for s in self.shards.values_mut() {
-                    s.place = Place::default();
-                }
-                self.outputs.push_back(Output::DiskRefused);
-            }
-            _ => {
-                self.known = false;
-                if now >= self.proposed + self.settings.stall / 2 || self.proposed == 0 {
-                    self.proposed = now.max(1);
-                    let name = self.settings.name.clone();
-                    self.outputs.push_back(Output::Propose(Entry::Begun { name, disk }));
-                }
-            }
-        }
-    }
-
-    /// Takes up what the log says of each shard.
-    fn take_up(&mut self) {
-        let me = self.settings.name.clone();
-        for id in 1..=self.settings.shards {
-            let set = self.sets.of(id);
-            let Some(s) = self.shards.get_mut(&id) else { continue };
-            let older = std::mem::replace(&mut s.set, set);
-            let process = s.set.process == self.settings.process || self.settings.without.process;
-            let mine = self.known && s.set.primary.as_ref() == Some(&me) && process;
-            let (epoch, members) = (s.set.epoch, s.set.members.clone());
-            let mut events = Vec::new();
-            match (&mut s.leading, mine) {
-                (Some(l), true) if l.epoch != epoch => {
-                    l.changed(epoch, members.clone());
-                    events.push(led(id, epoch, l.head, &members));
-                }
-                (Some(l), false) => {
-                    let ours = l.epoch;
-                    for ticket in l.unpromised() {
-                        let why = Refusal::Deposed { shard: id, ours, theirs: epoch };
-                        events.push(Output::Refused(ticket, why));
-                    }
-                    events.push(Output::Noted(Note::Rested { shard: id, epoch: ours }));
-                    events.push(Output::Rest(id));
-                    s.leading = None;
-                }
-                (None, true) => {
-                    let stored = s.stored();
-                    s.leading = Some(Leading::new(id, epoch, members.clone(), s.place, stored));
-                    if older.epoch > 0 && older.members.is_empty() {
-                        events.push(Output::Noted(Note::Lost { shard: id }));
-                    }
-                    events.push(led(id, epoch, s.place, &members));
-                    events.push(Output::Lead(id, epoch));
-                }
-                _ => {}
-            }
-            self.outputs.extend(events);
-        }
-    }
-
-    fn frame(&mut self, now: Micros, from: Name, body: Body) {
-        self.heard.insert(from.clone(), now);
-        let without = self.settings.without;
-        match body {
-            Body::Here => {}
-            Body::Where(shard, epoch) => {
-                let taken = self.shard(shard).and_then(|s| s.asked(shard, &from, epoch, without.epochs));
-                self.taken(shard, &from, taken);
-            }
-            Body::Record(shard, epoch, before, bytes) if self.known => {
-                let guards = (without.epochs, without.chain);
-                let taken =
-                    self.shard(shard).and_then(|s| s.record(shard, &from, (epoch, before), bytes, guards));
-                self.taken(shard, &from, taken);
-            }
-            Body::Part(shard, epoch, place, part, last, bytes) if self.known => {
-                let taken = self.shard(shard).map_or(Vec::new(), |s| {
-                    s.part(shard, &from, epoch, place, (part, last), &bytes, without.epochs)
-                });
-                self.taken(shard, &from, taken);
-            }
-            Body::Record(..) | Body::Part(..) => {}
-            Body::At(shard, epoch, place) => {
-                if let Some(l) = self.leading(shard, epoch) {
-                    if l.at(now, &from, place, without.chain) {
-                        self.outputs.push_back(Output::Read(shard, from));
-                    }
-                }
-            }
-            Body::Has(shard, epoch, number) => {
-                if let Some(l) = self.leading(shard, epoch) {
-                    l.has(now, &from, number);
-                }
-                self.promise(shard);
-            }
-            Body::Took(shard, epoch, part) => {
-                if let Some(l) = self.leading(shard, epoch) {
-                    l.took(now, &from, part);
-                }
-            }
-            Body::Declined(shard, why) => {
-                tracing::debug!(shard, remedy = why.remedy(), "a copy does not take what was sent: {why}");
-            }
-            Body::Ask(shard, number, bytes) => {
-                if self.leads(shard) {
-                    self.outputs.push_back(Output::Hear(shard, from, number, bytes));
-                } else {
-                    let primary = self.shards.get(&shard).and_then(|s| s.set.primary.clone());
-                    self.say(from, Body::Told(number, Told::Refused(Refusal::NotPrimary { shard, primary })));
-                }
-            }
-            Body::Told(number, told) => {
-                if let Some(q) = self.asked.remove(&number) {
-                    self.outputs.push_back(Output::Told(q.ticket, told));
-                }
-            }
-        }
-    }
-
-    fn shard(&mut self, shard: ShardId) -> Option<&mut Shard> {
-        self.shards.get_mut(&shard)
-    }
-
-    fn leading(&mut self, shard: ShardId, epoch: Epoch) -> Option<&mut Leading> {
-        self.shards.get_mut(&shard)?.leading.as_mut().filter(|l| l.epoch == epoch)
-    }
-
-    fn taken(&mut self, shard: ShardId, from: &Name, taken: impl IntoIterator<Item = Taken>) {
-        for taken in taken {
-            match taken {
-                Taken::Say(body) => self.say(from.clone(), body),
-                Taken::Store(place, bytes) => {
-                    self.outputs.push_back(Output::Store(shard, place, bytes, None));
-                }
-                Taken::Install(place, bytes) => self.outputs.push_back(Output::Install(shard, place, bytes)),
-                Taken::Declined(why) => {
-                    if let Declined::Stale { theirs, ours, .. } = why {
-                        self.note(Note::Declined { shard, theirs, ours });
-                    }
-                    self.say(from.clone(), Body::Declined(shard, why));
-                }
-            }
-        }
-    }
-
-    fn append(&mut self, shard: ShardId, ticket: Ticket, bytes: Vec<u8>, want: usize) {
-        let refuse = |why| Output::Refused(ticket, why);
-        let Some(s) = self.shards.get_mut(&shard) else { return };
-        let primary = s.set.primary.clone();
-        let Some(l) = &mut s.leading else {
-            return self.outputs.push_back(refuse(Refusal::NotPrimary { shard, primary }));
-        };
-        let have = l.disks();
-        let why = if !fits(bytes.len()) {
-            Some(Refusal::TooLong { bytes: bytes.len(), most: LONGEST_RECORD })
-        } else if have < want {
-            Some(Refusal::Fewer { shard, have, want })
-        } else if want > 0 && l.owed() > MOST_OWED {
-            Some(Refusal::Behind { shard, bytes: l.owed() })
-        } else {
-            None
-        };
-        if let Some(why) = why {
-            return self.outputs.push_back(refuse(why));
-        }
-        let bytes: Arc<[u8]> = bytes.into();
-        let place = l.append(bytes.clone(), ticket);
-        s.place = place;
-        let epoch = s.set.epoch;
-        s.pending.push_back(super::shard::Pending { epoch, from: None, place, whole: false });
-        self.outputs.push_back(Output::Store(shard, place, bytes, Some(ticket)));
-    }
-
-    fn kept(&mut self, shard: ShardId) {
-        let without = self.settings.without.epochs;
-        let Some(s) = self.shards.get_mut(&shard) else { return };
-        let (done, said) = s.kept(shard, without);
-        let stored = s.stored();
-        if let Some(l) = &mut s.leading {
-            l.stored = stored.min(l.head.number);
-        }
-        if let Some(done) = done {
-            let (number, chain) = (done.place.number, short(&done.place.chain));
-            self.note(match done.whole {
-                true => Note::Installed { shard, number, chain },
-                false => Note::Stored { shard, epoch: done.epoch, number, chain },
-            });
-        }
-        said.into_iter().for_each(|(to, body)| self.say(to, body));
-        self.promise(shard);
-    }
-
-    fn promise(&mut self, shard: ShardId) {
-        let (me, all) = (self.settings.name.clone(), self.settings.without.all);
-        let Some(l) = self.shards.get_mut(&shard).and_then(|s| s.leading.as_mut()) else { return };
-        let (told, epoch, disks) = (l.promise(&me, all), l.epoch, l.disks());
-        for (ticket, place) in told {
-            let (number, chain) = (place.number, short(&place.chain));
-            self.note(Note::Promised { shard, epoch, number, chain, disks });
-            self.outputs.push_back(Output::Promised(ticket, disks));
-        }
-    }
-
-    fn ask(&mut self, now: Micros, shard: ShardId, ticket: Ticket, bytes: Vec<u8>) {
-        let Some(s) = self.shards.get(&shard) else { return };
-        if s.leading.is_some() {
-            let me = self.settings.name.clone();
-            return self.outputs.push_back(Output::Hear(shard, me, ticket, bytes));
-        }
-        let open = self.asked.len();
-        let why = match &s.set.primary {
-            _ if open >= MOST_ASKED => Refusal::Busy { open },
-            Some(primary) if *primary != self.settings.name => {
-                let primary = primary.clone();
-                self.questions += 1;
-                let until = now + self.settings.ask;
-                self.asked.insert(self.questions, Question { ticket, shard, until });
-                return self.say(primary, Body::Ask(shard, self.questions, bytes));
-            }
-            primary => Refusal::NotPrimary { shard, primary: primary.clone() },
-        };
-        self.outputs.push_back(Output::Told(ticket, Told::Refused(why)));
-    }
-
-    fn tick(&mut self, now: Micros) {
-        // Nothing can be said of others' silence by one that was stopped itself.
-        if now > self.ticked + self.settings.silent / 2 {
-            self.heard.values_mut().for_each(|t| *t = now);
-        }
-        self.ticked = now;
-        let over: Vec<u64> = self.asked.iter().filter(|(_, q)| q.until <= now).map(|(n, _)| *n).collect();
-        for number in over {
-            if let Some(q) = self.asked.remove(&number) {
-                let why = Refusal::Unreached { shard: q.shard };
-                self.outputs.push_back(Output::Told(q.ticket, Told::Refused(why)));
-            }
-        }
-        if now >= self.beat + self.settings.silent / 5 {
-            self.beat = now;
-            let to: Vec<Name> = self.peers().cloned().collect();
-            to.into_iter().for_each(|to| self.say(to, Body::Here));
-        }
-        self.look_at_disk(now);
-        if self.known {
-            self.look_at_sets(now);
-        }
-    }
-
-    fn is_heard(&self, now: Micros, name: &Name, silent: Micros) -> bool {
-        *name == self.settings.name || self.heard.get(name).is_some_and(|t| now < t + silent)
-    }
-
-    /// Proposes what each shard's set lacks.
-    fn look_at_sets(&mut self, now: Micros) {
-        let me = self.settings.name.clone();
-        let mut joining = self.shards.values().filter_map(|s| s.leading.as_ref()?.joining()).count();
-        // What has the fewest copies comes first.
-        let mut all: Vec<ShardId> = self.shards.keys().copied().collect();
-        all.sort_by_key(|id| (self.shards[id].set.members.len(), *id));
-        for id in all {
-            let set = self.shards[&id].set.clone();
-            if self.shards[&id].leading.is_some() {
-                joining += usize::from(self.lead(now, id, joining < self.settings.repairs));
-            } else if set.members.is_empty() {
-                let order = order::order(id, &self.settings.hosts);
-                let first = order.iter().find(|n| self.is_heard(now, n, self.settings.silent));
-                if first == Some(&me) {
-                    self.propose(now, id, &set, [me.clone()].into());
-                }
-            } else if set.members.contains(&me) {
-                let members = set.members.clone();
-                match &set.primary {
-                    // Of one's own name, and another process: a new epoch for this one.
-                    Some(p) if *p == me => self.propose(now, id, &set, members),
-                    primary => {
-                        // The others one after the other, so that the first is done before the second begins.
-                        let turn =
-                            members.iter().filter(|m| primary.as_ref() != Some(m)).position(|m| *m == me);
-                        let waits =
-                            self.settings.silent + self.settings.silent / 2 * turn.unwrap_or(0) as Micros;
-                        // The one before stays in the set until another has come: it has all that was promised.
-                        if primary.as_ref().is_none_or(|p| !self.is_heard(now, p, waits)) {
-                            self.propose(now, id, &set, members);
-                        }
-                    }
-                }
-            }
-        }
-    }
-
-    /// What the primary of a shard does for its set; whether somebody new begins to be brought along.
-    ///
-    /// One that owes its word leaves the set by the same change by which another comes: until then it counts, as it has all
-    /// that was promised before. Only where nobody else comes is the set left smaller.
-    fn lead(&mut self, now: Micros, id: ShardId, room: bool) -> bool {
-        let (me, stall, silent) = (self.settings.name.clone(), self.settings.stall, self.settings.silent);
-        let Some(l) = self.shards.get(&id).and_then(|s| s.leading.as_ref()) else { return false };
-        let (mut members, again) = (l.set.clone(), l.proposed.is_none_or(|t| t + stall / 2 <= now));
-        let set = Set { epoch: l.epoch, primary: Some(me.clone()), process: 0, members: members.clone() };
-        let unheard = || l.set.iter().find(|n| !self.is_heard(now, n, silent)).cloned();
-        let late = l.stalled(now, &me, stall).or_else(unheard);
-        let since = late.is_some().then(|| l.late.unwrap_or(now));
-        let (arrived, joining) = (l.arrived(), l.joining().cloned());
-        let gone = joining.as_ref().is_some_and(|n| !self.is_heard(now, n, silent) && !l.maybe.contains(n));
-        let wanted = late.is_some() || members.len() < self.settings.copies;
-        let given_up = since.is_some_and(|t| t + GIVES_UP * stall <= now);
-        let next = joining.is_none().then(|| self.next_for(now, id, &members)).flatten();
-        let Some(l) = self.shards.get_mut(&id).and_then(|s| s.leading.as_mut()) else { return false };
-        l.late = since;
-        if let (Some(comes), true) = (&arrived, wanted) {
-            if again {
-                l.maybe.insert(comes.clone());
-                members.insert(comes.clone());
-                self.leaves(now, late, &mut members);
-                self.propose(now, id, &set, members);
-            }
-            return false;
-        }
-        if let Some(name) = joining.filter(|n| gone || !wanted && !l.maybe.contains(n)) {
-            l.peers.remove(&name);
-            return false;
-        }
-        match next.filter(|_| wanted) {
-            Some(next) if room => {
-                l.meet(&next);
-                return true;
-            }
-            Some(_) => {}
-            // Nobody is there to come, or none has come for long.
-            None if late.is_some() && again && (l.joining().is_none() || given_up) => {
-                self.leaves(now, late, &mut members);
-                self.propose(now, id, &set, members);
-            }
-            None => {}
-        }
-        false
-    }
-
-    /// One that owes its word leaves. Not at once again, so that one that comes and goes costs no change each time.
-    fn leaves(&mut self, now: Micros, late: Option<Name>, members: &mut BTreeSet<Name>) {
-        if let Some(late) = late {
-            members.remove(&late);
-            self.calm.insert(late, now + 2 * self.settings.stall);
-        }
-    }
-
-    /// Who is to be brought along next, if anybody can be.
-    fn next_for(&self, now: Micros, id: ShardId, members: &BTreeSet<Name>) -> Option<Name> {
-        let may = |n: &Name| {
-            *n != self.settings.name
-                && self.sets.disks.contains_key(n)
-                && self.is_heard(now, n, self.settings.silent)
-                && self.calm.get(n).is_none_or(|t| *t <= now)
-        };
-        order::next(id, &self.settings.hosts, members, may)
-    }
-
-    fn propose(&mut self, now: Micros, shard: ShardId, set: &Set, members: BTreeSet<Name>) {
-        if let Some(l) = self.shards.get_mut(&shard).and_then(|s| s.leading.as_mut()) {
-            l.proposed = Some(now);
-        }
-        let (me, process) = (self.settings.name.clone(), self.settings.process);
-        self.outputs.push_back(Output::Propose(Entry::Change {
-            shard,
-            was: set.epoch,
-            by: me.clone(),
-            primary: me,
-            process,
-            members,
-        }));
-    }
-
-    /// Says to copies what is to be said.
-    fn bring_along(&mut self, now: Micros) {
-        let (me, retry) = (self.settings.name.clone(), self.settings.stall / 4);
-        let mut said = Vec::new();
-        for s in self.shards.values_mut() {
-            let Some(l) = &mut s.leading else { continue };
-            for name in l.set.clone().into_iter().filter(|n| *n != me) {
-                l.meet(&name);
-            }
-            said.extend(l.say(now, retry));
-        }
-        said.into_iter().for_each(|(to, body)| self.say(to, body));
-        if !self.shards.values().any(|s| s.leading.as_ref().is_some_and(|l| l.promised < l.head.number)) {
-            return;
-        }
-        let all: Vec<ShardId> = self.shards.keys().copied().collect();
-        all.into_iter().for_each(|id| self.promise(id));
-    }
 }
 
 fn led(shard: ShardId, epoch: Epoch, place: Place, members: &BTreeSet<Name>) -> Output {
--- /dev/null
+++ b/src/replication/machine/records.rs
@@ -0,0 +1,190 @@
+//! Records, words of copies and questions.
+
+use super::*;
+
+impl Copies {
+    pub(super) fn frame(&mut self, now: Micros, from: Name, body: Body) {
+        self.heard.insert(from.clone(), now);
+        let without = self.settings.without;
+        match body {
+            Body::Here => {}
+            Body::Where(shard, epoch) => {
+                let taken = self.shard(shard).and_then(|s| s.asked(shard, &from, epoch, without.epochs));
+                self.taken(shard, &from, taken);
+            }
+            Body::Record(shard, epoch, before, bytes) if self.known => {
+                let guards = (without.epochs, without.chain);
+                let taken =
+                    self.shard(shard).and_then(|s| s.record(shard, &from, (epoch, before), bytes, guards));
+                self.taken(shard, &from, taken);
+            }
+            Body::Part(shard, epoch, place, part, last, bytes) if self.known => {
+                let taken = self.shard(shard).map_or(Vec::new(), |s| {
+                    s.part(shard, &from, epoch, place, (part, last), &bytes, without.epochs)
+                });
+                self.taken(shard, &from, taken);
+            }
+            Body::Record(..) | Body::Part(..) => {}
+            Body::At(shard, epoch, place) => {
+                if let Some(l) = self.leading(shard, epoch) {
+                    if l.at(now, &from, place, without.chain) {
+                        self.outputs.push_back(Output::Read(shard, from));
+                    }
+                }
+            }
+            Body::Has(shard, epoch, number) => {
+                if let Some(l) = self.leading(shard, epoch) {
+                    l.has(now, &from, number);
+                }
+                self.promise(shard);
+            }
+            Body::Took(shard, epoch, part) => {
+                if let Some(l) = self.leading(shard, epoch) {
+                    l.took(now, &from, part);
+                }
+            }
+            Body::Declined(shard, why) => {
+                tracing::debug!(shard, remedy = why.remedy(), "a copy does not take what was sent: {why}");
+            }
+            Body::Ask(shard, number, bytes) => {
+                if self.leads(shard) {
+                    self.outputs.push_back(Output::Hear(shard, from, number, bytes));
+                } else {
+                    let primary = self.shards.get(&shard).and_then(|s| s.set.primary.clone());
+                    self.say(from, Body::Told(number, Told::Refused(Refusal::NotPrimary { shard, primary })));
+                }
+            }
+            Body::Told(number, told) => self.told(number, told),
+        }
+    }
+
+    /// A question of one's own is answered, unless it was given up on.
+    pub(super) fn told(&mut self, number: u64, told: Told) {
+        if let Some(q) = self.asked.remove(&number) {
+            self.outputs.push_back(Output::Told(q.ticket, told));
+        }
+    }
+
+    pub(super) fn shard(&mut self, shard: ShardId) -> Option<&mut Shard> {
+        self.shards.get_mut(&shard)
+    }
+
+    pub(super) fn leading(&mut self, shard: ShardId, epoch: Epoch) -> Option<&mut Leading> {
+        self.shards.get_mut(&shard)?.leading.as_mut().filter(|l| l.epoch == epoch)
+    }
+
+    pub(super) fn taken(&mut self, shard: ShardId, from: &Name, taken: impl IntoIterator<Item = Taken>) {
+        for taken in taken {
+            match taken {
+                Taken::Say(body) => self.say(from.clone(), body),
+                Taken::Store(place, bytes) => {
+                    self.outputs.push_back(Output::Store(shard, place, bytes, None));
+                }
+                Taken::Install(place, bytes) => self.outputs.push_back(Output::Install(shard, place, bytes)),
+                Taken::Declined(why) => {
+                    if let Declined::Stale { theirs, ours, .. } = why {
+                        self.note(Note::Declined { shard, theirs, ours });
+                    }
+                    self.say(from.clone(), Body::Declined(shard, why));
+                }
+            }
+        }
+    }
+
+    pub(super) fn append(&mut self, shard: ShardId, ticket: Ticket, bytes: Vec<u8>, want: usize) {
+        let refuse = |why| Output::Refused(ticket, why);
+        let Some(s) = self.shards.get_mut(&shard) else { return };
+        let primary = s.set.primary.clone();
+        let Some(l) = &mut s.leading else {
+            return self.outputs.push_back(refuse(Refusal::NotPrimary { shard, primary }));
+        };
+        let have = l.disks();
+        let why = if !fits(bytes.len()) {
+            Some(Refusal::TooLong { bytes: bytes.len(), most: LONGEST_RECORD })
+        } else if have < want {
+            Some(Refusal::Fewer { shard, have, want })
+        } else if want > 0 && l.owed() > MOST_OWED {
+            Some(Refusal::Behind { shard, bytes: l.owed() })
+        } else {
+            None
+        };
+        if let Some(why) = why {
+            return self.outputs.push_back(refuse(why));
+        }
+        let bytes: Arc<[u8]> = bytes.into();
+        let place = l.append(bytes.clone(), ticket);
+        s.place = place;
+        let epoch = s.set.epoch;
+        s.pending.push_back(Pending { epoch, from: None, place, whole: false });
+        self.outputs.push_back(Output::Store(shard, place, bytes, Some(ticket)));
+    }
+
+    pub(super) fn kept(&mut self, shard: ShardId) {
+        let without = self.settings.without.epochs;
+        let Some(s) = self.shards.get_mut(&shard) else { return };
+        let (done, said) = s.kept(shard, without);
+        let stored = s.stored();
+        if let Some(l) = &mut s.leading {
+            l.stored = stored.min(l.head.number);
+        }
+        if let Some(done) = done {
+            let (number, chain) = (done.place.number, short(&done.place.chain));
+            self.note(match done.whole {
+                true => Note::Installed { shard, number, chain },
+                false => Note::Stored { shard, epoch: done.epoch, number, chain },
+            });
+        }
+        said.into_iter().for_each(|(to, body)| self.say(to, body));
+        self.promise(shard);
+    }
+
+    pub(super) fn promise(&mut self, shard: ShardId) {
+        let (me, all) = (self.settings.name.clone(), self.settings.without.all);
+        let Some(l) = self.shards.get_mut(&shard).and_then(|s| s.leading.as_mut()) else { return };
+        let (told, epoch, disks) = (l.promise(&me, all), l.epoch, l.disks());
+        for (ticket, place) in told {
+            let (number, chain) = (place.number, short(&place.chain));
+            self.note(Note::Promised { shard, epoch, number, chain, disks });
+            self.outputs.push_back(Output::Promised(ticket, disks));
+        }
+    }
+
+    pub(super) fn ask(&mut self, now: Micros, shard: ShardId, ticket: Ticket, bytes: Vec<u8>) {
+        let Some(s) = self.shards.get(&shard) else { return };
+        let (open, until) = (self.asked.len(), now + self.settings.ask);
+        let why = match &s.set.primary {
+            _ if open >= MOST_ASKED => Refusal::Busy { open },
+            Some(primary) if s.leading.is_some() || *primary != self.settings.name => {
+                // Also one's own question has an end, whatever becomes of its record.
+                let (primary, leads) = (primary.clone(), s.leading.is_some());
+                self.questions += 1;
+                self.asked.insert(self.questions, Question { ticket, shard, until });
+                if leads {
+                    return self.outputs.push_back(Output::Hear(shard, primary, self.questions, bytes));
+                }
+                return self.say(primary, Body::Ask(shard, self.questions, bytes));
+            }
+            primary => Refusal::NotPrimary { shard, primary: primary.clone() },
+        };
+        self.outputs.push_back(Output::Told(ticket, Told::Refused(why)));
+    }
+
+    /// Says to copies what is to be said.
+    pub(super) fn bring_along(&mut self, now: Micros) {
+        let (me, retry) = (self.settings.name.clone(), self.settings.stall / 4);
+        let mut said = Vec::new();
+        for s in self.shards.values_mut() {
+            let Some(l) = &mut s.leading else { continue };
+            for name in l.set.clone().into_iter().filter(|n| *n != me) {
+                l.meet(&name);
+            }
+            said.extend(l.say(now, retry));
+        }
+        said.into_iter().for_each(|(to, body)| self.say(to, body));
+        if !self.shards.values().any(|s| s.leading.as_ref().is_some_and(|l| l.promised < l.head.number)) {
+            return;
+        }
+        let all: Vec<ShardId> = self.shards.keys().copied().collect();
+        all.into_iter().for_each(|id| self.promise(id));
+    }
+}
--- a/src/replication/tests.rs
+++ b/src/replication/tests.rs
@@ -13,7 +13,7 @@
 use super::machine::{Copies, Input, Output};
 use super::order::Host;
 use super::sets::{Entry, Sets};
-use super::wire::Body;
+use super::wire::{Body, Told};
 use super::{Name, Place, ShardId};
 use crate::api::Micros;
 
@@ -71,6 +71,8 @@
     promised: BTreeSet<u64>,
     refused: Vec<Refusal>,
     notes: Vec<(usize, Note)>,
+    told: Vec<(usize, u64, Told)>,
+    heard_questions: Vec<(usize, Name, u64)>,
 }
 
 fn name(n: usize) -> Name {
@@ -107,6 +109,8 @@
             promised: BTreeSet::new(),
             refused: Vec::new(),
             notes: Vec::new(),
+            told: Vec::new(),
+            heard_questions: Vec::new(),
         };
         for i in 0..n {
             w.gateways[i].disk.id = w.random.next_u64();
@@ -260,7 +264,9 @@
                 self.give(i, Input::Disk { id, boot: 1, places: BTreeMap::new() });
             }
             Output::Noted(note) => self.notes.push((i, note)),
-            Output::Lead(..) | Output::Rest(_) | Output::Hear(..) | Output::Told(..) => {}
+            Output::Told(ticket, told) => self.told.push((i, ticket, told)),
+            Output::Hear(_, from, number, _) => self.heard_questions.push((i, from, number)),
+            Output::Lead(..) | Output::Rest(_) => {}
         }
     }
 
@@ -593,6 +599,49 @@
     w.judge().unwrap();
 }
 
+/// A question has an end, also one that a gateway asks itself and whose record is never promised.
+#[test]
+fn a_question_is_given_up_on_and_its_late_answer_counts_for_nothing() {
+    let mut w = World::new(3, 2, 7, Guards::default());
+    w.run(3_000 * MS);
+    let primary = w.log.last().unwrap().of(1).primary.unwrap()[1..].parse::<usize>().unwrap();
+    let asks = |w: &mut World, at: usize, ticket| {
+        w.give(at, Input::Ask { shard: 1, ticket, bytes: vec![1] });
+        w.told.clear();
+        w.run(700 * MS);
+        w.told.clone()
+    };
+    for at in 0..3 {
+        let told = asks(&mut w, at, 70 + at as u64);
+        assert_eq!(told, [(at, 70 + at as u64, Told::Refused(Refusal::Unreached { shard: 1 }))]);
+    }
+    let (_, from, number) = w.heard_questions.last().cloned().unwrap();
+    w.told.clear();
+    w.give(primary, Input::Tell(from, number, Told::Promised(2)));
+    w.run(50 * MS);
+    assert_eq!(w.told, []);
+}
+
+#[test]
+fn one_that_leaves_in_order_hands_its_shards_on_first() {
+    let mut w = World::new(4, 2, 8, Guards::default());
+    w.run(3_000 * MS);
+    w.traffic(300 * MS);
+    let led = |w: &World, i: usize| {
+        (1..=SHARDS).filter(|s| w.gateways[i].machine.as_ref().unwrap().leads(*s)).count()
+    };
+    let leaves = (0..4).find(|i| led(&w, *i) > 0).unwrap();
+    let epochs: Vec<u64> = (1..=SHARDS).map(|s| w.log.last().unwrap().of(s).epoch).collect();
+    w.give(leaves, Input::Leave);
+    // Well within the silence after which others would take over by themselves.
+    w.run(250 * MS);
+    assert_eq!(led(&w, leaves), 0, "{epochs:?}");
+    assert_eq!((0..4).map(|i| led(&w, i)).sum::<usize>(), usize::from(SHARDS));
+    w.kill(leaves);
+    w.traffic(1_000 * MS);
+    w.judge().unwrap();
+}
+
 #[test]
 fn every_refusal_says_what_an_operator_can_do() {
     let all = [
