Agree on changes of tenants before they get a 2xx, so that no gateway's loss takes one along

With copies on, a tenant made or changed by the administration API stood on the gateway that took it: a promise on one disk, and unknown to the gateway that leads the shard of that tenant's calls, which answered 422. A record in a shard was ruled out, as every gateway needs every tenant's secrets; gossip too, as no 2xx could follow from it. Changes are now entries of the council's log. Each names what it follows, so that it takes hold once however late or often it comes, and of two at once one gets 409. The state machine (src/tenancy/agreed) proposes until it is told, takes over what others changed, and says 503 with a remedy if nobody agrees in time. A process that has just begun takes no tenant's call until it has heard what is agreed: with its files alone a removed tenant counted again, which a test of a restart showed. The council passes on what subsystems bring without knowing it. tenancy/mod.rs and node/copies.rs are split.

--- a/lab/src/emulator/mod.rs
+++ b/lab/src/emulator/mod.rs
@@ -843,7 +843,7 @@
                     self.instances[n].trials.handle(now, heard);
                 }
             }
-            Output::Sets => {}
+            Output::Brought => {}
             Output::Noted(note) => {
                 if matches!(note, member::Note::Agreed { .. } | member::Note::Restored { .. }) {
                     self.know_loads(n);
--- a/lab/src/history/mod.rs
+++ b/lab/src/history/mod.rs
@@ -4,6 +4,7 @@
 //! that order and what the lines say of one another count; no two clocks are compared, and no span of time is judged.
 
 pub mod promises;
+pub mod tenants;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
--- a/lab/src/rounds/fleet.rs
+++ b/lab/src/rounds/fleet.rs
@@ -40,6 +40,8 @@
     pub fewer: bool,
     /// A step of a call's life at which an instance ends once it is armed.
     pub ends_at: Option<&'static str>,
+    /// Whether the instances are administered.
+    pub administered: bool,
     /// Whether copies are on at all; without them each gateway has its store alone.
     pub on: bool,
 }
@@ -54,6 +56,7 @@
             work: Duration::from_millis(3),
             on: true,
             fewer: false,
+            administered: false,
             ends_at: None,
         }
     }
@@ -132,8 +135,10 @@
         std::fs::write(folder.0.join("shared.keys"), BASE64_STANDARD.encode([7u8; 32]))?;
         let workers: Vec<Worker> = (0..4).map(|_| Worker::start(shape.work, 0)).collect::<Result<_>>()?;
         let portal = Portal::start(secret(1), Manner::Good)?;
+        let admin =
+            if shape.administered { crate::stand_in::admin::write(&folder.0)? } else { String::new() };
         let operator = format!(
-            "[webhooks]\nlisten = \"127.0.0.1:0\"\nstore = \"store\"\ncallback_answer_ms = 2000\npending = 4096\n\
+            "{admin}[webhooks]\nlisten = \"127.0.0.1:0\"\nstore = \"store\"\ncallback_answer_ms = 2000\npending = 4096\n\
              schedule_s = [0.05, 0.1, 0.2, 0.4, 0.8, 1, 1, 1, 2, 2, 2, 2]\n\
              [[tenants]]\nname = \"{TENANT}\"\nportal = \"http://{}/in\"\nsecrets = [\"{}\"]\n",
             portal.address,
@@ -206,6 +211,11 @@
         self.folder.0.join("history")
     }
 
+    /// The folder of all.
+    pub fn folder(&self) -> &std::path::Path {
+        &self.folder.0
+    }
+
     /// The folder of one instance.
     pub fn home(&self, n: usize) -> PathBuf {
         self.folder.0.join(name(n))
--- a/lab/src/rounds/mod.rs
+++ b/lab/src/rounds/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod copies;
 pub mod fleet;
+pub mod tenants;
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -81,8 +81,15 @@
     },
 }
 
+impl Change {
+    /// Whether it changes a tenant for good, so that it has to be kept.
+    pub fn is_kept(&self) -> bool {
+        !matches!(self, Change::Test(..) | Change::Voters { .. })
+    }
+}
+
 /// A request's answer and what follows from it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Handled {
     /// The status.
     pub status: u16,
@@ -198,6 +205,12 @@
     }
 }
 
+/// The tenant that a path is of.
+pub fn tenant_of(path: &str) -> Option<&str> {
+    let path = path.split('?').next()?;
+    path.strip_prefix("/v1/tenants/")?.split('/').next()
+}
+
 /// Whether some method has this path.
 fn known(parts: &[&str]) -> bool {
     ROUTES.iter().any(|(_, route, _)| {
@@ -216,16 +229,22 @@
             let head = format!("Content-Type: application/json\r\n{store}{tag}");
             response(h.status, &head, text.as_bytes(), keep)
         }
-        Err(bad) => {
-            let mut head = format!("Content-Type: application/problem+json\r\n{store}");
-            if bad.status == 401 {
-                head.push_str("WWW-Authenticate: Bearer\r\n");
-            }
-            if bad.status == 503 {
-                head.push_str("Retry-After: 1\r\n");
-            }
-            let body = json!({ "type": "about:blank", "status": bad.status, "detail": bad.why }).to_string();
-            response(bad.status, &head, body.as_bytes(), keep && !bad.fatal)
-        }
+        Err(bad) => problem(bad.status, bad.why, None, keep && !bad.fatal),
+    }
+}
+
+/// The bytes of a problem detail, with what an operator can do about it.
+pub fn problem(status: u16, detail: &str, remedy: Option<&str>, keep: bool) -> Vec<u8> {
+    let mut head = "Content-Type: application/problem+json\r\nCache-Control: no-store\r\n".to_owned();
+    if status == 401 {
+        head.push_str("WWW-Authenticate: Bearer\r\n");
+    }
+    if status == 503 {
+        head.push_str("Retry-After: 1\r\n");
+    }
+    let mut body = json!({ "type": "about:blank", "status": status, "detail": detail });
+    if let Some(remedy) = remedy {
+        body["remedy"] = json!(remedy);
     }
+    response(status, &head, body.to_string().as_bytes(), keep)
 }
--- a/src/council/config.rs
+++ b/src/council/config.rs
@@ -154,8 +154,8 @@
     }
     let ledger = from.map_or_else(Ledger::default, |s| s.ledger.founded_anew(generation));
     // As if one entry had been agreed: a seat that joins later has it not, and is sent the state.
-    let sets = from.map_or_else(Default::default, |s| s.sets.clone());
-    let state = State { generation, applied: FIRST, voters, ledger, sets };
+    let (sets, tenants) = from.map_or_else(Default::default, |s| (s.sets.clone(), s.tenants.clone()));
+    let state = State { generation, applied: FIRST, voters, ledger, sets, tenants };
     Ok(seat_of(founder(generation, me), &state))
 }
 
--- a/src/council/machine.rs
+++ b/src/council/machine.rs
@@ -167,6 +167,8 @@
     leads: Option<u64>,
     next: Micros,
     snapshot: u64,
+    /// The last entry on its disk when it began.
+    found: u64,
     outputs: VecDeque<Output>,
     without: Without,
 }
@@ -209,7 +211,7 @@
         kept.head.boots += 1;
         let (index, _, _, data) = &kept.head.snapshot;
         let state = State::read(data).map_err(|e| Unfit::Raft(e.to_string()))?;
-        let (seat, snapshot, head) = (kept.head.seat, *index, kept.head.clone());
+        let (seat, snapshot, head, found) = (kept.head.seat, *index, kept.head.clone(), kept.last());
         let config = Config {
             id: seat,
             election_tick: ELECTION,
@@ -240,6 +242,7 @@
             leads: None,
             next: now,
             snapshot,
+            found,
             outputs: VecDeque::new(),
             without,
         };
@@ -275,6 +278,12 @@
         Some(raw.raft.leader_id).filter(|l| *l != 0)
     }
 
+    /// Whether somebody leads, and all that its disk held at the start is applied, or was replaced by what was agreed instead.
+    pub fn is_current(&self) -> bool {
+        let last = self.raw.as_ref().map_or(0, |raw| raw.store().last());
+        self.leader().is_some() && self.state.applied >= self.found.min(last)
+    }
+
     /// Whether it leads and has applied all that was agreed before.
     pub fn leads(&self) -> bool {
         self.leads.is_some()
--- a/src/council/member.rs
+++ b/src/council/member.rs
@@ -8,7 +8,7 @@
 use super::kept::{Kept, Record};
 use super::machine::{self, Council, Without};
 use super::memory::Known;
-use super::state::{Entry, State};
+use super::state::{Brought, Entry, State};
 use super::wire::{Body, Effect, Passed, Report};
 use super::Seat;
 use crate::api::Micros;
@@ -17,7 +17,6 @@
 use crate::duty::holder::{self, Answer, Ask, Holder};
 use crate::duty::ledger;
 use crate::duty::{Duty, Owner, Term};
-use crate::replication::sets;
 
 /// Ways back to those who asked through another voter; the oldest are forgotten, and asked again.
 const MOST_ROUTES: usize = 4096;
@@ -71,8 +70,8 @@
     Act(Duty, Vec<u8>),
     /// Something for whoever owns a duty; it may get lost.
     Report(Duty, Vec<u8>),
-    /// An entry of shards is to be agreed; it may get lost.
-    Sets(sets::Entry),
+    /// An entry of another subsystem is to be agreed; it may get lost.
+    Bring(Brought),
     /// An operator has one gateway vote, or another no more.
     Exchange {
         /// Who comes; it has a seat and follows here.
@@ -101,8 +100,8 @@
     Take(Effect),
     /// Another has something for this owner of a duty.
     Hear(Duty, Arc<str>, Vec<u8>),
-    /// What is agreed of shards has changed.
-    Sets,
+    /// What is agreed for other subsystems may have changed; also where a proposal had no effect.
+    Brought,
     /// Something to be recorded, in order.
     Noted(Note),
 }
@@ -333,6 +332,14 @@
         }
     }
 
+    /// Whether it has heard of what is agreed since it began, and does not go by its disk alone.
+    pub fn has_heard(&self) -> bool {
+        match &self.council {
+            Some(c) if self.voted => c.is_current(),
+            _ => !self.follower.state().voters.is_empty(),
+        }
+    }
+
     /// The name of who leads, as far as it knows.
     pub fn leader(&self) -> Option<Arc<str>> {
         let c = self.council.as_ref().filter(|_| self.voted)?;
@@ -422,7 +429,7 @@
                 let from = self.settings.name.clone();
                 self.report(Report { duty, from, content }, false);
             }
-            Input::Sets(entry) => self.sets(entry, false),
+            Input::Bring(entry) => self.bring(entry, false),
             Input::Exchange { joins, leaves } => {
                 let joins = joins.and_then(|n| Some((self.followed.seat(&n)?, n)));
                 // A name may have an old seat that votes and a new one that does not yet.
@@ -533,7 +540,7 @@
                 self.news(now, news);
             }
             Body::State(state, passed) if self.asks() == Some(from) => {
-                let news = self.follower.restored(state, passed);
+                let news = self.follower.restored(*state, passed);
                 self.news(now, news);
             }
             Body::Entries(..) | Body::State(..) => {}
@@ -542,9 +549,9 @@
                     self.report(report, passed);
                 }
             }
-            Body::Sets(entry, passed) => {
+            Body::Brought(entry, passed) => {
                 if entry.by() == from || passed && self.is_voter(from) {
-                    self.sets(entry, passed);
+                    self.bring(entry, passed);
                 }
             }
             // The driver has given it to whom it is for.
@@ -597,13 +604,13 @@
             let (index, ledger) = (self.follower.state().applied, self.follower.state().ledger.clone());
             self.note(Note::Restored { index });
             self.holder.handle(now, holder::Input::Restored(ledger));
-            self.outputs.push_back(Output::Sets);
+            self.outputs.push_back(Output::Brought);
         }
         for (index, entry, held) in news.applied {
             match entry {
                 Entry::Duty(entry) if held => self.agreed(now, index, entry),
                 // Also one without effect: whoever proposed it learns what stands.
-                Entry::Sets(_) => self.outputs.push_back(Output::Sets),
+                Entry::Sets(_) | Entry::Tenants(_) => self.outputs.push_back(Output::Brought),
                 _ => {}
             }
         }
@@ -670,15 +677,15 @@
     }
 
     /// To whoever leads, by the shortest way that there may be; it is proposed again by whoever wants it.
-    fn sets(&mut self, entry: sets::Entry, passed: bool) {
+    fn bring(&mut self, entry: Brought, passed: bool) {
         if self.leads() {
             if let Some(c) = &mut self.council {
-                c.propose(&Entry::Sets(entry));
+                c.propose(&entry.entry());
             }
         } else if let Some(leader) = self.leader().filter(|l| !passed && *l != self.settings.name) {
-            self.say(leader, Body::Sets(entry, true));
+            self.say(leader, Body::Brought(entry, true));
         } else if let Some(to) = self.asks().cloned().filter(|_| !passed) {
-            self.say(to, Body::Sets(entry, false));
+            self.say(to, Body::Brought(entry, false));
         }
     }
 
@@ -747,7 +754,7 @@
         if std::mem::replace(&mut self.voted, votes) != votes {
             let ledger = self.state().ledger.clone();
             self.holder.handle(now, holder::Input::Restored(ledger));
-            self.outputs.push_back(Output::Sets);
+            self.outputs.push_back(Output::Brought);
             if !votes {
                 self.followed = Followed::default();
             }
@@ -776,8 +783,8 @@
                 }
             }
             machine::Output::Keep(number, record) => self.outputs.push_back(Output::Keep(number, record)),
-            machine::Output::Applied(_, Entry::Sets(_), _) if self.voted => {
-                self.outputs.push_back(Output::Sets)
+            machine::Output::Applied(_, Entry::Sets(_) | Entry::Tenants(_), _) if self.voted => {
+                self.outputs.push_back(Output::Brought)
             }
             machine::Output::Applied(index, entry, held) => {
                 if let (Entry::Duty(entry), true) = (entry, held) {
@@ -793,7 +800,7 @@
                 if self.voted {
                     self.note(Note::Restored { index });
                     self.holder.handle(now, holder::Input::Restored(ledger));
-                    self.outputs.push_back(Output::Sets);
+                    self.outputs.push_back(Output::Brought);
                 }
             }
             machine::Output::Leads => {
@@ -858,7 +865,7 @@
             let same = poll.generation == state.generation;
             let body = match c.since(poll.applied + 1, MOST_ENTRIES).filter(|_| same) {
                 Some(entries) => Body::Entries(state.generation, entries, passed),
-                None => Body::State(state.clone(), passed),
+                None => Body::State(Box::new(state.clone()), passed),
             };
             self.outputs.push_back(Output::Send(name, body));
         }
--- a/src/council/member_tests.rs
+++ b/src/council/member_tests.rs
@@ -102,7 +102,7 @@
                 Output::Keep(number, record) => self.writes[n].push_back((number, *record)),
                 Output::Take(e) => self.taken.push((n, e.term, e.number)),
                 Output::Noted(note) => self.notes.push((n, note)),
-                Output::Hear(..) | Output::Began(..) | Output::Ended(..) | Output::Sets => {}
+                Output::Hear(..) | Output::Began(..) | Output::Ended(..) | Output::Brought => {}
             }
         }
     }
--- a/src/council/state.rs
+++ b/src/council/state.rs
@@ -8,6 +8,7 @@
 use super::Seat;
 use crate::duty::ledger::{self, Ledger};
 use crate::replication::sets::{self, Sets};
+use crate::tenancy::agreed::state as tenants;
 
 /// An entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +21,35 @@
     Voters(BTreeMap<Seat, Arc<str>>),
     /// Of shards and the disks that hold them.
     Sets(sets::Entry),
+    /// Of tenants.
+    Tenants(Box<tenants::Entry>),
+}
+
+/// An entry that another subsystem brings; the council knows no more of it than whose word it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Brought {
+    /// Of shards and the disks that hold them.
+    Sets(sets::Entry),
+    /// Of tenants.
+    Tenants(Box<tenants::Entry>),
+}
+
+impl Brought {
+    /// Whose word it is.
+    pub fn by(&self) -> &Arc<str> {
+        match self {
+            Brought::Sets(e) => e.by(),
+            Brought::Tenants(e) => &e.by,
+        }
+    }
+
+    /// As the log has it.
+    pub fn entry(self) -> Entry {
+        match self {
+            Brought::Sets(e) => Entry::Sets(e),
+            Brought::Tenants(e) => Entry::Tenants(e),
+        }
+    }
 }
 
 /// The state at one place in the log.
@@ -35,24 +65,27 @@
     pub ledger: Ledger,
     /// Shards.
     pub sets: Sets,
+    /// Tenants as they were changed.
+    pub tenants: tenants::Tenants,
 }
 
 /// The state as disks have it that were written before there were shards.
-#[derive(Deserialize)]
-struct Earlier {
-    generation: u32,
-    applied: u64,
-    voters: BTreeMap<Seat, Arc<str>>,
-    ledger: Ledger,
-}
+type First = (u32, u64, BTreeMap<Seat, Arc<str>>, Ledger);
+/// As they have it that were written before there were tenants.
+type Second = (u32, u64, BTreeMap<Seat, Arc<str>>, Ledger, Sets);
 
 impl State {
     /// Reads a snapshot's bytes, also those of an earlier version.
     pub fn read(bytes: &[u8]) -> Result<State, postcard::Error> {
         postcard::from_bytes(bytes).or_else(|e| {
-            let earlier: Earlier = postcard::from_bytes(bytes).map_err(|_| e)?;
-            let Earlier { generation, applied, voters, ledger } = earlier;
-            Ok(State { generation, applied, voters, ledger, sets: Sets::default() })
+            let second = postcard::from_bytes(bytes).or_else(|_| {
+                let (generation, applied, voters, ledger): First = postcard::from_bytes(bytes)?;
+                Ok((generation, applied, voters, ledger, Sets::default()))
+            });
+            let (generation, applied, voters, ledger, sets): Second =
+                second.map_err(|_: postcard::Error| e)?;
+            let tenants = tenants::Tenants::default();
+            Ok(State { generation, applied, voters, ledger, sets, tenants })
         })
     }
 
@@ -63,6 +96,7 @@
             Entry::Nothing => false,
             Entry::Duty(entry) => self.ledger.apply(entry),
             Entry::Sets(entry) => self.sets.apply(entry),
+            Entry::Tenants(entry) => self.tenants.apply(entry),
             Entry::Voters(voters) => {
                 self.voters.clone_from(voters);
                 true
--- a/src/council/wire.rs
+++ b/src/council/wire.rs
@@ -12,16 +12,15 @@
 use serde::{Deserialize, Serialize};
 
 use super::memory::Known;
-use super::state::{Entry, State};
+use super::state::{Brought, Entry, State};
 use super::Seat;
 use crate::duty::holder::{Answer, Ask};
 use crate::duty::{Duty, Term};
 use crate::membership::is_name;
 use crate::membership::keys::Keys;
-use crate::replication::sets;
 
-/// The version of this wire: 2 has shards in the agreed state.
-pub const VERSION: u32 = 2;
+/// The version of this wire: 2 has shards in the agreed state, 3 tenants.
+pub const VERSION: u32 = 3;
 /// Bytes of a frame at most.
 pub const LONGEST: usize = 1 << 20;
 /// Bytes of the word that who accepts says first.
@@ -94,13 +93,13 @@
     /// Entries in order, as the answer to a poll.
     Entries(u32, Vec<(u64, Entry)>, Passed),
     /// The state in place of entries that are not kept any more.
-    State(State, Passed),
+    State(Box<State>, Passed),
     /// What an owner did.
     Effect(Effect),
     /// Something for a duty's owner; whether a voter passed it on.
     Report(Report, bool),
-    /// An entry of shards that somebody wants agreed; whether a voter passed it on.
-    Sets(sets::Entry, bool),
+    /// An entry that a subsystem of somebody's wants agreed; whether a voter passed it on.
+    Brought(Brought, bool),
     /// Between gateways that hold copies: not the council's.
     Copies(crate::replication::wire::Body),
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,11 +35,13 @@
 mod council;
 mod gossip;
 mod handover;
+mod history;
 mod listing;
 mod loads;
 mod operations;
 mod reload;
 mod second;
+mod tenants;
 mod trials;
 mod webhooks;
 use operations::Ops;
@@ -66,6 +68,7 @@
 const TRIALS: Token = Token { kind: 2, number: 10 };
 const LOADS: Token = Token { kind: 2, number: 11 };
 const COPIES: Token = Token { kind: 2, number: 12 };
+const TENANTS: Token = Token { kind: 2, number: 13 };
 
 /// A client's connection without an open request is closed after this; clients themselves close after 4 s, but
 /// for those that ask once and stay.
@@ -200,6 +203,7 @@
     trials: Option<trials::TrialSide>,
     loads: Option<loads::LoadSide>,
     copies: Option<copies::Side>,
+    tenants: Option<tenants::TenantSide>,
 }
 
 impl Fleet {
@@ -509,6 +513,7 @@
                 GOSSIP => self.tick_gossip(now),
                 COUNCIL => self.tick_council(),
                 COPIES => self.tick_copies(),
+                TENANTS => self.tick_tenants(now),
                 TRIALS => self.tick_trials(now),
                 LOADS => self.tick_loads(now),
                 LINE_AGAIN => self.accept_lines_again(),
--- a/src/node/copies.rs
+++ b/src/node/copies.rs
@@ -2,12 +2,11 @@
 //! stands of a shard that comes to be led here. It decides nothing: that is [`Copies`]'.
 
 use std::collections::{BTreeMap, HashMap};
-use std::fs::File;
-use std::io::Write;
 
-use super::webhooks::Caller;
+use super::history::History;
 use super::*;
 use crate::config::ConfigError;
+use crate::council::state::Brought;
 use crate::council::{member, wire as frames};
 use crate::replication::config::{self, Guards, WhenFewer};
 use crate::replication::error::Refusal;
@@ -16,24 +15,10 @@
 use crate::replication::wire::{Body, Told};
 use crate::replication::{Epoch, Name, Place, ShardId};
 use crate::store::records::{CallRecord, CallState, Mark, Reply, StoreError};
+use crate::tenancy::agreed::changes::Settings as Agreeing;
 
-/// What is asked of a shard's primary.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
-pub(super) enum Asked {
-    /// Take a call.
-    Take(Box<CallRecord>, Mark, Micros),
-    /// How does a call stand?
-    State(u64, String),
-}
-
-/// Who waits here for a primary's answer.
-#[derive(Debug)]
-pub(super) enum Waits {
-    /// A caller whose call is to be taken, and its identity.
-    Take(ConnKey, Mark),
-    /// A caller who asked how a call stands.
-    State(ConnKey, String),
-}
+mod questions;
+pub(super) use questions::{Asked, Waits};
 
 /// Copies, while they are on.
 #[derive(Debug)]
@@ -48,7 +33,7 @@
     tickets: u64,
     hung: Option<Micros>,
     leaves: bool,
-    history: Option<File>,
+    history: History,
 }
 
 /// Ends the process at a step of a call's life, if a test has asked for it; a build for use never does.
@@ -60,14 +45,6 @@
     }
 }
 
-/// Whether no identity more may be remembered; those that are over are let go of first.
-fn is_full(marks: &mut HashMap<Mark, Micros>, now: Micros) -> bool {
-    if marks.len() >= super::webhooks::MOST_MARKS {
-        marks.retain(|_, t| *t >= now);
-    }
-    marks.len() >= super::webhooks::MOST_MARKS
-}
-
 /// The guards that this build can take out, for the lab's runs; a build for use has none to take out.
 fn guards() -> Guards {
     let mut guards = Guards::default();
@@ -77,6 +54,7 @@
             Ok("all") => guards.all = true,
             Ok("process") => guards.process = true,
             Ok("chain") => guards.chain = true,
+            Ok("agreed") => guards.agreed = true,
             _ => {}
         }
     }
@@ -96,16 +74,6 @@
     pub(super) fn shard_of(&self, mark: &Mark) -> ShardId {
         crate::replication::shard_of(mark, self.file.shards)
     }
-
-    fn record(&mut self, note: &Note) {
-        let Some(file) = &mut self.history else { return };
-        let line = serde_json::json!({ "name": self.machine.settings().name,
-            "process": self.machine.settings().process, "note": note });
-        if let Err(e) = file.write_all(format!("{line}\n").as_bytes()) {
-            tracing::warn!("the history of copies is not written any more: {e}");
-            self.history = None;
-        }
-    }
 }
 
 impl Node {
@@ -125,9 +93,18 @@
             )));
         }
         let machine = Copies::new(file.settings(&name, process, guards()), council::uptime());
-        let open = |p: PathBuf| File::options().create(true).append(true).open(p);
-        let history = history.map(|p| open(p.with_extension("copies.jsonl"))).transpose();
-        let history = history.map_err(|e| NodeError::Loop(e.into()))?;
+        let beside = |what| History::beside(history.as_deref(), what, &name, process);
+        let fail = |e: io::Error| NodeError::Loop(e.into());
+        let (history, tenants) =
+            (beside("copies.jsonl").map_err(fail)?, beside("tenants.jsonl").map_err(fail)?);
+        let settings = machine.settings();
+        let agreeing = Agreeing {
+            name: name.clone(),
+            process,
+            copies: settings.copies,
+            ask: settings.ask,
+            without_agreed: settings.without.agreed,
+        };
         self.know_addresses(file.members.iter().map(|(n, m)| (n.as_str().into(), m.address)));
         self.fleet.copies = Some(Side {
             machine,
@@ -140,6 +117,7 @@
             leaves: false,
             history,
         });
+        self.set_up_tenants(now, agreeing, tenants);
         self.copies_agreed();
         if let Some(hooks) = &mut self.second.hooks {
             hooks.begin_disk(process ^ self.config.seed, false);
@@ -228,7 +206,9 @@
         let (Some(side), Some(hooks)) = (&mut self.fleet.copies, &mut self.second.hooks) else { return };
         match output {
             Output::Send(to, body) => self.say(now, &to, frames::Body::Copies(body)),
-            Output::Propose(entry) => self.tell_member_of_council(member::Input::Sets(entry)),
+            Output::Propose(entry) => {
+                self.tell_member_of_council(member::Input::Bring(Brought::Sets(entry)));
+            }
             Output::Store(shard, place, bytes, ticket) => hooks.keep_record(shard, place, &bytes, ticket),
             Output::Install(shard, place, bytes) => hooks.keep_shard(shard, place, bytes),
             Output::Read(shard, to) => hooks.read_shard(shard, to),
@@ -267,7 +247,7 @@
                 if let Note::Led { shard, epoch, members, .. } = &note {
                     tracing::info!(shard, epoch, ?members, "a shard is led here");
                 }
-                side.record(&note);
+                side.history.record(&note);
             }
         }
     }
@@ -326,97 +306,4 @@
         }
         tracing::info!(shard, epoch, calls, waits, begun, "went on with what stood of a shard");
     }
-
-    /// A caller's question goes to whoever leads its shard.
-    pub(super) fn ask_primary(&mut self, shard: ShardId, asked: &Asked, waits: Waits) {
-        let Some(side) = &mut self.fleet.copies else { return };
-        side.tickets += 1;
-        let ticket = side.tickets;
-        side.waits.insert(ticket, waits);
-        // A question always packs.
-        let bytes = postcard::to_stdvec(asked).unwrap_or_default();
-        self.tell_copies(Input::Ask { shard, ticket, bytes });
-    }
-
-    pub(super) fn tell_asker(&mut self, to: Name, number: u64, told: Told) {
-        self.tell_copies(Input::Tell(to, number, told));
-    }
-
-    /// A question to this primary.
-    fn asked_of_shard(&mut self, now: Micros, shard: ShardId, from: Name, number: u64, bytes: &[u8]) {
-        let asked: Option<Asked> = postcard::from_bytes(bytes).ok();
-        let why = match asked {
-            None => Refusal::Unknown { what: "question".into() },
-            Some(Asked::State(serial, id)) => {
-                let Some(hooks) = &mut self.second.hooks else { return };
-                return hooks.ask_state(serial, id, from, number);
-            }
-            Some(Asked::Take(mut call, mark, until)) => {
-                // It tells for how long it is of use still.
-                call.expires = now.saturating_add(call.expires);
-                let caller = Caller::Gateway(from.clone(), number);
-                let may = self.may_take(now, shard, &mark, &call.class);
-                match may.and_then(|want| self.take_asked(now, shard, *call, mark, until, want, caller)) {
-                    Ok(()) => return self.remember_mark(shard, mark, until),
-                    Err(why) => why,
-                }
-            }
-        };
-        self.tell_asker(from, number, Told::Refused(why));
-    }
-
-    /// How many disks a call of a class asks for, if its identity may be taken in a shard that is led here.
-    fn may_take(&mut self, now: Micros, shard: ShardId, mark: &Mark, class: &str) -> Result<usize, Refusal> {
-        let Some(side) = &mut self.fleet.copies else { return Err(Refusal::Leaving) };
-        let (want, primary) = (side.wants(class), side.machine.settings().name.clone());
-        // None while what stands of it is still being read.
-        let marks = side.open.get_mut(&shard);
-        let marks = marks.ok_or(Refusal::NotPrimary { shard, primary: Some(primary) })?;
-        if marks.get(mark).is_some_and(|t| *t >= now) {
-            return Err(Refusal::Seen);
-        }
-        if is_full(marks, now) {
-            return Err(Refusal::Full);
-        }
-        Ok(want)
-    }
-
-    fn remember_mark(&mut self, shard: ShardId, mark: Mark, until: Micros) {
-        if let Some(marks) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
-            marks.insert(mark, until);
-        }
-    }
-
-    /// The identity was not taken after all.
-    pub(super) fn forget_mark(&mut self, shard: ShardId, mark: &Mark) {
-        if let Some(marks) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
-            marks.remove(mark);
-        }
-    }
-
-    /// A primary's answer to a question from here.
-    fn told_by_primary(&mut self, now: Micros, ticket: u64, told: Told) {
-        let waits = self.fleet.copies.as_mut().and_then(|s| s.waits.remove(&ticket));
-        match (waits, told) {
-            (Some(Waits::Take(conn, _)), Told::Promised(copies)) => self.promised_call(now, conn, copies),
-            (Some(Waits::Take(conn, mark)), Told::Refused(why)) => self.refused_call(now, conn, &mark, &why),
-            (Some(Waits::State(conn, id)), Told::Content(bytes)) => {
-                let state: Option<CallState> = postcard::from_bytes(&bytes).unwrap_or_default();
-                self.answer_state(now, conn, &id, Ok(state));
-            }
-            (Some(Waits::State(conn, id)), _) => {
-                self.answer_state(
-                    now,
-                    conn,
-                    &id,
-                    Err(crate::front::http::plain(503, "nobody who knows of the call answered")),
-                );
-            }
-            (Some(Waits::Take(conn, mark)), Told::Content(_)) => {
-                let why = Refusal::Unknown { what: "question".into() };
-                self.refused_call(now, conn, &mark, &why);
-            }
-            (None, _) => {}
-        }
-    }
 }
--- /dev/null
+++ b/src/node/copies/questions.rs
@@ -0,0 +1,134 @@
+//! Questions to a shard's primary: from callers here, and from other gateways.
+
+use std::collections::HashMap;
+
+use super::webhooks::Caller;
+use super::*;
+
+/// What is asked of a shard's primary.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub(in crate::node) enum Asked {
+    /// Take a call.
+    Take(Box<CallRecord>, Mark, Micros),
+    /// How does a call stand?
+    State(u64, String),
+}
+
+/// Who waits here for a primary's answer.
+#[derive(Debug)]
+pub(in crate::node) enum Waits {
+    /// A caller whose call is to be taken, and its identity.
+    Take(ConnKey, Mark),
+    /// A caller who asked how a call stands.
+    State(ConnKey, String),
+}
+
+/// Whether no identity more may be remembered; those that are over are let go of first.
+fn is_full(marks: &mut HashMap<Mark, Micros>, now: Micros) -> bool {
+    if marks.len() >= super::webhooks::MOST_MARKS {
+        marks.retain(|_, t| *t >= now);
+    }
+    marks.len() >= super::webhooks::MOST_MARKS
+}
+
+impl Node {
+    /// A caller's question goes to whoever leads its shard.
+    pub(in crate::node) fn ask_primary(&mut self, shard: ShardId, asked: &Asked, waits: Waits) {
+        let Some(side) = &mut self.fleet.copies else { return };
+        side.tickets += 1;
+        let ticket = side.tickets;
+        side.waits.insert(ticket, waits);
+        // A question always packs.
+        let bytes = postcard::to_stdvec(asked).unwrap_or_default();
+        self.tell_copies(Input::Ask { shard, ticket, bytes });
+    }
+
+    pub(in crate::node) fn tell_asker(&mut self, to: Name, number: u64, told: Told) {
+        self.tell_copies(Input::Tell(to, number, told));
+    }
+
+    /// A question to this primary.
+    pub(super) fn asked_of_shard(
+        &mut self,
+        now: Micros,
+        shard: ShardId,
+        from: Name,
+        number: u64,
+        bytes: &[u8],
+    ) {
+        let asked: Option<Asked> = postcard::from_bytes(bytes).ok();
+        let why = match asked {
+            None => Refusal::Unknown { what: "question".into() },
+            Some(Asked::State(serial, id)) => {
+                let Some(hooks) = &mut self.second.hooks else { return };
+                return hooks.ask_state(serial, id, from, number);
+            }
+            Some(Asked::Take(mut call, mark, until)) => {
+                // It tells for how long it is of use still.
+                call.expires = now.saturating_add(call.expires);
+                let caller = Caller::Gateway(from.clone(), number);
+                let may = self.may_take(now, shard, &mark, &call.class);
+                match may.and_then(|want| self.take_asked(now, shard, *call, mark, until, want, caller)) {
+                    Ok(()) => return self.remember_mark(shard, mark, until),
+                    Err(why) => why,
+                }
+            }
+        };
+        self.tell_asker(from, number, Told::Refused(why));
+    }
+
+    /// How many disks a call of a class asks for, if its identity may be taken in a shard that is led here.
+    fn may_take(&mut self, now: Micros, shard: ShardId, mark: &Mark, class: &str) -> Result<usize, Refusal> {
+        let Some(side) = &mut self.fleet.copies else { return Err(Refusal::Leaving) };
+        let (want, primary) = (side.wants(class), side.machine.settings().name.clone());
+        // None while what stands of it is still being read.
+        let marks = side.open.get_mut(&shard);
+        let marks = marks.ok_or(Refusal::NotPrimary { shard, primary: Some(primary) })?;
+        if marks.get(mark).is_some_and(|t| *t >= now) {
+            return Err(Refusal::Seen);
+        }
+        if is_full(marks, now) {
+            return Err(Refusal::Full);
+        }
+        Ok(want)
+    }
+
+    fn remember_mark(&mut self, shard: ShardId, mark: Mark, until: Micros) {
+        if let Some(marks) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
+            marks.insert(mark, until);
+        }
+    }
+
+    /// The identity was not taken after all.
+    pub(in crate::node) fn forget_mark(&mut self, shard: ShardId, mark: &Mark) {
+        if let Some(marks) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
+            marks.remove(mark);
+        }
+    }
+
+    /// A primary's answer to a question from here.
+    pub(super) fn told_by_primary(&mut self, now: Micros, ticket: u64, told: Told) {
+        let waits = self.fleet.copies.as_mut().and_then(|s| s.waits.remove(&ticket));
+        match (waits, told) {
+            (Some(Waits::Take(conn, _)), Told::Promised(copies)) => self.promised_call(now, conn, copies),
+            (Some(Waits::Take(conn, mark)), Told::Refused(why)) => self.refused_call(now, conn, &mark, &why),
+            (Some(Waits::State(conn, id)), Told::Content(bytes)) => {
+                let state: Option<CallState> = postcard::from_bytes(&bytes).unwrap_or_default();
+                self.answer_state(now, conn, &id, Ok(state));
+            }
+            (Some(Waits::State(conn, id)), _) => {
+                self.answer_state(
+                    now,
+                    conn,
+                    &id,
+                    Err(crate::front::http::plain(503, "nobody who knows of the call answered")),
+                );
+            }
+            (Some(Waits::Take(conn, mark)), Told::Content(_)) => {
+                let why = Refusal::Unknown { what: "question".into() };
+                self.refused_call(now, conn, &mark, &why);
+            }
+            (None, _) => {}
+        }
+    }
+}
--- a/src/node/council.rs
+++ b/src/node/council.rs
@@ -119,6 +119,11 @@
 }
 
 impl Hall {
+    /// This gateway's part.
+    pub(super) fn member(&self) -> &Member {
+        &self.member
+    }
+
     /// Whether others wait to be accepted.
     pub(super) fn busy(&self) -> bool {
         self.accept
@@ -411,7 +416,10 @@
                 self.trials_heard(now, &duty, &content);
                 self.loads_heard(now, &duty, &from, &content);
             }
-            Output::Sets => self.copies_agreed(),
+            Output::Brought => {
+                self.copies_agreed();
+                self.tenants_agreed(now);
+            }
             Output::Noted(note) => {
                 match &note {
                     Note::Agreed { duty, owner, .. } => self.loads_known(now, duty, owner.is_some()),
--- a/src/node/second.rs
+++ b/src/node/second.rs
@@ -5,6 +5,7 @@
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 
+use super::tenants;
 use super::webhooks::{refuse, Hooks};
 use super::*;
 use crate::admin::{self, idempotency::Keys, idempotency::Known, Change, Context, Done as Handling};
@@ -19,6 +20,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Second {
     pub(super) tenants: Registry,
+    /// Tenants that the operator's file names.
+    pub(super) listed: BTreeSet<String>,
     /// Where tenants are kept.
     state: Option<PathBuf>,
     pub(super) hooks: Option<Hooks>,
@@ -40,6 +43,7 @@
         let shares = self.config.settings.tenants.iter().map(|t| t.quota_per_s);
         let platform: Vec<_> = self.config.names.tenants.iter().cloned().zip(shares).collect();
         self.second.tenants = operator.registry(&platform).map_err(NodeError::Operator)?;
+        self.second.listed = self.second.tenants.iter().map(|(name, _)| name.clone()).collect();
         self.second.state = operator.state;
         if let Some(path) = self.second.state.as_ref().filter(|p| p.exists()) {
             let text = std::fs::read_to_string(path);
@@ -132,17 +136,24 @@
         now: Micros,
     ) -> Option<Vec<u8>> {
         let problem = |bad: Bad| Some(admin::answer(&Err(bad), stays));
-        let Some(side) = &mut self.second.admin else { return problem(plain(404, "off")) };
-        let who = match admin::admit(r, &side.gate, now) {
+        let admitted = self.second.admin.as_ref().map(|side| admin::admit(r, &side.gate, now));
+        let who = match admitted.unwrap_or(Err(plain(404, "off"))) {
             Ok(who) => who,
             Err(bad) => return problem(bad),
         };
+        if let Err(why) = self.knows_tenants() {
+            if admin::tenant_of(r.path).is_some() {
+                return Some(admin::problem(why.status(), &why.to_string(), Some(why.remedy()), stays));
+            }
+        }
         let key = r.header("Idempotency-Key").filter(|_| r.method == "POST");
+        let request = [r.path.as_bytes(), b"\n", r.body].concat();
+        let digests = key.map(|key| tenants::digests(&who, key, &request));
         if let Some(key) = key {
             if !Keys::usable(key) {
                 return problem(plain(422, "an Idempotency-Key is 1 to 128 bytes"));
             }
-            let request = [r.path.as_bytes(), b"\n", r.body].concat();
+            let Some(side) = &mut self.second.admin else { return problem(plain(404, "off")) };
             match side.keys.begin(&who, key, &request, now) {
                 Known::New => {}
                 Known::Answered(bytes) => return Some(bytes),
@@ -151,6 +162,11 @@
                 }
             }
         }
+        // Another gateway may have answered it.
+        if let Some(answer) = digests.and_then(|(whose, what)| self.answered_before(&whose, &what)) {
+            self.end_key(key.map(|k| (who, k.to_owned())), false, &[]);
+            return Some(answer.unwrap_or_else(|bad| admin::answer(&Err(bad), stays)));
+        }
         let before = self.second.tenants.clone();
         let fleet = match r.path {
             "/v1/peers" => self.peers(now),
@@ -173,6 +189,16 @@
             Err(bad) => Err(bad),
         };
         let changes = handled.as_mut().map_or(Vec::new(), |h| std::mem::take(&mut h.changes));
+        if self.fleet.tenants.is_some() && changes.iter().any(Change::is_kept) {
+            if let (Ok(handled), Some(tenant)) = (handled, admin::tenant_of(r.path)) {
+                // As it would be; it is so once all agree.
+                let kept = self.second.tenants.told(tenant, now);
+                self.second.tenants = before;
+                let key = key.zip(digests).map(|((_, key), (whose, what))| (key, whose, what));
+                self.agree_on(tenant, kept, tenants::Asker { conn, who, key, handled, changes });
+            }
+            return None;
+        }
         if !changes.is_empty() && !self.keep_tenants() {
             // A change that would be forgotten is not made.
             self.second.tenants = before;
@@ -188,7 +214,7 @@
         Some(bytes)
     }
 
-    fn end_key(&mut self, key: Option<(String, String)>, final_answer: bool, bytes: &[u8]) {
+    pub(super) fn end_key(&mut self, key: Option<(String, String)>, final_answer: bool, bytes: &[u8]) {
         if let (Some((who, key)), Some(side)) = (key, &mut self.second.admin) {
             side.keys.end(&who, &key, final_answer.then_some(bytes));
         }
@@ -210,7 +236,7 @@
         self.answer_second(conn, now, |stays| if stays { bytes } else { admin::answer(&handled, false) });
     }
 
-    fn follow(&mut self, now: Micros, change: Change) {
+    pub(super) fn follow(&mut self, now: Micros, change: Change) {
         match change {
             Change::Share(tenant, per_s) => self.core.share(now, tenant, per_s),
             Change::Endpoints(tenant) => self.tell_endpoints(now, &tenant),
--- a/src/node/webhooks/calls.rs
+++ b/src/node/webhooks/calls.rs
@@ -11,6 +11,10 @@
         stays: bool,
         now: Micros,
     ) -> Option<Vec<u8>> {
+        if let Err(why) = self.knows_tenants() {
+            tracing::debug!(remedy = why.remedy(), "{why}");
+            return Some(refuse(&plain(503, "it is not known yet what is agreed of tenants"), stays));
+        }
         let tenants = &self.second.tenants;
         let Some(hooks) = &mut self.second.hooks else { return Some(refuse(&plain(404, "off"), stays)) };
         if r.method == "GET" {
--- a/src/node/webhooks/replies.rs
+++ b/src/node/webhooks/replies.rs
@@ -180,6 +180,7 @@
                 let Some((tenant, name)) = self.second.tenants.disable(id) else { return };
                 tracing::warn!(tenant, endpoint = name, why, "an endpoint is switched off");
                 self.keep_tenants();
+                self.agree_on_disabled(now, &tenant, id);
                 let data = serde_json::json!({ "endpoint": name, "why": why });
                 self.tell_tenant(now, &tenant, None, "endpoint.disabled", &data);
             }
--- a/src/replication/config.rs
+++ b/src/replication/config.rs
@@ -120,6 +120,8 @@
     pub process: bool,
     /// Records behind a gap or of another history are taken.
     pub chain: bool,
+    /// A change of a tenant is told done before it is agreed on.
+    pub agreed: bool,
 }
 
 fn bad<T>(key: &str, value: impl ToString, expected: &str) -> Result<T, FileError> {
--- a/src/tenancy/endpoint.rs
+++ b/src/tenancy/endpoint.rs
@@ -235,7 +235,7 @@
     schedule_s: Vec<f64>,
     ordered: bool,
     version: u64,
-    secrets: Vec<(String, Option<Micros>)>,
+    pub(super) secrets: Vec<(String, Option<Micros>)>,
 }
 
 impl KeptEndpoint {
