--- a/lab/src/history/promises.rs
+++ b/lab/src/history/promises.rs
@@ -21,6 +21,9 @@
     Stored { shard: u16, epoch: u64, number: u64, chain: u64 },
     Installed { shard: u16, number: u64, chain: u64 },
     Declined { shard: u16, theirs: u64, ours: u64 },
+    Damaged { shard: u16, ranges: Vec<u8> },
+    Mended { shard: u16, accepted: bool },
+    Waits { shard: u16, members: Vec<String> },
     Lost { shard: u16 },
 }
 
@@ -94,6 +97,8 @@
     pub declined: usize,
     /// Snapshots that took the place of what a disk held.
     pub installed: usize,
+    /// Shards of damaged disks that were mended from others.
+    pub mended: usize,
 }
 
 /// Judges.
@@ -129,7 +134,12 @@
             CopyNote::Declined { .. } => held.declined += 1,
             CopyNote::Installed { .. } => held.installed += 1,
             CopyNote::Lost { shard } => wrong.push(Wrong::Lost { shard: *shard }),
-            CopyNote::Rested { .. } | CopyNote::Stored { .. } => {}
+            CopyNote::Mended { accepted: false, .. } => held.mended += 1,
+            CopyNote::Mended { shard, .. } => wrong.push(Wrong::Lost { shard: *shard }),
+            CopyNote::Rested { .. }
+            | CopyNote::Stored { .. }
+            | CopyNote::Damaged { .. }
+            | CopyNote::Waits { .. } => {}
         }
     }
     // Whoever leads under a later epoch began with all that was promised under an earlier one.
--- a/lab/src/rounds/fleet.rs
+++ b/lab/src/rounds/fleet.rs
@@ -40,6 +40,8 @@
     pub fewer: bool,
     /// A step of a call's life at which an instance ends once it is armed.
     pub ends_at: Option<&'static str>,
+    /// An instance whose files do not grow beyond so many KiB, as on a full disk.
+    pub full: Option<(usize, u64)>,
     /// Whether the instances are administered.
     pub administered: bool,
     /// Whether copies are on at all; without them each gateway has its store alone.
@@ -56,6 +58,7 @@
             work: Duration::from_millis(3),
             on: true,
             fewer: false,
+            full: None,
             administered: false,
             ends_at: None,
         }
@@ -234,6 +237,7 @@
             copies.as_deref(),
             without,
             self.shape.ends_at,
+            self.shape.full.filter(|(full, _)| *full == n).map(|(_, kib)| kib),
             &self.operator,
         )?;
         let door = gateway.webhooks.ok_or_else(|| Error::other("no webhooks"))?;
@@ -268,6 +272,70 @@
         Ok(())
     }
 
+    /// Starts an instance whose files have room for so many KiB more and no further, as on a disk that is nearly full.
+    pub fn run_with_room(&mut self, n: usize, kib: u64) -> Result<()> {
+        let store = std::fs::metadata(self.home(n).join("store"))?.len();
+        self.shape.full = Some((n, store.div_ceil(1024) + kib));
+        let started = self.run(n);
+        self.shape.full = None;
+        started
+    }
+
+    /// Waits until an instance that was told to end has.
+    pub fn wait(&mut self, n: usize) -> Result<()> {
+        self.doors[n].store(0, Ordering::Relaxed);
+        self.gateways[n].take().map_or(Ok(()), |mut g| g.wait())
+    }
+
+    /// How often an instance found its disk to hold something else than was written.
+    pub fn damages(&self, n: usize) -> usize {
+        let found = |x: &CopyNote| matches!(x, CopyNote::Damaged { .. });
+        self.notes().iter().filter(|(who, _, x)| *who == name(n) && found(x)).count()
+    }
+
+    /// Whether what an instance's disk was found to hold wrongly was mended, but for shards that others hold by now.
+    pub fn is_mended(&self, n: usize) -> bool {
+        let (me, led, mut open) = (name(n), self.led(), BTreeSet::new());
+        for (who, _, note) in self.notes() {
+            match note {
+                CopyNote::Damaged { shard, .. } if who == me => drop(open.insert(shard)),
+                CopyNote::Mended { shard, .. } if who == me => drop(open.remove(&shard)),
+                _ => {}
+            }
+        }
+        open.iter().all(|shard| led.get(shard).is_some_and(|s| !s.2.contains(&me)))
+    }
+
+    /// Its disk tells kept what it loses when the process ends: the store as it is now, to be put back then.
+    pub fn begin_to_lie(&self, n: usize) -> Result<()> {
+        let (store, then) = (self.home(n).join("store"), self.home(n).join("then"));
+        // No write is on its way meanwhile; what a kill leaves behind is what a copy has.
+        self.gateway(n)?.freeze()?;
+        std::fs::copy(store, then)?;
+        self.gateway(n)?.thaw()
+    }
+
+    /// The process of one whose disk lies ends.
+    pub fn kill_liar(&mut self, n: usize) -> Result<()> {
+        self.kill(n)?;
+        std::fs::copy(self.home(n).join("then"), self.home(n).join("store")).map(drop)
+    }
+
+    /// What an instance's disk holds changes by itself while its process is not there: one letter of each record. How many.
+    pub fn damage(&self, n: usize) -> Result<usize> {
+        let path = self.home(n).join("store");
+        let mut bytes = std::fs::read(&path)?;
+        let (word, mut changed, mut at) = (TENANT.as_bytes(), 0, 0);
+        while let Some(found) = bytes[at..].windows(word.len()).position(|w| w == word) {
+            at += found;
+            bytes[at + 1] ^= 0x20;
+            at += word.len();
+            changed += 1;
+        }
+        std::fs::write(&path, bytes)?;
+        Ok(changed)
+    }
+
     /// Has an instance end at the step that all were given, and waits until it has.
     pub fn ends(&mut self, n: usize) -> Result<()> {
         std::fs::write(self.home(n).join("armed"), "")?;
--- a/lab/tests/tenants.rs
+++ b/lab/tests/tenants.rs
@@ -120,9 +120,21 @@
         assert_eq!(fleet.administrator(n).unwrap().get("franq-bajio").status, 404, "at {n}");
         assert_eq!(fleet.administrator(n).unwrap().get("clinic").status, 200, "at {n}");
     }
+    // One that begins and hears nothing goes by its file, which names the removed tenant: it takes none of its calls.
     fleet.kill(3).unwrap();
+    fleet.around(3, cut, cut);
     fleet.run(3).unwrap();
+    assert_eq!(fleet.administrator(3).unwrap().get("franq-bajio").status, 503);
+    assert_eq!(fleet.call_of(3, "franq-bajio", &secret(1), "late").unwrap(), 503);
+    fleet.around(3, Faults::default(), Faults::default());
     holds(&fleet, 2);
+    // It takes calls once it has all that its own disk held applied, and not before.
+    fleet
+        .await_that("it to take calls", || {
+            fleet.call_of(3, "franq-bajio", &secret(1), "later").unwrap() != 503
+        })
+        .unwrap();
+    assert_eq!(fleet.call_of(3, "franq-bajio", &secret(1), "later").unwrap(), 401);
     assert_eq!(fleet.administrator(3).unwrap().get("franq-bajio").status, 404, "after a start on the file");
     assert_eq!(fleet.administrator(3).unwrap().get("lonely").status, 404);
 }
--- a/src/node/copies.rs
+++ b/src/node/copies.rs
@@ -11,6 +11,7 @@
 use crate::replication::config::{self, Guards, WhenFewer};
 use crate::replication::error::Refusal;
 use crate::replication::history::Note;
+use crate::replication::identities::Identities;
 use crate::replication::machine::{Copies, Input, Output};
 use crate::replication::wire::{Body, Told};
 use crate::replication::{Epoch, Name, Place, ShardId};
@@ -26,7 +27,7 @@
     machine: Copies,
     file: config::File,
     /// The shards that are led here and whose content was taken up, with the identities taken.
-    pub(super) open: BTreeMap<ShardId, HashMap<Mark, Micros>>,
+    pub(super) open: BTreeMap<ShardId, Identities>,
     /// What the disk here said to a record that is not promised yet.
     kept: HashMap<u64, Reply>,
     waits: HashMap<u64, Waits>,
@@ -55,6 +56,8 @@
             Ok("process") => guards.process = true,
             Ok("chain") => guards.chain = true,
             Ok("agreed") => guards.agreed = true,
+            Ok("sound") => guards.sound = true,
+            Ok("ahead") => guards.ahead = true,
             _ => {}
         }
     }
@@ -212,6 +215,8 @@
             Output::Store(shard, place, bytes, ticket) => hooks.keep_record(shard, place, &bytes, ticket),
             Output::Install(shard, place, bytes) => hooks.keep_shard(shard, place, bytes),
             Output::Read(shard, to) => hooks.read_shard(shard, to),
+            Output::Verify => hooks.verify_shards(),
+            Output::Accept(shard) => hooks.accept_shard(shard),
             Output::Promised(ticket, _) => {
                 let reply = side.kept.remove(&ticket).unwrap_or(Reply::Done);
                 hooks.reply(ticket, Ok(reply));
@@ -244,6 +249,29 @@
                          or spread members over more halls"
                     );
                 }
+                match &note {
+                    Note::Damaged { shard, ranges } => tracing::error!(
+                        shard,
+                        ?ranges,
+                        "the disk does not hold what was written: the shard is copied anew from another; look at this machine's \
+                         disk and memory, and replace it if that comes again"
+                    ),
+                    Note::Waits { shard, members } => tracing::error!(
+                        shard,
+                        ?members,
+                        "the disk here is damaged, and no other that holds the shard can be heard: bring one of them back; or, if \
+                         their disks are lost, start them with empty ones, and what is left here counts"
+                    ),
+                    Note::Mended { shard, accepted: false } => {
+                        tracing::info!(shard, "a damaged shard was mended from another disk");
+                    }
+                    Note::Mended { shard, accepted: true } => tracing::error!(
+                        shard,
+                        "no other disk has a damaged shard: what is left of it counts, and something promised may be gone; \
+                         raise copies"
+                    ),
+                    _ => {}
+                }
                 if let Note::Led { shard, epoch, members, .. } = &note {
                     tracing::info!(shard, epoch, ?members, "a shard is led here");
                 }
@@ -276,9 +304,17 @@
     }
 
     pub(super) fn shard_read(&mut self, shard: ShardId, to: Name, reply: Result<Reply, StoreError>) {
-        if let Ok(Reply::Shard(place, bytes)) = reply {
-            let place: Place = place;
-            self.tell_copies(Input::Read(shard, to, place, bytes));
+        match reply {
+            Ok(Reply::Shard(place, bytes)) => {
+                let place: Place = place;
+                self.tell_copies(Input::Read(shard, to, place, bytes));
+            }
+            other => {
+                if let Err(StoreError::Unsound(shard, ranges)) = other {
+                    self.tell_copies(Input::Unsound(shard, ranges));
+                }
+                self.tell_copies(Input::Unread(shard, to));
+            }
         }
     }
 
@@ -290,11 +326,14 @@
         epoch: Epoch,
         reply: Result<Reply, StoreError>,
     ) {
+        if let Err(StoreError::Unsound(shard, ranges)) = reply {
+            return self.tell_copies(Input::Unsound(shard, ranges));
+        }
         let (Some(side), Ok(Reply::Stands(stands))) = (&mut self.fleet.copies, reply) else { return };
         if !side.machine.leads(shard) {
             return;
         }
-        side.open.insert(shard, stands.marks.iter().copied().collect());
+        side.open.insert(shard, Identities::new(shard, stands.marks.iter().copied(), stands.forgotten));
         let Some(hooks) = &mut self.second.hooks else { return };
         hooks.numbers_of(shard, epoch);
         let (calls, waits, begun) = (stands.calls.len(), stands.waits.len(), stands.begun.len());
--- a/src/node/copies/questions.rs
+++ b/src/node/copies/questions.rs
@@ -1,7 +1,5 @@
 //! Questions to a shard's primary: from callers here, and from other gateways.
 
-use std::collections::HashMap;
-
 use super::webhooks::Caller;
 use super::*;
 
@@ -23,14 +21,6 @@
     State(ConnKey, String),
 }
 
-/// Whether no identity more may be remembered; those that are over are let go of first.
-fn is_full(marks: &mut HashMap<Mark, Micros>, now: Micros) -> bool {
-    if marks.len() >= super::webhooks::MOST_MARKS {
-        marks.retain(|_, t| *t >= now);
-    }
-    marks.len() >= super::webhooks::MOST_MARKS
-}
-
 impl Node {
     /// A caller's question goes to whoever leads its shard.
     pub(in crate::node) fn ask_primary(&mut self, shard: ShardId, asked: &Asked, waits: Waits) {
@@ -67,7 +57,7 @@
                 // It tells for how long it is of use still.
                 call.expires = now.saturating_add(call.expires);
                 let caller = Caller::Gateway(from.clone(), number);
-                let may = self.may_take(now, shard, &mark, &call.class);
+                let may = self.may_take(now, shard, (&mark, until), &call.class);
                 match may.and_then(|want| self.take_asked(now, shard, *call, mark, until, want, caller)) {
                     Ok(()) => return self.remember_mark(shard, mark, until),
                     Err(why) => why,
@@ -78,31 +68,32 @@
     }
 
     /// How many disks a call of a class asks for, if its identity may be taken in a shard that is led here.
-    fn may_take(&mut self, now: Micros, shard: ShardId, mark: &Mark, class: &str) -> Result<usize, Refusal> {
+    fn may_take(
+        &mut self,
+        now: Micros,
+        shard: ShardId,
+        (mark, until): (&Mark, Micros),
+        class: &str,
+    ) -> Result<usize, Refusal> {
         let Some(side) = &mut self.fleet.copies else { return Err(Refusal::Leaving) };
         let (want, primary) = (side.wants(class), side.machine.settings().name.clone());
         // None while what stands of it is still being read.
-        let marks = side.open.get_mut(&shard);
-        let marks = marks.ok_or(Refusal::NotPrimary { shard, primary: Some(primary) })?;
-        if marks.get(mark).is_some_and(|t| *t >= now) {
-            return Err(Refusal::Seen);
-        }
-        if is_full(marks, now) {
-            return Err(Refusal::Full);
-        }
+        let taken = side.open.get_mut(&shard);
+        let taken = taken.ok_or(Refusal::NotPrimary { shard, primary: Some(primary) })?;
+        taken.may(now, mark, until, super::webhooks::MOST_MARKS)?;
         Ok(want)
     }
 
     fn remember_mark(&mut self, shard: ShardId, mark: Mark, until: Micros) {
-        if let Some(marks) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
-            marks.insert(mark, until);
+        if let Some(taken) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
+            taken.take(mark, until);
         }
     }
 
     /// The identity was not taken after all.
     pub(in crate::node) fn forget_mark(&mut self, shard: ShardId, mark: &Mark) {
-        if let Some(marks) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
-            marks.remove(mark);
+        if let Some(taken) = self.fleet.copies.as_mut().and_then(|s| s.open.get_mut(&shard)) {
+            taken.forget(mark);
         }
     }
 
--- a/src/node/webhooks.rs
+++ b/src/node/webhooks.rs
@@ -161,6 +161,10 @@
     Shard(ShardId, Name),
     /// What stands of a shard.
     Lead(ShardId, Epoch),
+    /// Whether the disk holds what was written.
+    Verify,
+    /// What is left of a damaged shard.
+    Accept(ShardId),
     /// A callback whose attempt had begun, once that is settled.
     Settled(Waiting, State),
     /// How a call stands, for another gateway.
--- a/src/node/webhooks/replies.rs
+++ b/src/node/webhooks/replies.rs
@@ -45,6 +45,16 @@
             Ask::Record(shard, ticket) => self.record_stored(shard, ticket, reply),
             Ask::Shard(shard, to) => self.shard_read(shard, to, reply),
             Ask::Lead(shard, epoch) => self.shard_taken_up(now, shard, epoch, reply),
+            Ask::Verify => {
+                let found = match reply {
+                    Ok(Reply::Verified(found)) => Some(found),
+                    _ => None,
+                };
+                self.tell_copies(crate::replication::machine::Input::Verified(found));
+            }
+            Ask::Accept(shard) => {
+                self.tell_copies(crate::replication::machine::Input::Accepted(shard));
+            }
             Ask::Settled(w, state) => {
                 if reply.is_ok() && state == State::Waiting {
                     hooks.delivery.handle(now, Input::Waits(w));
--- a/src/node/webhooks/shards.rs
+++ b/src/node/webhooks/shards.rs
@@ -41,6 +41,16 @@
         self.ask(Ask::Shard(shard, to), Op::ReadShard(shard));
     }
 
+    /// What the disk holds of shards is counted, beside all else.
+    pub(in crate::node) fn verify_shards(&mut self) {
+        self.ask(Ask::Verify, Op::Verify);
+    }
+
+    /// What is left of a damaged shard counts.
+    pub(in crate::node) fn accept_shard(&mut self, shard: ShardId) {
+        self.ask(Ask::Accept(shard), Op::Accept(shard));
+    }
+
     /// A shard is led here: what stands of it is read.
     pub(in crate::node) fn lead_shard(&mut self, shard: ShardId, epoch: Epoch) {
         self.ask(Ask::Lead(shard, epoch), Op::Lead(shard));
@@ -205,6 +215,7 @@
         let (status, text) = match why {
             Refusal::Seen => (409, "already taken"),
             Refusal::TooLong { .. } => (413, "longer than a record may be"),
+            Refusal::Late { .. } => (401, "its time stamp is over where its shard is led"),
             Refusal::Unknown { .. } => (422, "unknown to the gateway that would take it"),
             Refusal::Fewer { .. } => (503, "held by fewer machines than it has to be"),
             Refusal::Full | Refusal::Busy { .. } | Refusal::Behind { .. } => {
--- a/src/replication/config.rs
+++ b/src/replication/config.rs
@@ -54,6 +54,9 @@
     /// Shards that are copied anew at once.
     #[serde(default = "default_repairs")]
     pub repairs: usize,
+    /// How often a disk looks at whether it still holds what was written; 0 for never.
+    #[serde(default = "default_verify")]
+    pub verify_s: u64,
     /// By class, where it is not `refuse`.
     #[serde(default)]
     pub when_fewer: BTreeMap<String, WhenFewer>,
@@ -84,6 +87,10 @@
     2
 }
 
+fn default_verify() -> u64 {
+    3_600
+}
+
 /// What the machine goes by.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -103,6 +110,8 @@
     pub ask: Micros,
     /// Shards that are copied anew at once.
     pub repairs: usize,
+    /// How often the disk here is looked at; 0 for never.
+    pub verify: Micros,
     /// All that may hold copies.
     pub hosts: Vec<Host>,
     /// Guards taken out, for tests.
@@ -120,6 +129,10 @@
     pub process: bool,
     /// Records behind a gap or of another history are taken.
     pub chain: bool,
+    /// A copy whose disk is damaged goes on counting.
+    pub sound: bool,
+    /// Whoever takes over does not look at whether another of the set has more.
+    pub ahead: bool,
     /// A change of a tenant is told done before it is agreed on.
     pub agreed: bool,
 }
@@ -159,6 +172,9 @@
         if !(1..=64).contains(&f.repairs) {
             return bad("repairs", f.repairs, "1 to 64 shards at once");
         }
+        if f.verify_s > 31_536_000 {
+            return bad("verify_s", f.verify_s, "0 to 31536000 seconds");
+        }
         if let Some(name) = f.members.keys().find(|n| !is_name(n)) {
             return bad("members", name, "names of gateways, as RELAY_NAME has them");
         }
@@ -180,6 +196,7 @@
             stall: self.stall_ms * 1_000,
             ask: self.ask_ms * 1_000,
             repairs: self.repairs,
+            verify: self.verify_s * 1_000_000,
             hosts: self.members.iter().map(host).collect(),
             without,
         }
--- a/src/replication/error.rs
+++ b/src/replication/error.rs
@@ -64,6 +64,14 @@
     /// Its identity was given before.
     #[error("the identity was taken before")]
     Seen,
+    /// Its identity's time is over at the primary, or so close to it that it may have been forgotten.
+    #[error(
+        "the identity's time is over in shard {shard}, so that nobody can tell whether it was taken before"
+    )]
+    Late {
+        /// Which shard.
+        shard: ShardId,
+    },
     /// The call is of a class, tenant or kind that the primary does not know.
     #[error("the primary's settings do not know this {what}")]
     Unknown {
@@ -94,6 +102,7 @@
             Refusal::Behind { .. } => "look for a gateway of the set with a slow disk or link; it is left out after stall_ms",
             Refusal::TooLong { .. } => "have callers send smaller bodies",
             Refusal::Seen => "nothing: the call has its answer, or will have it",
+            Refusal::Late { .. } => "look at the clocks of the gateways and of the caller; the call may be sent under a new identity",
             Refusal::Unknown { .. } => "give all gateways the same classes and tenants",
             Refusal::Full => "raise webhooks.pending, or add gateways",
             Refusal::Leaving => "nothing: callers find another gateway",
--- a/src/replication/history.rs
+++ b/src/replication/history.rs
@@ -61,6 +61,27 @@
         /// The digest of all up to it.
         chain: u64,
     },
+    /// What this process's disk holds of a shard is not what was written.
+    Damaged {
+        /// Which shard.
+        shard: ShardId,
+        /// Which of its ranges.
+        ranges: Vec<u8>,
+    },
+    /// The disk here is damaged, and whoever else holds the shard cannot be heard: it is waited for.
+    Waits {
+        /// Which shard.
+        shard: ShardId,
+        /// The set.
+        members: Vec<Name>,
+    },
+    /// It was mended from another disk; or, as no other has it, what is left of it counts.
+    Mended {
+        /// Which shard.
+        shard: ShardId,
+        /// Whether something of it may be gone.
+        accepted: bool,
+    },
     /// What an older primary sent was refused.
     Declined {
         /// Which shard.
--- a/src/replication/leading.rs
+++ b/src/replication/leading.rs
@@ -71,6 +71,11 @@
     tail: VecDeque<Record>,
     bytes: usize,
     owed: usize,
+    /// Since when it is led; and the members of the set that have not told yet how far they have come. Nothing is taken before.
+    began: Micros,
+    untold: BTreeSet<Name>,
+    /// Whether something is taken.
+    pub open: bool,
     /// The copies.
     pub peers: BTreeMap<Name, Peer>,
     /// When a change of the set was last proposed.
@@ -81,10 +86,19 @@
 
 impl Leading {
     /// Begins under an epoch, with what the disk here holds.
-    pub fn new(shard: ShardId, epoch: Epoch, set: BTreeSet<Name>, head: Place, stored: Number) -> Leading {
+    pub fn new(
+        now: Micros,
+        me: &Name,
+        shard: ShardId,
+        (epoch, set): (Epoch, BTreeSet<Name>),
+        (head, stored): (Place, Number),
+    ) -> Leading {
         Leading {
             shard,
             epoch,
+            began: now,
+            untold: set.iter().filter(|n| *n != me).cloned().collect(),
+            open: false,
             set,
             maybe: BTreeSet::new(),
             head,
@@ -100,6 +114,17 @@
         }
     }
 
+    /// Whether it may be opened: all members that can be heard have told how far they have come, or had long enough to.
+    pub fn may_open(&self, now: Micros, stall: Micros, is_heard: impl Fn(&Name) -> bool) -> bool {
+        let waits = |n: &&Name| self.set.contains(*n) && is_heard(n);
+        !self.open && (self.untold.iter().find(waits).is_none() || self.began + stall <= now)
+    }
+
+    /// A member has told how far it has come.
+    pub fn told(&mut self, name: &Name) {
+        self.untold.remove(name);
+    }
+
     /// The set has changed under the same primary.
     pub fn changed(&mut self, epoch: Epoch, set: BTreeSet<Name>) {
         (self.epoch, self.set, self.proposed) = (epoch, set, None);
@@ -215,6 +240,26 @@
         }
     }
 
+    /// A copy's disk is damaged: it counts for nothing until it has a snapshot. Whether the disk here has to be read for it.
+    pub fn unsound(&mut self, now: Micros, name: &Name) -> bool {
+        self.untold.remove(name);
+        let Some(peer) = self.peers.get_mut(name) else { return false };
+        peer.has = 0;
+        peer.owes.get_or_insert(now);
+        if matches!(peer.step, Step::Reads | Step::Sends(..)) {
+            return false;
+        }
+        (peer.step, peer.again) = (Step::Reads, now);
+        true
+    }
+
+    /// The disk here could not be read for a copy.
+    pub fn unread(&mut self, now: Micros, name: &Name) {
+        if let Some(peer) = self.peers.get_mut(name).filter(|p| p.step == Step::Reads) {
+            (peer.step, peer.again) = (Step::Asked, now);
+        }
+    }
+
     /// A copy has taken a part of a snapshot.
     pub fn took(&mut self, now: Micros, name: &Name, part: u32) {
         let Some(peer) = self.peers.get_mut(name) else { return };
@@ -313,6 +358,23 @@
         self.set.iter().filter(|n| *n != me && all).find(has).cloned()
     }
 
+    /// The member of the set that has the most, of those who have all that was promised and may lead.
+    pub fn fittest(&self, me: &Name, may: impl Fn(&Name) -> bool) -> Option<Name> {
+        let has = |n: &Name| self.peers.get(n).map(|p| p.has).filter(|has| *has >= self.promised);
+        let all = self.set.iter().filter(|n| *n != me && may(n)).filter_map(|n| Some((has(n)?, n)));
+        all.max_by_key(|(has, n)| (*has, std::cmp::Reverse(*n))).map(|(_, n)| n.clone())
+    }
+
+    /// Whether a member of the set has come further than all that there was here when the lead began.
+    pub fn is_ahead(&self, name: &Name, place: Place) -> bool {
+        self.tail.is_empty() && self.set.contains(name) && place.number > self.head.number
+    }
+
+    /// One outside the set that has owed its word for so long.
+    pub fn is_slow(&self, now: Micros, name: &Name, stall: Micros) -> bool {
+        self.peers.get(name).and_then(|p| p.owes).is_some_and(|t| t + stall <= now)
+    }
+
     /// Whether somebody outside the set is being brought along.
     pub fn joining(&self) -> Option<&Name> {
         self.peers.keys().find(|n| !self.set.contains(*n))
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -16,6 +16,7 @@
 
 mod agreed;
 mod records;
+mod soundness;
 
 /// Questions to other gateways under way at most.
 pub const MOST_ASKED: usize = 4096;
@@ -55,6 +56,15 @@
     Kept(ShardId),
     /// What the disk holds of a shard, asked for by [`Output::Read`].
     Read(ShardId, Name, Place, Vec<u8>),
+    /// The disk was not read for a copy.
+    Unread(ShardId, Name),
+    /// What the disk was looked at for: the ranges of each shard on it that are not what was written; none if it could not be
+    /// read.
+    Verified(Option<Vec<(ShardId, Vec<u8>)>>),
+    /// Ranges of a shard were found not to be what was written.
+    Unsound(ShardId, Vec<u8>),
+    /// What is left of a shard counts from here on.
+    Accepted(ShardId),
     /// A question for a shard's primary.
     Ask {
         /// Which shard.
@@ -85,6 +95,10 @@
     Install(ShardId, Place, Vec<u8>),
     /// Read what the disk holds of a shard, for a copy.
     Read(ShardId, Name),
+    /// Look at whether the disk still holds what was written, beside all else.
+    Verify,
+    /// No other disk has a shard that is damaged here: let what is left of it count.
+    Accept(ShardId),
     /// A record is promised, on so many disks.
     Promised(Ticket, usize),
     /// It is not.
@@ -127,6 +141,8 @@
     proposed: Micros,
     beat: Micros,
     ticked: Micros,
+    /// When the disk is looked at next; none while it is.
+    verify: Option<Micros>,
     /// Whether the process is about to end.
     leaving: bool,
     outputs: VecDeque<Output>,
@@ -149,6 +165,7 @@
             proposed: 0,
             beat: 0,
             ticked: now,
+            verify: Some(now),
             leaving: false,
             outputs: VecDeque::new(),
         }
@@ -209,12 +226,12 @@
                     }
                 }
                 self.look_at_disk(now);
-                self.take_up();
+                self.take_up(now);
             }
             Input::Agreed(sets) => {
                 self.sets = sets;
                 self.look_at_disk(now);
-                self.take_up();
+                self.take_up(now);
             }
             Input::Frame(from, body) => self.frame(now, from, body),
             Input::Lost(name) => {
@@ -224,13 +241,21 @@
                     }
                 }
             }
-            Input::Append { shard, ticket, bytes, want } => self.append(shard, ticket, bytes, want),
-            Input::Kept(shard) => self.kept(shard),
+            Input::Append { shard, ticket, bytes, want } => self.append(now, shard, ticket, bytes, want),
+            Input::Kept(shard) => self.kept(now, shard),
             Input::Read(shard, to, place, bytes) => {
                 if let Some(l) = self.shards.get_mut(&shard).and_then(|s| s.leading.as_mut()) {
                     l.read(now, &to, place, bytes.into());
                 }
             }
+            Input::Unread(shard, to) => {
+                if let Some(l) = self.shards.get_mut(&shard).and_then(|s| s.leading.as_mut()) {
+                    l.unread(now, &to);
+                }
+            }
+            Input::Verified(found) => self.verified(now, found),
+            Input::Unsound(shard, ranges) => self.unsound(shard, ranges),
+            Input::Accepted(shard) => self.accepted(shard),
             Input::Ask { shard, ticket, bytes } => self.ask(now, shard, ticket, bytes),
             Input::Tell(to, number, told) => {
                 if to == self.settings.name {
--- a/src/replication/machine/agreed.rs
+++ b/src/replication/machine/agreed.rs
@@ -28,7 +28,7 @@
     }
 
     /// Takes up what the log says of each shard.
-    pub(super) fn take_up(&mut self) {
+    pub(super) fn take_up(&mut self, now: Micros) {
         let me = self.settings.name.clone();
         for id in 1..=self.settings.shards {
             let set = self.sets.of(id);
@@ -41,8 +41,11 @@
             match (&mut s.leading, mine) {
                 (Some(l), true) if l.epoch != epoch => {
                     l.changed(epoch, members.clone());
-                    events.push(led(id, epoch, l.head, &members));
+                    if l.open {
+                        events.push(led(id, epoch, l.head, &members));
+                    }
                 }
+                (Some(l), false) if !l.open => s.leading = None,
                 (Some(l), false) => {
                     let ours = l.epoch;
                     for ticket in l.unpromised() {
@@ -54,17 +57,32 @@
                     s.leading = None;
                 }
                 (None, true) => {
-                    let stored = s.stored();
-                    s.leading = Some(Leading::new(id, epoch, members.clone(), s.place, stored));
+                    let come = (s.place, s.stored());
+                    s.leading = Some(Leading::new(now, &me, id, (epoch, members), come));
                     if older.epoch > 0 && older.members.is_empty() {
                         events.push(Output::Noted(Note::Lost { shard: id }));
                     }
-                    events.push(led(id, epoch, s.place, &members));
-                    events.push(Output::Lead(id, epoch));
                 }
                 _ => {}
             }
             self.outputs.extend(events);
+            self.open(now, id);
+        }
+    }
+
+    /// A shard that is led here is opened once those who hold it have told how far they have come: one that has more is to lead
+    /// itself, and would be overwritten by what is taken here before.
+    pub(super) fn open(&mut self, now: Micros, id: ShardId) {
+        let (stall, silent) = (2 * self.settings.stall, self.settings.silent);
+        let Some(l) = self.shards.get(&id).and_then(|s| s.leading.as_ref()) else { return };
+        if !l.may_open(now, stall, |n| self.is_heard(now, n, silent)) {
+            return;
+        }
+        if let Some(l) = self.shards.get_mut(&id).and_then(|s| s.leading.as_mut()) {
+            l.open = true;
+            let (epoch, event) = (l.epoch, led(id, l.epoch, l.head, &l.set));
+            self.outputs.push_back(event);
+            self.outputs.push_back(Output::Lead(id, epoch));
         }
     }
 
@@ -88,6 +106,7 @@
         }
         self.look_at_disk(now);
         if self.known {
+            self.look_at_soundness(now);
             self.look_at_sets(now);
         }
     }
@@ -106,6 +125,7 @@
         for id in all {
             let set = self.shards[&id].set.clone();
             if self.shards[&id].leading.is_some() {
+                self.open(now, id);
                 joining += usize::from(self.lead(now, id, joining < self.settings.repairs));
             } else if self.leaving {
                 // What others lead is theirs.
@@ -117,6 +137,11 @@
                 }
             } else if set.members.contains(&me) {
                 let members = set.members.clone();
+                // One whose disk is damaged or stuck leaves it to the others, as long as one of them can be heard.
+                let others = members.iter().any(|m| *m != me && self.is_heard(now, m, self.settings.silent));
+                if others && self.is_unfit(now, id) {
+                    continue;
+                }
                 match &set.primary {
                     // Of one's own name, and another process: a new epoch for this one.
                     Some(p) if *p == me => self.propose(now, id, &set, members),
@@ -155,8 +180,13 @@
             }
             return false;
         }
+        if self.is_unfit(now, id) && self.yield_lead(now, id) {
+            return false;
+        }
+        let Some(l) = self.shards.get(&id).and_then(|s| s.leading.as_ref()) else { return false };
         let (arrived, joining) = (l.arrived(), l.joining().cloned());
-        let gone = joining.as_ref().is_some_and(|n| !self.is_heard(now, n, silent) && !l.maybe.contains(n));
+        let slow = |n: &Name| !self.is_heard(now, n, silent) || l.is_slow(now, n, GIVES_UP * stall);
+        let gone = joining.as_ref().is_some_and(|n| slow(n) && !l.maybe.contains(n));
         let wanted = late.is_some() || members.len() < self.settings.copies;
         let given_up = since.is_some_and(|t| t + GIVES_UP * stall <= now);
         let next = joining.is_none().then(|| self.next_for(now, id, &members)).flatten();
@@ -173,6 +203,10 @@
         }
         if let Some(name) = joining.filter(|n| gone || !wanted && !l.maybe.contains(n)) {
             l.peers.remove(&name);
+            if gone {
+                // Not at once again: its disk may be full.
+                self.calm.insert(name, now + 2 * GIVES_UP * stall);
+            }
             return false;
         }
         match next.filter(|_| wanted) {
@@ -211,7 +245,14 @@
     }
 
     /// Another member, which has all, is to lead; it asks for an epoch of its own once it hears.
-    fn hand_over(&mut self, now: Micros, shard: ShardId, set: &Set, members: BTreeSet<Name>, to: Name) {
+    pub(super) fn hand_over(
+        &mut self,
+        now: Micros,
+        shard: ShardId,
+        set: &Set,
+        members: BTreeSet<Name>,
+        to: Name,
+    ) {
         if let Some(l) = self.shards.get_mut(&shard).and_then(|s| s.leading.as_mut()) {
             l.proposed = Some(now);
         }
--- a/src/replication/machine/records.rs
+++ b/src/replication/machine/records.rs
@@ -14,23 +14,32 @@
             }
             Body::Record(shard, epoch, before, bytes) if self.known => {
                 let guards = (without.epochs, without.chain);
-                let taken =
-                    self.shard(shard).and_then(|s| s.record(shard, &from, (epoch, before), bytes, guards));
+                let taken = self
+                    .shard(shard)
+                    .and_then(|s| s.record(now, shard, &from, (epoch, before), bytes, guards));
                 self.taken(shard, &from, taken);
             }
             Body::Part(shard, epoch, place, part, last, bytes) if self.known => {
                 let taken = self.shard(shard).map_or(Vec::new(), |s| {
-                    s.part(shard, &from, epoch, place, (part, last), &bytes, without.epochs)
+                    s.part(now, shard, &from, epoch, place, (part, last), &bytes, without.epochs)
                 });
                 self.taken(shard, &from, taken);
             }
             Body::Record(..) | Body::Part(..) => {}
             Body::At(shard, epoch, place) => {
+                let ahead =
+                    !without.ahead && self.leading(shard, epoch).is_some_and(|l| l.is_ahead(&from, place));
+                if ahead {
+                    // Its disk kept what this one had told kept and has not: it is to lead, and is overwritten by nobody.
+                    return self.give_to(now, shard, from);
+                }
                 if let Some(l) = self.leading(shard, epoch) {
+                    l.told(&from);
                     if l.at(now, &from, place, without.chain) {
                         self.outputs.push_back(Output::Read(shard, from));
                     }
                 }
+                self.open(now, shard);
             }
             Body::Has(shard, epoch, number) => {
                 if let Some(l) = self.leading(shard, epoch) {
@@ -55,6 +64,12 @@
                 }
             }
             Body::Told(number, told) => self.told(number, told),
+            Body::Unsound(shard, epoch) => {
+                if self.leading(shard, epoch).is_some_and(|l| l.unsound(now, &from)) {
+                    self.outputs.push_back(Output::Read(shard, from));
+                }
+                self.open(now, shard);
+            }
         }
     }
 
@@ -91,11 +106,18 @@
         }
     }
 
-    pub(super) fn append(&mut self, shard: ShardId, ticket: Ticket, bytes: Vec<u8>, want: usize) {
+    pub(super) fn append(
+        &mut self,
+        now: Micros,
+        shard: ShardId,
+        ticket: Ticket,
+        bytes: Vec<u8>,
+        want: usize,
+    ) {
         let refuse = |why| Output::Refused(ticket, why);
         let Some(s) = self.shards.get_mut(&shard) else { return };
         let primary = s.set.primary.clone();
-        let Some(l) = &mut s.leading else {
+        let Some(l) = s.leading.as_mut().filter(|l| l.open) else {
             return self.outputs.push_back(refuse(Refusal::NotPrimary { shard, primary }));
         };
         let have = l.disks();
@@ -115,14 +137,16 @@
         let place = l.append(bytes.clone(), ticket);
         s.place = place;
         let epoch = s.set.epoch;
-        s.pending.push_back(Pending { epoch, from: None, place, whole: false });
+        s.push(now, Pending { epoch, from: None, place, whole: false });
         self.outputs.push_back(Output::Store(shard, place, bytes, Some(ticket)));
     }
 
-    pub(super) fn kept(&mut self, shard: ShardId) {
+    pub(super) fn kept(&mut self, now: Micros, shard: ShardId) {
         let without = self.settings.without.epochs;
         let Some(s) = self.shards.get_mut(&shard) else { return };
-        let (done, said) = s.kept(shard, without);
+        let damaged = s.unsound.is_some();
+        let (done, said) = s.kept(now, shard, without);
+        let mended = damaged && s.unsound.is_none();
         let stored = s.stored();
         if let Some(l) = &mut s.leading {
             l.stored = stored.min(l.head.number);
@@ -134,6 +158,9 @@
                 false => Note::Stored { shard, epoch: done.epoch, number, chain },
             });
         }
+        if mended {
+            self.note(Note::Mended { shard, accepted: false });
+        }
         said.into_iter().for_each(|(to, body)| self.say(to, body));
         self.promise(shard);
     }
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -5,14 +5,19 @@
 //! those of all the set, and only then is it promised ([`leading`]). Whoever is in the set can take the shard over with all
 //! that was promised ([`shard`]); whoever is not can come to it by a tail of records or a snapshot, and counts once it has
 //! all. Which gateways hold a shard follows from [`order`]. [`machine::Copies`] is one gateway's part in all shards; [`wire`]
-//! what parts say to one another; [`history`] what each process records for a checker.
+//! what parts say to one another; [`history`] what each process records for a checker;
+//! [`identities`] which calls were taken. A disk that no longer holds what was written is mended from another
+//! (`machine/soundness.rs`).
 //!
 //! Kept by id: shards (at most [`MOST_SHARDS`]), members (the file's), records of a tail (by bytes, the oldest go first),
 //! questions under way (at most [`machine::MOST_ASKED`], each with its end).
 
 pub mod config;
+#[cfg(test)]
+mod disks_tests;
 pub mod error;
 pub mod history;
+pub mod identities;
 pub mod leading;
 pub mod machine;
 pub mod order;
--- a/src/replication/shard.rs
+++ b/src/replication/shard.rs
@@ -8,6 +8,7 @@
 use super::sets::Set;
 use super::wire::{Body, LONGEST_SNAPSHOT};
 use super::{Epoch, Name, Place, ShardId};
+use crate::api::Micros;
 
 /// A snapshot that is coming.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -53,6 +54,12 @@
     pub place: Place,
     /// What is on its way there, in order.
     pub pending: VecDeque<Pending>,
+    /// Since when the oldest of it is.
+    pub since: Option<Micros>,
+    /// The ranges that are not what was written, if the disk was found to be damaged.
+    pub unsound: Option<Vec<u8>>,
+    /// Whether it was told that a damaged disk waits for another that has the shard whole.
+    pub waiting: bool,
     /// The shard while it is led here.
     pub leading: Option<Leading>,
     coming: Option<Coming>,
@@ -68,6 +75,17 @@
         })
     }
 
+    /// Something is on its way to the disk here.
+    pub fn push(&mut self, now: Micros, pending: Pending) {
+        self.since.get_or_insert(now);
+        self.pending.push_back(pending);
+    }
+
+    /// Whether the disk here has had nothing to say for so long, although it owes something.
+    pub fn is_stuck(&self, now: Micros, stall: Micros) -> bool {
+        self.since.is_some_and(|t| t + stall <= now)
+    }
+
     fn epoch_of(&self, shard: ShardId, from: &Name, epoch: Epoch, without: bool) -> Result<bool, Declined> {
         if without {
             return Ok(true);
@@ -84,6 +102,7 @@
         match self.epoch_of(shard, from, epoch, without) {
             Err(e) => Some(Taken::Declined(e)),
             Ok(false) => None,
+            Ok(true) if self.unsound.is_some() => Some(Taken::Say(Body::Unsound(shard, epoch))),
             Ok(true) if self.pending.is_empty() => Some(Taken::Say(Body::At(shard, epoch, self.place))),
             Ok(true) => {
                 self.waits = Some((from.clone(), epoch));
@@ -93,8 +112,10 @@
     }
 
     /// A record came.
+    #[allow(clippy::too_many_arguments)]
     pub fn record(
         &mut self,
+        now: Micros,
         shard: ShardId,
         from: &Name,
         (epoch, before): (Epoch, Place),
@@ -112,7 +133,8 @@
         }
         self.coming = None;
         self.place = before.then(&bytes);
-        self.pending.push_back(Pending { epoch, from: Some(from.clone()), place: self.place, whole: false });
+        let (from, place) = (Some(from.clone()), self.place);
+        self.push(now, Pending { epoch, from, place, whole: false });
         Some(Taken::Store(self.place, bytes.into()))
     }
 
@@ -120,6 +142,7 @@
     #[allow(clippy::too_many_arguments)]
     pub fn part(
         &mut self,
+        now: Micros,
         shard: ShardId,
         from: &Name,
         epoch: Epoch,
@@ -158,22 +181,33 @@
         let bytes = std::mem::take(&mut coming.bytes);
         self.coming = None;
         self.place = place;
-        self.pending.push_back(Pending { epoch, from: Some(from.clone()), place, whole: true });
+        self.push(now, Pending { epoch, from: Some(from.clone()), place, whole: true });
         vec![took, Taken::Install(place, bytes)]
     }
 
     /// The oldest that was on its way is on the disk: what it was, and what is to be said to whom.
-    pub fn kept(&mut self, shard: ShardId, without: bool) -> (Option<Pending>, Vec<(Name, Body)>) {
+    pub fn kept(
+        &mut self,
+        now: Micros,
+        shard: ShardId,
+        without: bool,
+    ) -> (Option<Pending>, Vec<(Name, Body)>) {
         let Some(done) = self.pending.pop_front() else { return (None, Vec::new()) };
+        self.since = (!self.pending.is_empty()).then_some(now);
+        if done.whole {
+            // All of it was written anew.
+            (self.unsound, self.waiting) = (None, false);
+        }
         let mut said = Vec::new();
         // What came under an older epoch is told by its place only, which whoever leads now compares.
-        let counts = self.leading.is_none() && (without || done.epoch == self.set.epoch);
+        let counts =
+            self.leading.is_none() && self.unsound.is_none() && (without || done.epoch == self.set.epoch);
         if let Some(from) = done.from.clone().filter(|_| counts) {
             said.push((from, Body::Has(shard, done.epoch, done.place.number)));
         }
         if self.pending.is_empty() {
             if let Some((to, epoch)) = self.waits.take() {
-                if epoch == self.set.epoch && self.leading.is_none() {
+                if epoch == self.set.epoch && self.leading.is_none() && self.unsound.is_none() {
                     said.push((to, Body::At(shard, epoch, self.place)));
                 }
             }
--- a/src/replication/wire.rs
+++ b/src/replication/wire.rs
@@ -35,6 +35,8 @@
     Ask(ShardId, u64, Vec<u8>),
     /// Its answer.
     Told(u64, Told),
+    /// What a copy's disk holds is not what was written: it counts for nothing until it has a snapshot.
+    Unsound(ShardId, Epoch),
 }
 
 /// What a primary answers.
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -1,15 +1,19 @@
 //! The file: an embedded database with atomic commits, each synced before it is told done.
 
 use std::path::Path;
+use std::sync::Arc;
 
 use redb::{
-    Database, DatabaseError, Durability, ReadableTable, StorageBackend, TableDefinition, WriteTransaction,
+    Database, DatabaseError, Durability, ReadOnlyTable, ReadTransaction, ReadableDatabase, ReadableTable,
+    StorageBackend, TableDefinition, TableError, WriteTransaction,
 };
 
 use super::records::{Op, Reply, StoreError};
-use super::space::{Pair, Space, Table};
+use super::space::{Look, Pair, Space, Table};
+use super::sums::{self, Summed};
 use super::tables::{Found, Tables};
 use crate::api::Micros;
+use crate::replication::ShardId;
 
 /// Bytes of the database's own cache.
 const CACHE: usize = 8 << 20;
@@ -26,17 +30,52 @@
 
 struct Transaction<'a>(&'a WriteTransaction);
 
-impl Space for Transaction<'_> {
+fn scanned(
+    table: &impl ReadableTable<&'static [u8], &'static [u8]>,
+    from: &[u8],
+    to: &[u8],
+    limit: usize,
+    backwards: bool,
+) -> Result<Vec<Pair>, StoreError> {
+    if from >= to {
+        return Ok(Vec::new());
+    }
+    let mut range = table.range(from..to).map_err(disk)?;
+    let mut found = Vec::new();
+    while found.len() < limit {
+        let next = if backwards { range.next_back() } else { range.next() };
+        let Some(pair) = next else { break };
+        let (k, v) = pair.map_err(disk)?;
+        found.push((k.value().to_vec(), v.value().to_vec()));
+    }
+    Ok(found)
+}
+
+impl Look for Transaction<'_> {
     fn get(&self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
         let table = self.0.open_table(definition(table)).map_err(disk)?;
         let value = table.get(key).map_err(disk)?;
         Ok(value.map(|v| v.value().to_vec()))
     }
 
-    fn put(&mut self, table: Table, key: &[u8], value: &[u8]) -> Result<(), StoreError> {
+    fn scan(
+        &self,
+        table: Table,
+        from: &[u8],
+        to: &[u8],
+        limit: usize,
+        backwards: bool,
+    ) -> Result<Vec<Pair>, StoreError> {
+        let table = self.0.open_table(definition(table)).map_err(disk)?;
+        scanned(&table, from, to, limit, backwards)
+    }
+}
+
+impl Space for Transaction<'_> {
+    fn put(&mut self, table: Table, key: &[u8], value: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
         let mut table = self.0.open_table(definition(table)).map_err(disk)?;
-        table.insert(key, value).map_err(disk)?;
-        Ok(())
+        let old = table.insert(key, value).map_err(disk)?;
+        Ok(old.map(|v| v.value().to_vec()))
     }
 
     fn remove(&mut self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
@@ -44,6 +83,32 @@
         let old = table.remove(key).map_err(disk)?;
         Ok(old.map(|v| v.value().to_vec()))
     }
+}
+
+/// The file as of one commit, read beside the one thread that writes.
+#[derive(Debug)]
+pub struct Reader(Arc<Database>);
+
+struct Reading(ReadTransaction);
+
+type ReadTable = ReadOnlyTable<&'static [u8], &'static [u8]>;
+
+impl Reading {
+    fn table(&self, table: Table) -> Result<Option<ReadTable>, StoreError> {
+        match self.0.open_table(definition(table)) {
+            Ok(table) => Ok(Some(table)),
+            Err(TableError::TableDoesNotExist(_)) => Ok(None),
+            Err(e) => Err(disk(e)),
+        }
+    }
+}
+
+impl Look for Reading {
+    fn get(&self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
+        let Some(table) = self.table(table)? else { return Ok(None) };
+        let value = table.get(key).map_err(disk)?;
+        Ok(value.map(|v| v.value().to_vec()))
+    }
 
     fn scan(
         &self,
@@ -53,26 +118,22 @@
         limit: usize,
         backwards: bool,
     ) -> Result<Vec<Pair>, StoreError> {
-        if from >= to {
-            return Ok(Vec::new());
-        }
-        let table = self.0.open_table(definition(table)).map_err(disk)?;
-        let mut range = table.range(from..to).map_err(disk)?;
-        let mut found = Vec::new();
-        while found.len() < limit {
-            let next = if backwards { range.next_back() } else { range.next() };
-            let Some(pair) = next else { break };
-            let (k, v) = pair.map_err(disk)?;
-            found.push((k.value().to_vec(), v.value().to_vec()));
-        }
-        Ok(found)
+        let Some(table) = self.table(table)? else { return Ok(Vec::new()) };
+        scanned(&table, from, to, limit, backwards)
+    }
+}
+
+impl Reader {
+    /// Counts all that the disk holds of shards; the ranges of each that are not what was written.
+    pub fn verify(&self) -> Result<Vec<(ShardId, Vec<u8>)>, StoreError> {
+        sums::verify(&Reading(self.0.begin_read().map_err(disk)?))
     }
 }
 
 /// The store's file, open and held.
 #[derive(Debug)]
 pub struct Disk {
-    database: Database,
+    database: Arc<Database>,
     tables: Tables,
 }
 
@@ -110,7 +171,7 @@
         let write = database.begin_write().map_err(disk)?;
         let tables = Tables::resume(&mut Transaction(&write), true, most_bytes);
         write.abort().map_err(disk)?;
-        Ok(Disk { database, tables: tables? })
+        Ok(Disk { database: Arc::new(database), tables: tables? })
     }
 
     /// Opens a store on a backend of the caller's, such as one that fails.
@@ -136,7 +197,7 @@
             }
         };
         write.commit().map_err(disk)?;
-        Ok((Disk { database, tables }, found))
+        Ok((Disk { database: Arc::new(database), tables }, found))
     }
 
     /// Does all of these in one synced commit, or none of them. An operation that the store itself refuses, such
@@ -152,12 +213,19 @@
         let mut replies = Vec::new();
         {
             let mut space = Transaction(&write);
+            let mut summed = Summed::new(&mut space);
             for op in ops {
-                match tables.apply(&mut space, op) {
+                let anew = match &op {
+                    Op::WriteShard(shard, ..) => Some(*shard),
+                    _ => None,
+                };
+                match tables.apply(&mut summed, op) {
                     Err(e @ (StoreError::Disk(_) | StoreError::Damaged(_))) => return Err(e),
                     reply => replies.push(reply),
                 }
+                anew.into_iter().chain(tables.unsummed()).for_each(|shard| summed.anew(shard));
             }
+            summed.flush()?;
             tables.finish(&mut space, now)?;
         }
         write.commit().map_err(disk)?;
@@ -167,11 +235,16 @@
 
     /// Gives space that is free in the file back to the disk; tells whether there was any.
     pub fn compact(&mut self) -> Result<bool, StoreError> {
-        self.database.compact().map_err(disk)
+        Arc::get_mut(&mut self.database).ok_or(StoreError::Held)?.compact().map_err(disk)
     }
 
     /// Checks the file from end to end; tells whether it was sound as it stood.
     pub fn check(&mut self) -> Result<bool, StoreError> {
-        self.database.check_integrity().map_err(disk)
+        Arc::get_mut(&mut self.database).ok_or(StoreError::Held)?.check_integrity().map_err(disk)
+    }
+
+    /// Reads beside the thread that writes.
+    pub fn reader(&self) -> Reader {
+        Reader(self.database.clone())
     }
 }
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -29,6 +29,8 @@
     Disk(String),
     /// As many bytes wait as may.
     Full,
+    /// What the disk holds of a shard is not what was written.
+    Unsound(ShardId, Vec<u8>),
     /// It does not stand on as many machines as it has to.
     NotPromised(Refusal),
 }
@@ -42,6 +44,9 @@
             StoreError::Damaged(what) => write!(f, "the store holds {what} that cannot be read"),
             StoreError::Disk(e) => write!(f, "the store cannot be written or read: {e}"),
             StoreError::Full => f.write_str("the store holds as much as it may"),
+            StoreError::Unsound(shard, ranges) => {
+                write!(f, "ranges {ranges:?} of shard {shard} are not what was written")
+            }
             StoreError::NotPromised(why) => write!(f, "{why}"),
         }
     }
@@ -194,6 +199,8 @@
     Retain(Micros, Micros, u64, usize),
     /// Figures.
     Stat,
+    /// Whether what the disk holds of shards is still what was written.
+    Verify,
     /// All messages after one, the oldest first, so many.
     Export(Option<Seq>, usize),
     /// Keep a change of a voter's log.
@@ -207,6 +214,8 @@
     ReadShard(ShardId),
     /// What another disk holds of a shard takes the place of what this one does.
     WriteShard(ShardId, Place, Vec<u8>),
+    /// No other disk has a shard that is damaged here: what is left of it counts.
+    Accept(ShardId),
     /// A shard is led here from now on: what stands of it.
     Lead(ShardId),
     /// It is led here no more: nothing of it waits here.
@@ -255,6 +264,8 @@
     Stat(Stat),
     /// The disk's number, how often it was begun, and how far the shards on it have come.
     Disk(u64, u64, Vec<(ShardId, Place)>),
+    /// The ranges of each shard that are not what was written.
+    Verified(Vec<(ShardId, Vec<u8>)>),
     /// A shard's content, as of a place.
     Shard(Place, Vec<u8>),
     /// What stands of a shard.
@@ -272,6 +283,8 @@
     pub waits: Vec<Waiting>,
     /// Callbacks of which an attempt had begun, and when.
     pub begun: Vec<(Waiting, Micros)>,
+    /// Identities that counted until then may have been forgotten.
+    pub forgotten: Micros,
 }
 
 /// All that is kept of one message.
--- a/src/store/shards.rs
+++ b/src/store/shards.rs
@@ -7,6 +7,7 @@
 
 use super::records::*;
 use super::space::{Pair, Space, Table};
+use super::sums::Count;
 use super::tables::{key, number, pack, unpack, waiting_key, TOP};
 use crate::api::Micros;
 use crate::delivery::verdict::State;
@@ -18,6 +19,8 @@
 struct Head {
     place: Place,
     led: bool,
+    /// Identities that counted until then may have been forgotten, here or by a disk that this content came from.
+    forgotten: Micros,
 }
 
 /// A shard's content, as it is sent to a copy.
@@ -28,18 +31,28 @@
     rows: Vec<(u8, Vec<u8>, Vec<u8>)>,
     marks: Vec<(Mark, Micros)>,
     states: Vec<(Vec<u8>, CallState)>,
+    forgotten: Micros,
 }
 
 /// Tables whose keys begin with a call's or message's number.
-const BY_NUMBER: [Table; 5] = [Table::Calls, Table::Messages, Table::Bodies, Table::Begun, Table::Attempts];
+pub(super) const BY_NUMBER: [Table; 5] =
+    [Table::Calls, Table::Messages, Table::Bodies, Table::Begun, Table::Attempts];
 
 fn head(space: &dyn Space, shard: ShardId) -> Result<Head, StoreError> {
     let bytes = space.get(Table::Shards, &key(&[u64::from(shard)]))?;
-    bytes.map_or(Ok(Head::default()), |b| unpack(&b, "a shard"))
+    bytes.map_or(Ok(Head::default()), |b| read_head(&b))
+}
+
+/// A shard's head, also as earlier versions wrote it.
+fn read_head(bytes: &[u8]) -> Result<Head, StoreError> {
+    unpack(bytes, "a shard").or_else(|e| {
+        let (place, led) = unpack(bytes, "a shard").map_err(|_: StoreError| e)?;
+        Ok(Head { place, led, forgotten: 0 })
+    })
 }
 
 fn put(space: &mut dyn Space, shard: ShardId, head: &Head) -> Result<(), StoreError> {
-    space.put(Table::Shards, &key(&[u64::from(shard)]), &pack(head)?)
+    space.put(Table::Shards, &key(&[u64::from(shard)]), &pack(head)?).map(drop)
 }
 
 /// Whether deliveries of a number are found here: it is this gateway's alone, or its shard is led here.
@@ -49,15 +62,15 @@
 
 /// A record of a shard leads to a place.
 pub(super) fn keep(space: &mut dyn Space, shard: ShardId, place: Place) -> Result<(), StoreError> {
-    let led = head(space, shard)?.led;
-    put(space, shard, &Head { place, led })
+    let head = head(space, shard)?;
+    put(space, shard, &Head { place, ..head })
 }
 
 /// All shards on the disk, and how far they have come.
 pub(super) fn places(space: &dyn Space) -> Result<Vec<(ShardId, Place)>, StoreError> {
     let rows = space.scan(Table::Shards, &[], &TOP, usize::MAX, false)?;
     // Keys are written from numbers of shards.
-    rows.iter().map(|(k, v)| Ok((number(k, 0) as ShardId, unpack::<Head>(v, "a shard")?.place))).collect()
+    rows.iter().map(|(k, v)| Ok((number(k, 0) as ShardId, read_head(v)?.place))).collect()
 }
 
 /// A process begins: it leads nothing.
@@ -89,14 +102,79 @@
     if !h.led {
         return Ok(());
     }
-    for m in waiting(space, shard)? {
-        space.remove(Table::Waiting, &waiting_key(&m.waiting))?;
-    }
+    sweep(space, Table::Waiting, |k, _| Seq(number(k, 2)).shard() == shard)?;
     put(space, shard, &Head { led: false, ..h })
 }
 
+/// Removes the rows of a table that are meant; without a look into what may be damaged.
+fn sweep(
+    space: &mut dyn Space,
+    table: Table,
+    meant: impl Fn(&[u8], &[u8]) -> bool,
+) -> Result<Vec<Pair>, StoreError> {
+    let mut gone = space.scan(table, &[], &TOP, usize::MAX, false)?;
+    gone.retain(|(k, v)| meant(k, v));
+    for (k, _) in &gone {
+        space.remove(table, k)?;
+    }
+    Ok(gone)
+}
+
+/// Removes rows by identity, with what tells their age. One that cannot be read is nobody's, and goes with any shard.
+fn sweep_aged(
+    space: &mut dyn Space,
+    (table, ages): (Table, Table),
+    shard: ShardId,
+    shard_of: impl Fn(&[u8]) -> Result<ShardId, StoreError>,
+) -> Result<(), StoreError> {
+    let gone = sweep(space, table, |_, v| shard_of(v).map_or(true, |of| of == shard))?;
+    let gone: std::collections::BTreeSet<Vec<u8>> = gone.into_iter().map(|(k, _)| k).collect();
+    sweep(space, ages, |k, _| k.get(8..).is_some_and(|of| gone.contains(of)))?;
+    Ok(())
+}
+
+/// What is left of a shard counts as it stands; rows that cannot be read go.
+pub(super) fn accept(space: &mut dyn Space, shard: ShardId) -> Result<(), StoreError> {
+    let good = |table: Table, v: &[u8]| match table {
+        Table::Calls => unpack::<CallRecord>(v, "a call").is_ok(),
+        Table::Messages => unpack::<MessageRecord>(v, "a message").is_ok(),
+        Table::Begun => unpack::<Micros>(v, "an attempt's beginning").is_ok(),
+        Table::Attempts => unpack::<AttemptRecord>(v, "an attempt").is_ok(),
+        _ => true,
+    };
+    for table in BY_NUMBER {
+        for (k, v) in of(space, table, shard)? {
+            if !good(table, &v) {
+                space.remove(table, &k)?;
+            }
+        }
+    }
+    // Of those by identity only what is nobody's.
+    let nobody = ShardId::MAX;
+    sweep_aged(space, (Table::Replays, Table::ReplayAges), nobody, shard_of_mark)?;
+    sweep_aged(space, (Table::ByCall, Table::CallAges), nobody, |v| Ok(state(v)?.shard))
+}
+
+/// All of a shard goes, damaged or not.
+fn let_go(space: &mut dyn Space, shard: ShardId) -> Result<(), StoreError> {
+    rest(space, shard)?;
+    for (table, part) in [(Table::ByTenant, 1), (Table::Behind, 2)] {
+        sweep(space, table, |k, _| Seq(number(k, part)).shard() == shard)?;
+    }
+    sweep(space, Table::Heads, |_, v| Seq(number(v, 0)).shard() == shard)?;
+    for table in BY_NUMBER {
+        for (k, _) in of(space, table, shard)? {
+            space.remove(table, &k)?;
+        }
+    }
+    sweep_aged(space, (Table::Replays, Table::ReplayAges), shard, shard_of_mark)?;
+    sweep_aged(space, (Table::ByCall, Table::CallAges), shard, |v| Ok(state(v)?.shard))
+}
+
 /// A shard is led here: what stands of it.
-pub(super) fn lead(space: &mut dyn Space, shard: ShardId) -> Result<Reply, StoreError> {
+pub(super) fn lead(space: &mut dyn Space, shard: ShardId, forgotten: Micros) -> Result<Reply, StoreError> {
+    // Not on what is damaged: whoever has it whole is to lead.
+    sound(space, shard)?;
     let mut stands = Stands::default();
     for m in waiting(space, shard)? {
         space.put(Table::Waiting, &waiting_key(&m.waiting), &pack(&m.waiting)?)?;
@@ -110,6 +188,7 @@
     }
     stands.marks = marks(space, shard)?;
     let h = head(space, shard)?;
+    stands.forgotten = h.forgotten.max(forgotten);
     put(space, shard, &Head { led: true, ..h })?;
     Ok(Reply::Stands(Box::new(stands)))
 }
@@ -127,9 +206,27 @@
     Ok(found)
 }
 
-/// All that the disk holds of a shard.
-pub(super) fn read(space: &dyn Space, shard: ShardId) -> Result<Reply, StoreError> {
-    let mut content = Content { place: head(space, shard)?.place, ..Content::default() };
+/// Whether what the disk holds of a shard is what was written.
+fn sound(space: &dyn Space, shard: ShardId) -> Result<(), StoreError> {
+    let mut count = Count::default();
+    for table in BY_NUMBER {
+        of(space, table, shard)?.iter().for_each(|(k, v)| count.row(table, k, v));
+    }
+    for table in [Table::Replays, Table::ByCall] {
+        space.scan(table, &[], &TOP, usize::MAX, false)?.iter().for_each(|(k, v)| count.row(table, k, v));
+    }
+    match count.unlike(space, shard)? {
+        unlike if unlike.is_empty() => Ok(()),
+        unlike => Err(StoreError::Unsound(shard, unlike)),
+    }
+}
+
+/// All that the disk holds of a shard, if it is what was written: nothing damaged is handed on.
+pub(super) fn read(space: &dyn Space, shard: ShardId, forgotten: Micros) -> Result<Reply, StoreError> {
+    sound(space, shard)?;
+    let h = head(space, shard)?;
+    let forgotten = h.forgotten.max(forgotten);
+    let mut content = Content { place: h.place, forgotten, ..Content::default() };
     for (n, table) in BY_NUMBER.into_iter().enumerate() {
         // Five tables.
         let n = n as u8;
@@ -153,33 +250,8 @@
     bytes: &[u8],
 ) -> Result<(Stat, Stat), StoreError> {
     let content: Content = unpack(bytes, "a shard's content")?;
-    rest(space, shard)?;
     let gone = figures(space, shard)?;
-    for m in of(space, Table::Messages, shard)? {
-        let m: MessageRecord = unpack(&m.1, "a message")?;
-        space.remove(Table::ByTenant, &key(&[m.serial, m.waiting.seq.0]))?;
-        if let Some(order) = m.order {
-            let (e, seq) = (m.waiting.endpoint.0, m.waiting.seq.0);
-            space.remove(Table::Heads, &key(&[e, order]))?;
-            space.remove(Table::Behind, &key(&[e, order, seq]))?;
-        }
-    }
-    for table in BY_NUMBER {
-        for (k, _) in of(space, table, shard)? {
-            space.remove(table, &k)?;
-        }
-    }
-    for (mark, until) in marks(space, shard)? {
-        space.remove(Table::Replays, &mark)?;
-        space.remove(Table::ReplayAges, &[&key(&[until])[..], &mark].concat())?;
-    }
-    for (k, v) in space.scan(Table::ByCall, &[], &TOP, usize::MAX, false)? {
-        let state = state(&v)?;
-        if state.shard == shard {
-            space.remove(Table::ByCall, &k)?;
-            space.remove(Table::CallAges, &[&key(&[state.taken])[..], &k].concat())?;
-        }
-    }
+    let_go(space, shard)?;
     for (n, k, v) in &content.rows {
         let table = BY_NUMBER.get(usize::from(*n)).copied().ok_or(StoreError::Damaged("a shard's table"))?;
         if Seq(number(k, 0)).shard() != shard {
@@ -191,8 +263,12 @@
             let (e, seq) = (m.waiting.endpoint.0, m.waiting.seq.0);
             space.put(Table::ByTenant, &key(&[m.serial, seq]), &[])?;
             match (m.order, m.state) {
-                (Some(order), State::Behind) => space.put(Table::Behind, &key(&[e, order, seq]), &[])?,
-                (Some(order), State::Waiting) => space.put(Table::Heads, &key(&[e, order]), &key(&[seq]))?,
+                (Some(order), State::Behind) => {
+                    space.put(Table::Behind, &key(&[e, order, seq]), &[])?;
+                }
+                (Some(order), State::Waiting) => {
+                    space.put(Table::Heads, &key(&[e, order]), &key(&[seq]))?;
+                }
                 _ => {}
             }
         }
@@ -205,20 +281,23 @@
         space.put(Table::ByCall, k, &pack(state)?)?;
         space.put(Table::CallAges, &[&key(&[state.taken])[..], k].concat(), &[])?;
     }
-    put(space, shard, &Head { place, led: false })?;
+    let forgotten = head(space, shard)?.forgotten.max(content.forgotten);
+    put(space, shard, &Head { place, led: false, forgotten })?;
     Ok((gone, figures(space, shard)?))
 }
 
+/// Figures of what the disk holds of a shard; what cannot be read is left out.
 fn figures(space: &dyn Space, shard: ShardId) -> Result<Stat, StoreError> {
-    let mut stat = Stat { calls: of(space, Table::Calls, shard)?.len() as u64, ..Stat::default() };
+    let calls = of(space, Table::Calls, shard)?;
+    let mut stat = Stat { calls: calls.len() as u64, ..Stat::default() };
     for (_, v) in of(space, Table::Messages, shard)? {
-        let m: MessageRecord = unpack(&v, "a message")?;
         stat.messages += 1;
-        stat.waiting += u64::from(!m.state.is_over());
+        let waits = unpack(&v, "a message").is_ok_and(|m: MessageRecord| !m.state.is_over());
+        stat.waiting += u64::from(waits);
     }
     stat.bytes = of(space, Table::Bodies, shard)?.iter().map(|(_, v)| v.len() as u64).sum();
-    for (_, v) in of(space, Table::Calls, shard)? {
-        stat.bytes += unpack::<CallRecord>(&v, "a call")?.body.len() as u64;
+    for (_, v) in calls {
+        stat.bytes += unpack::<CallRecord>(&v, "a call").map_or(0, |c| c.body.len() as u64);
     }
     Ok(stat)
 }
@@ -231,6 +310,11 @@
     })
 }
 
+/// The shard of an identity's row.
+pub(super) fn shard_of_mark(bytes: &[u8]) -> Result<ShardId, StoreError> {
+    until_and_shard(bytes).map(|(_, shard)| shard)
+}
+
 /// Until when an identity counts, and its shard; earlier versions wrote none.
 fn until_and_shard(bytes: &[u8]) -> Result<(Micros, ShardId), StoreError> {
     unpack(bytes, "a digest").or_else(|_: StoreError| Ok((unpack(bytes, "a digest")?, 0)))
--- a/src/store/space.rs
+++ b/src/store/space.rs
@@ -24,11 +24,12 @@
     Behind,
     Log,
     Shards,
+    Sums,
 }
 
 impl Table {
     /// All of them.
-    pub const ALL: [Table; 16] = [
+    pub const ALL: [Table; 17] = [
         Table::Meta,
         Table::Calls,
         Table::Messages,
@@ -45,6 +46,7 @@
         Table::Behind,
         Table::Log,
         Table::Shards,
+        Table::Sums,
     ];
 
     /// Its name in the file.
@@ -66,6 +68,7 @@
             Table::Behind => "behind",
             Table::Log => "log",
             Table::Shards => "shards",
+            Table::Sums => "sums",
         }
     }
 }
@@ -73,14 +76,10 @@
 /// A key and its value.
 pub type Pair = (Vec<u8>, Vec<u8>);
 
-/// Ordered tables of bytes.
-pub trait Space {
+/// Ordered tables of bytes, to be looked at.
+pub trait Look {
     /// A value.
     fn get(&self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError>;
-    /// Sets a value.
-    fn put(&mut self, table: Table, key: &[u8], value: &[u8]) -> Result<(), StoreError>;
-    /// Removes a value and returns it.
-    fn remove(&mut self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError>;
     /// The first pairs from `from` up to and without `to`; the last ones, backwards, if asked so.
     fn scan(
         &self,
@@ -92,24 +91,23 @@
     ) -> Result<Vec<Pair>, StoreError>;
 }
 
+/// Ordered tables of bytes.
+pub trait Space: Look {
+    /// Sets a value and returns the one before it.
+    fn put(&mut self, table: Table, key: &[u8], value: &[u8]) -> Result<Option<Vec<u8>>, StoreError>;
+    /// Removes a value and returns it.
+    fn remove(&mut self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError>;
+}
+
 /// Tables in memory, which last as long as the process.
 #[derive(Clone, Debug, Default)]
 pub struct Memory(BTreeMap<(Table, Vec<u8>), Vec<u8>>);
 
-impl Space for Memory {
+impl Look for Memory {
     fn get(&self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
         Ok(self.0.get(&(table, key.to_vec())).cloned())
     }
 
-    fn put(&mut self, table: Table, key: &[u8], value: &[u8]) -> Result<(), StoreError> {
-        self.0.insert((table, key.to_vec()), value.to_vec());
-        Ok(())
-    }
-
-    fn remove(&mut self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
-        Ok(self.0.remove(&(table, key.to_vec())))
-    }
-
     fn scan(
         &self,
         table: Table,
@@ -129,3 +127,13 @@
         })
     }
 }
+
+impl Space for Memory {
+    fn put(&mut self, table: Table, key: &[u8], value: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
+        Ok(self.0.insert((table, key.to_vec()), value.to_vec()))
+    }
+
+    fn remove(&mut self, table: Table, key: &[u8]) -> Result<Option<Vec<u8>>, StoreError> {
+        Ok(self.0.remove(&(table, key.to_vec())))
+    }
+}
--- a/src/store/tables.rs
+++ b/src/store/tables.rs
@@ -12,7 +12,8 @@
 //! | replays, replay_ages | digest; time before it | until when | retention, once no stamp of that time is taken |
 //! | heads, behind | endpoint, order key (, number) | who is first; who waits behind | the end of the last of the key |
 //! | log | index | an entry of the agreed log | a snapshot |
-//! | shards | shard | the place of its last record; whether it is led here | never |
+//! | shards | shard | the place of its last record; whether it is led here; what was forgotten of it | never |
+//! | sums | shard, range | the sum of its rows' digests | never |
 //! | meta | name | format, figures, highest number; a voter's seat and snapshot | never |
 
 use serde::de::DeserializeOwned;
@@ -23,6 +24,7 @@
 use super::recovery::settled_with;
 use super::shards;
 use super::space::{Pair, Space, Table};
+use super::sums;
 use crate::api::{Effect, Micros};
 use crate::council::kept::{Head as Seat, Line};
 use crate::delivery::verdict::{Dead, State};
@@ -30,7 +32,7 @@
 use crate::replication::{Place, ShardId};
 
 /// The format of the tables; a file of a higher one is left alone.
-pub const FORMAT: u32 = 2;
+pub const FORMAT: u32 = 3;
 /// The format of one that holds nothing for others: earlier versions read it.
 const ALONE: u32 = 1;
 /// Attempts of one message that are kept.
@@ -81,6 +83,8 @@
     most_bytes: u64,
     /// Where retention goes on.
     cursor: u64,
+    /// Shards that were written before there were sums, or written anew.
+    unsummed: Vec<ShardId>,
 }
 
 pub(super) fn pack<T: Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
@@ -123,16 +127,19 @@
         let mut found =
             Found { next: head.next, forgotten: head.forgotten, stepped_back, ..Found::default() };
         for (k, v) in space.scan(Table::Begun, &[], &TOP, usize::MAX, false)? {
-            let begun: Micros = unpack(&v, "an attempt's beginning")?;
             if Seq(number(&k, 0)).shard() > 0 {
                 // Whoever leads its shard settles it.
                 continue;
             }
+            let begun: Micros = unpack(&v, "an attempt's beginning")?;
             found.unknown += u64::from(tables.settle(space, Seq(number(&k, 0)), begun, now, stepped_back)?);
         }
-        for (_, v) in space.scan(Table::Calls, &[], &TOP, usize::MAX, false)? {
-            let call: CallRecord = unpack(&v, "a call")?;
-            found.calls.extend(Some(call).filter(|c| c.seq.shard() == 0));
+        // What is damaged of shards is mended from another disk, and no reason not to begin.
+        let alone = space.scan(Table::Shards, &[], &TOP, 1, false)?.is_empty();
+        for (k, v) in space.scan(Table::Calls, &[], &TOP, usize::MAX, false)? {
+            if Seq(number(&k, 0)).shard() == 0 {
+                found.calls.push(unpack(&v, "a call")?);
+            }
         }
         let mut from = key(&[0]);
         while let Some((k, _)) = space.scan(Table::Waiting, &from, &TOP, 1, false)?.pop() {
@@ -142,7 +149,11 @@
         }
         for (k, v) in space.scan(Table::Replays, &[], &TOP, usize::MAX, false)? {
             let mark = k.try_into().map_err(|_| StoreError::Damaged("a digest"))?;
-            found.replays.push((mark, unpack(&v, "a digest")?));
+            match unpack(&v, "a digest") {
+                Ok(until) => found.replays.push((mark, until)),
+                Err(e) if alone => return Err(e),
+                Err(_) => {}
+            }
         }
         shards::rest_all(space)?;
         found.log = log::read(space)?;
@@ -162,7 +173,7 @@
         if head.format > FORMAT {
             return Err(StoreError::Newer(head.format));
         }
-        Ok(Tables { head, history, most_bytes, cursor: 0 })
+        Ok(Tables { head, history, most_bytes, cursor: 0, unsummed: Vec::new() })
     }
 
     /// A kill came while an attempt was out: by its class it waits again, or nobody can tell.
@@ -190,10 +201,15 @@
         self.head.stat
     }
 
+    /// Shards whose sums are to be counted anew.
+    pub(super) fn unsummed(&mut self) -> Vec<ShardId> {
+        std::mem::take(&mut self.unsummed)
+    }
+
     /// Keeps what lives beside the tables; the last step of a commit.
     pub fn finish(&mut self, space: &mut dyn Space, now: Micros) -> Result<(), StoreError> {
         self.head.latest = self.head.latest.max(now);
-        space.put(Table::Meta, b"head", &pack(&self.head)?)
+        space.put(Table::Meta, b"head", &pack(&self.head)?).map(drop)
     }
 
     fn message(&self, space: &dyn Space, seq: Seq) -> Result<Option<MessageRecord>, StoreError> {
@@ -321,15 +337,21 @@
             }
             Op::Retain(now, age, bytes, limit) => self.retain(space, now, age, bytes, limit),
             Op::Stat => Ok(Reply::Stat(self.head.stat)),
+            // Read beside the thread that writes, where there is one.
+            Op::Verify => sums::verify(space).map(Reply::Verified),
             Op::Log(record) => log::keep(space, &record).map(|()| Reply::Done),
             Op::BeginDisk(id, anew) => self.begin_disk(space, id, anew),
             Op::Shard(shard, place, op) => {
                 shards::keep(space, shard, place)?;
                 self.apply(space, *op)
             }
-            Op::ReadShard(shard) => shards::read(space, shard),
+            Op::ReadShard(shard) => shards::read(space, shard, self.head.forgotten),
             Op::WriteShard(shard, place, bytes) => self.write_shard(space, shard, place, &bytes),
-            Op::Lead(shard) => shards::lead(space, shard),
+            Op::Accept(shard) => {
+                self.unsummed.push(shard);
+                shards::accept(space, shard).map(|()| Reply::Done)
+            }
+            Op::Lead(shard) => shards::lead(space, shard, self.head.forgotten),
             Op::Rest(shard) => shards::rest(space, shard).map(|()| Reply::Done),
             Op::Export(after, limit) => {
                 let from = key(&[after.map_or(0, |s| s.0 + 1)]);
@@ -352,8 +374,11 @@
             space.get(Table::Meta, b"disk")?.map(|b| unpack::<(u64, u64)>(&b, "a disk")).transpose()?;
         let (id, boot) = known.filter(|_| !anew).map_or((id, 1), |(id, boot)| (id, boot + 1));
         space.put(Table::Meta, b"disk", &pack(&(id, boot))?)?;
-        self.head.format = FORMAT;
         let mut places = shards::places(space)?;
+        if anew || self.head.format < FORMAT {
+            self.unsummed.extend(places.iter().map(|(shard, _)| *shard));
+        }
+        self.head.format = FORMAT;
         if anew {
             for (shard, _) in places.drain(..) {
                 self.write_shard(space, shard, Default::default(), &pack(&shards::Content::default())?)?;
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -17,10 +17,10 @@
 use crate::delivery::verdict::{Dead, State};
 use crate::delivery::{EndpointId, Seq, Waiting};
 
-const SECOND: Micros = 1_000_000;
-const BYTES: u64 = 1 << 30;
+pub(super) const SECOND: Micros = 1_000_000;
+pub(super) const BYTES: u64 = 1 << 30;
 
-fn call(seq: u64, effect: Effect) -> Box<CallRecord> {
+pub(super) fn call(seq: u64, effect: Effect) -> Box<CallRecord> {
     Box::new(CallRecord {
         seq: Seq(seq),
         tenant: "clinic".into(),
@@ -41,13 +41,18 @@
     })
 }
 
-fn mark(seq: u64) -> Mark {
+pub(super) fn mark(seq: u64) -> Mark {
     let mut mark = Mark::default();
     mark[..8].copy_from_slice(&seq.to_be_bytes());
     mark
 }
 
-fn message(seq: u64, endpoint: u64, effect: Effect, order: Option<u64>) -> (MessageRecord, Vec<u8>) {
+pub(super) fn message(
+    seq: u64,
+    endpoint: u64,
+    effect: Effect,
+    order: Option<u64>,
+) -> (MessageRecord, Vec<u8>) {
     let waiting = Waiting {
         seq: Seq(seq),
         endpoint: EndpointId(endpoint),
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -25,6 +25,8 @@
 
 enum Job {
     Op(u64, Op),
+    /// What was read beside the thread.
+    Read(u64, Result<Reply, StoreError>),
     Stop,
 }
 
@@ -39,7 +41,14 @@
     /// Begins the thread over a store that is open.
     pub fn start(disk: Disk, opener: Opener, answered: Answered) -> std::io::Result<Writer> {
         let (jobs, waits) = mpsc::channel();
-        let room = Room { disk: Some(disk), opener, answered, kept: VecDeque::new(), clock: Clock::system() };
+        let room = Room {
+            disk: Some(disk),
+            opener,
+            answered,
+            kept: VecDeque::new(),
+            clock: Clock::system(),
+            jobs: jobs.clone(),
+        };
         let thread = std::thread::Builder::new().name("store".into()).spawn(move || room.run(&waits))?;
         Ok(Writer { jobs, thread: Some(thread) })
     }
@@ -73,6 +82,7 @@
             | Op::Log(_)
             | Op::Shard(..)
             | Op::WriteShard(..)
+            | Op::Accept(_)
             | Op::Lead(_)
             | Op::Rest(_)
             | Op::BeginDisk(..)
@@ -86,6 +96,7 @@
     /// What waits for the disk.
     kept: VecDeque<(u64, Op)>,
     clock: Clock,
+    jobs: Sender<Job>,
 }
 
 /// The number under which nobody waits for an answer.
@@ -110,7 +121,9 @@
             let mut batch = Vec::new();
             for job in first.into_iter().chain(waits.try_iter()).take(MOST_OPS) {
                 match job {
+                    Job::Op(number, Op::Verify) => self.verify(number),
                     Job::Op(number, op) => batch.push((number, op)),
+                    Job::Read(number, reply) => (self.answered)(number, reply),
                     Job::Stop => stopping = true,
                 }
             }
@@ -121,6 +134,21 @@
         }
     }
 
+    /// Counts what the disk holds beside this thread, so that nobody's commit waits for it.
+    fn verify(&mut self, number: u64) {
+        let Some(disk) = &self.disk else {
+            return (self.answered)(number, Err(StoreError::Disk("closed".into())));
+        };
+        let (reader, jobs) = (disk.reader(), self.jobs.clone());
+        let read = move || {
+            // The thread is gone only at the end of the process.
+            let _ = jobs.send(Job::Read(number, reader.verify().map(Reply::Verified)));
+        };
+        if let Err(e) = std::thread::Builder::new().name("verify".into()).spawn(read) {
+            (self.answered)(number, Err(StoreError::Disk(e.to_string())));
+        }
+    }
+
     fn reopen(&mut self) {
         match (self.opener)() {
             Ok(disk) => {
