Play copies under a model checker, and mend three ways in which a promise stood on fewer disks

The shards' machine had been played on a virtual clock only. src/replication/model.rs has stateright play the same values: one shard at three gateways, frames late, lost and doubled, entries agreed late, kills, lost disks, silences. It found, each with its trace: 1. A call that asks for two disks was promised on one: the set had become smaller between its taking and its promise. What a record asks for is now looked at when it is promised; it waits until the set is whole again, and holds up nothing behind it. 2. A member left out by a false suspicion had all that was promised, and when the last member's disk was lost the shard was founded anew from nothing. The log now remembers who was left out (until as many disks as before have all), and only the last of those may lead. 3. A gateway that had all was let in by a word agreed late; its machine had been lost since and begun on an empty disk, which counted. An entry now names the disk that has all, and words of a process that is there no more count for nothing. Changes of sets are a new kind of entry (Move); the old kind is applied as it was, so that all come to the same from one log. A shard whose joiner vanished while it was being let in went on waiting for it; it asks for an epoch of its own now.

--- a/lab/src/history/promises.rs
+++ b/lab/src/history/promises.rs
@@ -23,6 +23,7 @@
     Declined { shard: u16, theirs: u64, ours: u64 },
     Damaged { shard: u16, ranges: Vec<u8> },
     Mended { shard: u16, accepted: bool },
+    Recalled { shard: u16 },
     Waits { shard: u16, members: Vec<String> },
     Lost { shard: u16 },
 }
@@ -136,7 +137,8 @@
             CopyNote::Lost { shard } => wrong.push(Wrong::Lost { shard: *shard }),
             CopyNote::Mended { accepted: false, .. } => held.mended += 1,
             CopyNote::Mended { shard, .. } => wrong.push(Wrong::Lost { shard: *shard }),
-            CopyNote::Rested { .. }
+            CopyNote::Recalled { .. }
+            | CopyNote::Rested { .. }
             | CopyNote::Stored { .. }
             | CopyNote::Damaged { .. }
             | CopyNote::Waits { .. } => {}
--- a/src/council/state.rs
+++ b/src/council/state.rs
@@ -72,20 +72,18 @@
 /// The state as disks have it that were written before there were shards.
 type First = (u32, u64, BTreeMap<Seat, Arc<str>>, Ledger);
 /// As they have it that were written before there were tenants.
-type Second = (u32, u64, BTreeMap<Seat, Arc<str>>, Ledger, Sets);
+type Second = (u32, u64, BTreeMap<Seat, Arc<str>>, Ledger, sets::Earlier);
 
 impl State {
     /// Reads a snapshot's bytes, also those of an earlier version.
     pub fn read(bytes: &[u8]) -> Result<State, postcard::Error> {
         postcard::from_bytes(bytes).or_else(|e| {
-            let second = postcard::from_bytes(bytes).or_else(|_| {
-                let (generation, applied, voters, ledger): First = postcard::from_bytes(bytes)?;
-                Ok((generation, applied, voters, ledger, Sets::default()))
-            });
-            let (generation, applied, voters, ledger, sets): Second =
-                second.map_err(|_: postcard::Error| e)?;
             let tenants = tenants::Tenants::default();
-            Ok(State { generation, applied, voters, ledger, sets, tenants })
+            if let Ok((generation, applied, voters, ledger, sets)) = postcard::from_bytes::<Second>(bytes) {
+                return Ok(State { generation, applied, voters, ledger, sets: sets.into(), tenants });
+            }
+            let (generation, applied, voters, ledger): First = postcard::from_bytes(bytes).map_err(|_| e)?;
+            Ok(State { generation, applied, voters, ledger, sets: Sets::default(), tenants })
         })
     }
 
--- a/src/node/copies.rs
+++ b/src/node/copies.rs
@@ -56,6 +56,7 @@
             Ok("process") => guards.process = true,
             Ok("chain") => guards.chain = true,
             Ok("agreed") => guards.agreed = true,
+            Ok("want") => guards.want = true,
             Ok("sound") => guards.sound = true,
             Ok("ahead") => guards.ahead = true,
             _ => {}
@@ -256,6 +257,11 @@
                         "the disk does not hold what was written: the shard is copied anew from another; look at this machine's \
                          disk and memory, and replace it if that comes again"
                     ),
+                    Note::Recalled { shard } => tracing::error!(
+                        shard,
+                        "all disks that held this shard are lost; this one had been left out and has what was promised until then: \
+                         what was taken on fewer machines since is gone; raise copies, or spread members over more halls"
+                    ),
                     Note::Waits { shard, members } => tracing::error!(
                         shard,
                         ?members,
--- a/src/replication/config.rs
+++ b/src/replication/config.rs
@@ -92,7 +92,7 @@
 }
 
 /// What the machine goes by.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Settings {
     /// This gateway's name.
     pub name: super::Name,
@@ -119,7 +119,7 @@
 }
 
 /// Guards that a test takes out, to see what they hold off.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Guards {
     /// A copy does not look at the epoch of what it is sent.
     pub epochs: bool,
@@ -129,6 +129,8 @@
     pub process: bool,
     /// Records behind a gap or of another history are taken.
     pub chain: bool,
+    /// A record is promised although the set has become smaller than it asks for.
+    pub want: bool,
     /// A copy whose disk is damaged goes on counting.
     pub sound: bool,
     /// Whoever takes over does not look at whether another of the set has more.
--- a/src/replication/error.rs
+++ b/src/replication/error.rs
@@ -3,7 +3,9 @@
 use super::{Epoch, Name, Number, ShardId};
 
 /// Why a record is not promised. Nothing of it may be relied on; to try again with the same identity is harmless.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, thiserror::Error, serde::Serialize, serde::Deserialize,
+)]
 pub enum Refusal {
     /// This gateway does not lead the shard.
     #[error("shard {shard} is led by {}", primary.as_deref().unwrap_or("nobody"))]
@@ -111,7 +113,9 @@
 }
 
 /// Why a copy does not take what a primary sent.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, thiserror::Error, serde::Serialize, serde::Deserialize,
+)]
 pub enum Declined {
     /// The epoch is over.
     #[error("epoch {theirs} of shard {shard} is over: {ours} is agreed")]
--- a/src/replication/history.rs
+++ b/src/replication/history.rs
@@ -5,7 +5,7 @@
 use super::{Epoch, Name, Number, ShardId};
 
 /// A note; digests are cut to eight bytes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(tag = "copies", rename_all = "snake_case")]
 pub enum Note {
     /// This process gives a shard's records their numbers from here on.
@@ -91,6 +91,11 @@
         /// The agreed one.
         ours: Epoch,
     },
+    /// All that held a shard were lost, and one that had been left out leads it: it has what was promised until then.
+    Recalled {
+        /// Which shard.
+        shard: ShardId,
+    },
     /// All that held a shard were lost, and it was founded anew: what was promised in it is gone.
     Lost {
         /// Which shard.
--- a/src/replication/leading.rs
+++ b/src/replication/leading.rs
@@ -24,6 +24,8 @@
     before: Place,
     bytes: Arc<[u8]>,
     ticket: Option<Ticket>,
+    /// On how many disks it is to stand before it is promised.
+    want: usize,
 }
 
 /// How one copy is brought along.
@@ -68,6 +70,8 @@
     pub stored: Number,
     /// How far all that count have come.
     pub promised: Number,
+    /// Records up to there that are not told promised, as fewer machines hold the shard than they ask for.
+    pub held: usize,
     tail: VecDeque<Record>,
     bytes: usize,
     owed: usize,
@@ -105,6 +109,7 @@
             stored,
             // What stands here may lack at others; it counts as promised once they have it.
             promised: 0,
+            held: 0,
             tail: VecDeque::new(),
             bytes: 0,
             owed: 0,
@@ -141,12 +146,12 @@
     }
 
     /// One more record.
-    pub fn append(&mut self, bytes: Arc<[u8]>, ticket: Ticket) -> Place {
+    pub fn append(&mut self, bytes: Arc<[u8]>, ticket: Ticket, want: usize) -> Place {
         let before = self.head;
         self.head = before.then(&bytes);
         self.bytes += bytes.len();
         self.owed += bytes.len();
-        self.tail.push_back(Record { before, bytes, ticket: Some(ticket) });
+        self.tail.push_back(Record { before, bytes, ticket: Some(ticket), want });
         self.head
     }
 
@@ -160,23 +165,29 @@
         self.set.iter().chain(self.maybe.difference(&self.set)).filter(move |n| *n != me)
     }
 
-    /// What can be promised now: tickets with their places, in order.
-    pub fn promise(&mut self, me: &Name, without_all: bool) -> Vec<(Ticket, Place)> {
+    /// What can be promised now: tickets with their places, in order. A set may have become smaller since a record was taken:
+    /// one that asks for more disks waits until it is whole again, and holds up nothing behind it.
+    pub fn promise(&mut self, me: &Name, (without_all, without_want): (bool, bool)) -> Vec<(Ticket, Place)> {
+        let disks = self.disks();
         let has = |n: &Name| self.peers.get(n).map_or(0, |p| p.has);
         let all = self.needed(me).map(has).min().unwrap_or(Number::MAX);
         let upto = if without_all { self.stored } else { self.stored.min(all) };
         let mut told = Vec::new();
-        if upto > self.promised {
-            self.promised = upto;
-            for r in self.tail.iter_mut().filter(|r| r.before.number < upto) {
-                if let Some(ticket) = r.ticket.take() {
+        if upto > self.promised || self.held > 0 {
+            self.promised = self.promised.max(upto);
+            self.held = 0;
+            for r in self.tail.iter_mut().filter(|r| r.before.number < upto && r.ticket.is_some()) {
+                if r.want > disks && !without_want {
+                    self.held += 1;
+                } else if let Some(ticket) = r.ticket.take() {
                     self.owed -= r.bytes.len();
                     told.push((ticket, r.before.then(&r.bytes)));
                 }
             }
         }
         // The oldest that all have go first; none that somebody is still owed a promise for.
-        while self.bytes > MOST_TAIL && self.tail.front().is_some_and(|r| r.before.number < self.promised) {
+        let over = |r: &Record| r.before.number < self.promised && r.ticket.is_none();
+        while self.bytes > MOST_TAIL && self.tail.front().is_some_and(over) {
             if let Some(r) = self.tail.pop_front() {
                 self.bytes -= r.bytes.len();
             }
@@ -202,6 +213,13 @@
         }
     }
 
+    /// Another process has begun under a name: what the one before told counts for nothing.
+    pub fn renewed(&mut self, name: &Name) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            (peer.step, peer.has, peer.again) = (Step::Asked, 0, 0);
+        }
+    }
+
     fn chain_at(&self, number: Number) -> Option<super::Chain> {
         if number == self.head.number {
             return Some(self.head.chain);
--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -8,7 +8,7 @@
 use super::history::{short, Note};
 use super::leading::{fits, Leading, Ticket, MOST_OWED};
 use super::order;
-use super::sets::{Disk, Entry, Set, Sets};
+use super::sets::{Disk, Entry, Move, Set, Sets};
 use super::shard::{Pending, Shard, Taken};
 use super::wire::{Body, Told, LONGEST_RECORD};
 use super::{Epoch, Name, Place, ShardId};
@@ -83,7 +83,7 @@
 }
 
 /// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Output {
     /// Say something to another gateway; it may get lost.
     Send(Name, Body),
@@ -117,7 +117,7 @@
     Noted(Note),
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Question {
     ticket: Ticket,
     shard: ShardId,
@@ -125,13 +125,15 @@
 }
 
 /// One gateway's part.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Copies {
     settings: Settings,
     disk: Option<Disk>,
     /// Whether the log knows this process as the one that has its disk.
     known: bool,
     sets: Arc<Sets>,
+    /// The process of each name whose words count.
+    processes: BTreeMap<Name, u64>,
     shards: BTreeMap<ShardId, Shard>,
     heard: BTreeMap<Name, Micros>,
     /// Since when somebody who was left out may come back.
@@ -153,11 +155,12 @@
     pub fn new(settings: Settings, now: Micros) -> Copies {
         let heard = settings.hosts.iter().map(|h| (h.name.clone(), now)).collect();
         Copies {
-            shards: (1..=settings.shards).map(|s| (s, Shard::default())).collect(),
+            shards: (1..=settings.shards).map(|s| (s, Shard::of(settings.process))).collect(),
             settings,
             disk: None,
             known: false,
             sets: Arc::default(),
+            processes: BTreeMap::new(),
             heard,
             calm: BTreeMap::new(),
             asked: BTreeMap::new(),
--- a/src/replication/machine/agreed.rs
+++ b/src/replication/machine/agreed.rs
@@ -29,6 +29,7 @@
 
     /// Takes up what the log says of each shard.
     pub(super) fn take_up(&mut self, now: Micros) {
+        self.look_at_processes();
         let me = self.settings.name.clone();
         for id in 1..=self.settings.shards {
             let set = self.sets.of(id);
@@ -60,7 +61,10 @@
                     let come = (s.place, s.stored());
                     s.leading = Some(Leading::new(now, &me, id, (epoch, members), come));
                     if older.epoch > 0 && older.members.is_empty() {
-                        events.push(Output::Noted(Note::Lost { shard: id }));
+                        events.push(Output::Noted(match older.former.contains_key(&me) {
+                            true => Note::Recalled { shard: id },
+                            false => Note::Lost { shard: id },
+                        }));
                     }
                 }
                 _ => {}
@@ -70,6 +74,25 @@
         }
     }
 
+    /// What processes told that are there no more counts for nothing: those of the same names are asked anew.
+    fn look_at_processes(&mut self) {
+        let news: Vec<Name> = self
+            .sets
+            .disks
+            .iter()
+            .filter(|(name, disk)| self.processes.get(*name) != Some(&disk.process))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in news {
+            if let Some(disk) = self.sets.disks.get(&name) {
+                self.processes.insert(name.clone(), disk.process);
+            }
+            for l in self.shards.values_mut().filter_map(|s| s.leading.as_mut()) {
+                l.renewed(&name);
+            }
+        }
+    }
+
     /// A shard that is led here is opened once those who hold it have told how far they have come: one that has more is to lead
     /// itself, and would be overwritten by what is taken here before.
     pub(super) fn open(&mut self, now: Micros, id: ShardId) {
@@ -129,6 +152,11 @@
                 joining += usize::from(self.lead(now, id, joining < self.settings.repairs));
             } else if self.leaving {
                 // What others lead is theirs.
+            } else if set.members.is_empty() && !set.former.is_empty() {
+                // Who was left out last has what was promised until then; it is waited for.
+                if set.heirs().any(|n| *n == me) {
+                    self.propose(now, id, &set, [me.clone()].into());
+                }
             } else if set.members.is_empty() {
                 let order = order::order(id, &self.settings.hosts);
                 let first = order.iter().find(|n| self.is_heard(now, n, self.settings.silent));
@@ -169,7 +197,8 @@
         let (me, stall, silent) = (self.settings.name.clone(), self.settings.stall, self.settings.silent);
         let Some(l) = self.shards.get(&id).and_then(|s| s.leading.as_ref()) else { return false };
         let (mut members, again) = (l.set.clone(), l.proposed.is_none_or(|t| t + stall / 2 <= now));
-        let set = Set { epoch: l.epoch, primary: Some(me.clone()), process: 0, members: members.clone() };
+        let set =
+            Set { epoch: l.epoch, primary: Some(me.clone()), members: members.clone(), ..Set::default() };
         let unheard = || l.set.iter().find(|n| !self.is_heard(now, n, silent)).cloned();
         let late = l.stalled(now, &me, stall).or_else(unheard);
         let since = late.is_some().then(|| l.late.unwrap_or(now));
@@ -187,11 +216,19 @@
         let (arrived, joining) = (l.arrived(), l.joining().cloned());
         let slow = |n: &Name| !self.is_heard(now, n, silent) || l.is_slow(now, n, GIVES_UP * stall);
         let gone = joining.as_ref().is_some_and(|n| slow(n) && !l.maybe.contains(n));
+        let unsettled = joining.as_ref().is_some_and(|n| slow(n) && l.maybe.contains(n));
         let wanted = late.is_some() || members.len() < self.settings.copies;
         let given_up = since.is_some_and(|t| t + GIVES_UP * stall <= now);
         let next = joining.is_none().then(|| self.next_for(now, id, &members)).flatten();
         let Some(l) = self.shards.get_mut(&id).and_then(|s| s.leading.as_mut()) else { return false };
         l.late = since;
+        if unsettled {
+            // It may have been let in and is not there: the next epoch tells, with or without it.
+            if again {
+                self.propose(now, id, &set, members);
+            }
+            return false;
+        }
         if let (Some(comes), true) = (&arrived, wanted) {
             if again {
                 l.maybe.insert(comes.clone());
@@ -257,8 +294,8 @@
             l.proposed = Some(now);
         }
         let (was, by) = (set.epoch, self.settings.name.clone());
-        let entry = Entry::Change { shard, was, by, primary: to, process: 0, members };
-        self.outputs.push_back(Output::Propose(entry));
+        let entry = Move { shard, was, by, primary: to, process: 0, members, joins: None };
+        self.outputs.push_back(Output::Propose(Entry::Move(entry)));
     }
 
     pub(super) fn propose(&mut self, now: Micros, shard: ShardId, set: &Set, members: BTreeSet<Name>) {
@@ -266,13 +303,11 @@
             l.proposed = Some(now);
         }
         let (me, process) = (self.settings.name.clone(), self.settings.process);
-        self.outputs.push_back(Output::Propose(Entry::Change {
-            shard,
-            was: set.epoch,
-            by: me.clone(),
-            primary: me,
-            process,
-            members,
-        }));
+        // Of one that comes, the disk that told that it has all; it may be lost before this is agreed on.
+        let comes = members.difference(&set.members).find(|n| **n != me).cloned();
+        let joins = comes.and_then(|n| Some((n.clone(), self.sets.disks.get(&n)?.id)));
+        let (was, by) = (set.epoch, me.clone());
+        let entry = Move { shard, was, by, primary: me, process, members, joins };
+        self.outputs.push_back(Output::Propose(Entry::Move(entry)));
     }
 }
--- a/src/replication/machine/records.rs
+++ b/src/replication/machine/records.rs
@@ -26,7 +26,10 @@
                 self.taken(shard, &from, taken);
             }
             Body::Record(..) | Body::Part(..) => {}
-            Body::At(shard, epoch, place) => {
+            // The process before it said so, or one of which the log has not told yet: it is asked anew.
+            Body::At(.., process) | Body::Has(.., process) if self.processes.get(&from) != Some(&process) => {
+            }
+            Body::At(shard, epoch, place, _) => {
                 let ahead =
                     !without.ahead && self.leading(shard, epoch).is_some_and(|l| l.is_ahead(&from, place));
                 if ahead {
@@ -41,7 +44,7 @@
                 }
                 self.open(now, shard);
             }
-            Body::Has(shard, epoch, number) => {
+            Body::Has(shard, epoch, number, _) => {
                 if let Some(l) = self.leading(shard, epoch) {
                     l.has(now, &from, number);
                 }
@@ -134,7 +137,7 @@
             return self.outputs.push_back(refuse(why));
         }
         let bytes: Arc<[u8]> = bytes.into();
-        let place = l.append(bytes.clone(), ticket);
+        let place = l.append(bytes.clone(), ticket, want);
         s.place = place;
         let epoch = s.set.epoch;
         s.push(now, Pending { epoch, from: None, place, whole: false });
@@ -166,9 +169,9 @@
     }
 
     pub(super) fn promise(&mut self, shard: ShardId) {
-        let (me, all) = (self.settings.name.clone(), self.settings.without.all);
+        let (me, without) = (self.settings.name.clone(), self.settings.without);
         let Some(l) = self.shards.get_mut(&shard).and_then(|s| s.leading.as_mut()) else { return };
-        let (told, epoch, disks) = (l.promise(&me, all), l.epoch, l.disks());
+        let (told, epoch, disks) = (l.promise(&me, (without.all, without.want)), l.epoch, l.disks());
         for (ticket, place) in told {
             let (number, chain) = (place.number, short(&place.chain));
             self.note(Note::Promised { shard, epoch, number, chain, disks });
@@ -208,7 +211,8 @@
             said.extend(l.say(now, retry));
         }
         said.into_iter().for_each(|(to, body)| self.say(to, body));
-        if !self.shards.values().any(|s| s.leading.as_ref().is_some_and(|l| l.promised < l.head.number)) {
+        let waits = |l: &Leading| l.promised < l.head.number || l.held > 0;
+        if !self.shards.values().any(|s| s.leading.as_ref().is_some_and(waits)) {
             return;
         }
         let all: Vec<ShardId> = self.shards.keys().copied().collect();
--- a/src/replication/machine/soundness.rs
+++ b/src/replication/machine/soundness.rs
@@ -91,8 +91,12 @@
     pub(super) fn give_to(&mut self, now: Micros, shard: ShardId, to: Name) {
         let Some(l) = self.shards.get(&shard).and_then(|s| s.leading.as_ref()) else { return };
         let (epoch, members) = (l.epoch, l.set.clone());
-        let set =
-            Set { epoch, primary: Some(self.settings.name.clone()), process: 0, members: members.clone() };
+        let set = Set {
+            epoch,
+            primary: Some(self.settings.name.clone()),
+            members: members.clone(),
+            ..Set::default()
+        };
         self.hand_over(now, shard, &set, members, to);
     }
 
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -20,6 +20,8 @@
 pub mod identities;
 pub mod leading;
 pub mod machine;
+#[cfg(test)]
+mod model;
 pub mod order;
 pub mod sets;
 pub mod shard;
--- a/src/replication/order.rs
+++ b/src/replication/order.rs
@@ -6,7 +6,7 @@
 use super::{Name, ShardId};
 
 /// A gateway that may hold copies, and where it stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Host {
     /// Its name.
     pub name: Name,
--- a/src/replication/sets.rs
+++ b/src/replication/sets.rs
@@ -14,7 +14,7 @@
 pub const MOST_DISKS: usize = 1024;
 
 /// A disk, and the process that has it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Disk {
     /// Drawn when it was made.
     pub id: u64,
@@ -35,10 +35,52 @@
     pub process: u64,
     /// All whose disks hold what was promised, the primary among them.
     pub members: BTreeSet<Name>,
+    /// Those that were left out where nobody came in their place, and the epoch at which they were: their disks have all that was
+    /// promised until then, should those of the members be lost.
+    pub former: BTreeMap<Name, Epoch>,
+    /// How many members there were before.
+    pub whole: usize,
+}
+
+impl Set {
+    /// Those of whom one may lead after all members were lost: who was left out last has the most.
+    pub fn heirs(&self) -> impl Iterator<Item = &Name> {
+        let last = self.former.values().max().copied();
+        self.former.iter().filter(move |(_, e)| Some(**e) == last).map(|(n, _)| n)
+    }
+
+    fn left(mut self, epoch: Epoch, members: &BTreeSet<Name>) -> (BTreeMap<Name, Epoch>, usize) {
+        if members.len() < self.members.len() {
+            self.whole = self.whole.max(self.members.len());
+            self.former.extend(self.members.difference(members).map(|n| (n.clone(), epoch)));
+        }
+        if members.len() >= self.whole {
+            // As many disks as before have all again.
+            (self.former, self.whole) = (BTreeMap::new(), 0);
+        }
+        self.former.retain(|n, _| !members.contains(n));
+        (self.former, self.whole)
+    }
+}
+
+/// Sets as they were written before it was remembered who was left out.
+#[derive(Deserialize)]
+pub struct Earlier {
+    disks: BTreeMap<Name, Disk>,
+    shards: BTreeMap<ShardId, (Epoch, Option<Name>, u64, BTreeSet<Name>)>,
+}
+
+impl From<Earlier> for Sets {
+    fn from(e: Earlier) -> Sets {
+        let set = |(shard, (epoch, primary, process, members))| {
+            (shard, Set { epoch, primary, process, members, ..Set::default() })
+        };
+        Sets { disks: e.disks, shards: e.shards.into_iter().map(set).collect() }
+    }
 }
 
 /// An entry of the agreed log.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Entry {
     /// A process has begun on a disk.
     Begun {
@@ -47,7 +89,8 @@
         /// The disk.
         disk: Disk,
     },
-    /// A shard's set is to change.
+    /// A shard's set is to change, as versions before this one proposed it. It is applied as it was then, so that all come to
+    /// the same from the same log.
     Change {
         /// Which shard.
         shard: ShardId,
@@ -62,6 +105,27 @@
         /// The set from here on.
         members: BTreeSet<Name>,
     },
+    /// A shard's set is to change.
+    Move(Move),
+}
+
+/// A change of a shard's set.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Move {
+    /// Which shard.
+    pub shard: ShardId,
+    /// The epoch that it follows.
+    pub was: Epoch,
+    /// Who asks.
+    pub by: Name,
+    /// The primary from here on.
+    pub primary: Name,
+    /// Its process; 0 if whoever asks does not know it.
+    pub process: u64,
+    /// The set from here on.
+    pub members: BTreeSet<Name>,
+    /// Who comes, and the number of the disk that has all: it may have been lost since.
+    pub joins: Option<(Name, u64)>,
 }
 
 impl Entry {
@@ -70,6 +134,7 @@
         match self {
             Entry::Begun { name, .. } => name,
             Entry::Change { by, .. } => by,
+            Entry::Move(m) => &m.by,
         }
     }
 }
@@ -100,9 +165,33 @@
                 self.shards.insert(*shard, set);
                 true
             }
+            Entry::Move(m) => {
+                let Some(set) = self.moved(m) else { return false };
+                self.shards.insert(m.shard, set);
+                true
+            }
         }
     }
 
+    /// The set that a move leads to, if it may take hold.
+    fn moved(&self, m: &Move) -> Option<Set> {
+        let now = self.of(m.shard);
+        let mut after = self.after(m.shard, m.was, &m.by, &m.primary, m.process, &m.members)?;
+        let comes: Vec<&Name> = m.members.difference(&now.members).collect();
+        // Founded anew, it is by one that has what was promised until it was left out, if there is one.
+        let heirs: Vec<&Name> = now.heirs().collect();
+        let may = match (now.members.is_empty(), comes.as_slice(), &m.joins) {
+            (true, _, None) => heirs.is_empty() || heirs.contains(&&m.by),
+            (false, [], None) => true,
+            (false, [one], Some((name, disk))) => {
+                *one == name && self.disks.get(name).is_some_and(|d| d.id == *disk)
+            }
+            _ => false,
+        };
+        (after.former, after.whole) = now.left(m.was + 1, &m.members);
+        may.then_some(after)
+    }
+
     fn begun(&mut self, name: &Name, disk: Disk) -> bool {
         let known = self.disks.get(name).copied();
         match known {
@@ -113,6 +202,9 @@
         self.disks.insert(name.clone(), disk);
         if known.is_some_and(|k| k.id != disk.id) {
             // What it held is gone with the old disk.
+            for set in self.shards.values_mut() {
+                set.former.remove(name);
+            }
             for set in self.shards.values_mut().filter(|s| s.members.contains(name)) {
                 set.epoch += 1;
                 set.members.remove(name);
@@ -150,8 +242,11 @@
             // One that has all takes over, and lets nobody in by the same word.
             now.members.contains(by) && by == primary && members.is_subset(&now.members)
         };
-        let members = members.clone();
-        (sound && may).then_some(Set { epoch: was + 1, primary: Some(primary.clone()), process, members })
+        if !(sound && may) {
+            return None;
+        }
+        let (primary, members) = (Some(primary.clone()), members.clone());
+        Some(Set { epoch: was + 1, primary, process, members, ..now })
     }
 }
 
@@ -168,6 +263,24 @@
         Entry::Change { shard: 1, was, by: n(by), primary: n(primary), process: 9, members }
     }
 
+    fn step(was: Epoch, by: &str, members: &[&str], joins: Option<(&str, u64)>) -> Entry {
+        let members = members.iter().map(|m| n(m)).collect();
+        let joins = joins.map(|(name, disk)| (n(name), disk));
+        Entry::Move(Move { shard: 1, was, by: n(by), primary: n(by), process: 9, members, joins })
+    }
+
+    /// The word by which somebody is let in comes late; its machine was lost since, and it has begun on an empty disk.
+    #[test]
+    fn one_that_lost_its_disk_before_it_was_let_in_is_not() {
+        let mut s = three();
+        assert!(s.apply(&step(0, "a", &["a"], None)));
+        assert!(!s.clone().apply(&step(1, "a", &["a", "b"], None)), "nobody says which disk has all");
+        assert!(s.clone().apply(&step(1, "a", &["a", "b"], Some(("b", 2)))));
+        assert!(s.apply(&begun("b", 77, 1)));
+        assert!(!s.apply(&step(1, "a", &["a", "b"], Some(("b", 2)))));
+        assert!(s.apply(&step(1, "a", &["a", "b"], Some(("b", 77)))));
+    }
+
     fn begun(name: &str, id: u64, boot: u64) -> Entry {
         Entry::Begun { name: n(name), disk: Disk { id, boot, process: id * 100 + boot } }
     }
@@ -198,6 +311,39 @@
         assert_eq!((s.of(1).epoch, s.of(1).primary), (3, Some(n("b"))));
     }
 
+    /// A set is left smaller, and then its last disk is lost: only who was left out may lead, as it has what was promised.
+    #[test]
+    fn who_was_left_out_is_asked_before_a_shard_is_founded_anew() {
+        let mut s = three();
+        let b = Some(("b", 2));
+        let c = Some(("c", 3));
+        for (was, members, joins) in [
+            (0, &["a"][..], None),
+            (1, &["a", "b"], b),
+            (2, &["a", "b", "c"], c),
+            (3, &["a", "b"], None),
+            (4, &["a"], None),
+        ] {
+            assert!(s.apply(&step(was, "a", members, joins)), "{was}");
+        }
+        assert!(s.apply(&begun("a", 70, 1)), "its disk is lost");
+        assert_eq!((s.of(1).epoch, s.of(1).members.len()), (6, 0));
+        assert!(!s.clone().apply(&step(6, "a", &["a"], None)), "it has nothing");
+        assert!(!s.clone().apply(&step(6, "c", &["c"], None)), "b was left out after c");
+        assert!(s.clone().apply(&step(6, "b", &["b"], None)));
+        assert!(s.apply(&begun("b", 71, 1)), "that disk is lost, too");
+        assert!(s.apply(&step(6, "c", &["c"], None)));
+        assert_eq!(s.of(1).former, BTreeMap::new());
+        // A set that is whole again needs nobody who was left out.
+        let (a, b) = (Some(("a", 70)), Some(("b", 71)));
+        for (was, members, joins) in
+            [(7, &["c", "a"][..], a), (8, &["c"], None), (9, &["c", "b"], b), (10, &["c", "b", "a"], a)]
+        {
+            assert!(s.apply(&step(was, "c", members, joins)), "{was}");
+        }
+        assert_eq!((s.of(1).former.len(), s.of(1).whole), (0, 0));
+    }
+
     #[test]
     fn a_lost_disk_and_yesterdays_leave_every_set() {
         let mut s = three();
--- a/src/replication/shard.rs
+++ b/src/replication/shard.rs
@@ -58,6 +58,8 @@
     pub since: Option<Micros>,
     /// The ranges that are not what was written, if the disk was found to be damaged.
     pub unsound: Option<Vec<u8>>,
+    /// This process.
+    pub process: u64,
     /// Whether it was told that a damaged disk waits for another that has the shard whole.
     pub waiting: bool,
     /// The shard while it is led here.
@@ -68,6 +70,11 @@
 }
 
 impl Shard {
+    /// One that is not known of yet, at a process.
+    pub fn of(process: u64) -> Shard {
+        Shard { process, ..Shard::default() }
+    }
+
     /// How far the disk has come.
     pub fn stored(&self) -> u64 {
         self.pending.front().map_or(self.place.number, |_| {
@@ -103,7 +110,9 @@
             Err(e) => Some(Taken::Declined(e)),
             Ok(false) => None,
             Ok(true) if self.unsound.is_some() => Some(Taken::Say(Body::Unsound(shard, epoch))),
-            Ok(true) if self.pending.is_empty() => Some(Taken::Say(Body::At(shard, epoch, self.place))),
+            Ok(true) if self.pending.is_empty() => {
+                Some(Taken::Say(Body::At(shard, epoch, self.place, self.process)))
+            }
             Ok(true) => {
                 self.waits = Some((from.clone(), epoch));
                 None
@@ -203,12 +212,12 @@
         let counts =
             self.leading.is_none() && self.unsound.is_none() && (without || done.epoch == self.set.epoch);
         if let Some(from) = done.from.clone().filter(|_| counts) {
-            said.push((from, Body::Has(shard, done.epoch, done.place.number)));
+            said.push((from, Body::Has(shard, done.epoch, done.place.number, self.process)));
         }
         if self.pending.is_empty() {
             if let Some((to, epoch)) = self.waits.take() {
                 if epoch == self.set.epoch && self.leading.is_none() && self.unsound.is_none() {
-                    said.push((to, Body::At(shard, epoch, self.place)));
+                    said.push((to, Body::At(shard, epoch, self.place, self.process)));
                 }
             }
         }
--- a/src/replication/tests.rs
+++ b/src/replication/tests.rs
@@ -598,12 +598,13 @@
         w.council = false;
         w.run(430 * MS);
         let number = place(&w.gateways[first].disk.shards[&1]).number + 1;
+        let told = w.log.last().unwrap().disks[&name(second)].process;
         w.tickets += 1;
         let ticket = w.tickets;
         w.asked.insert(ticket, (1, vec![1]));
         w.give(first, Input::Append { shard: 1, ticket, bytes: vec![1], want: 0 });
         w.run(10 * MS);
-        w.give(first, Input::Frame(name(second), Body::Has(1, set.epoch, number)));
+        w.give(first, Input::Frame(name(second), Body::Has(1, set.epoch, number, told)));
         assert_eq!(w.promised.contains(&ticket), process);
     }
 }
--- a/src/replication/wire.rs
+++ b/src/replication/wire.rs
@@ -13,18 +13,18 @@
 pub const LONGEST_SNAPSHOT: usize = 64 << 20;
 
 /// What a frame says.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Body {
     /// Nothing but that it is there.
     Here,
     /// The primary asks how far a copy has come.
     Where(ShardId, Epoch),
-    /// How far it has come.
-    At(ShardId, Epoch, Place),
+    /// How far it has come, and which process says so.
+    At(ShardId, Epoch, Place, u64),
     /// A record, and the place before it.
     Record(ShardId, Epoch, Place, Vec<u8>),
-    /// A copy has all up to this on its disk.
-    Has(ShardId, Epoch, Number),
+    /// A copy has all up to this on its disk, and which process says so.
+    Has(ShardId, Epoch, Number, u64),
     /// A part of a snapshot as of a place: which part, whether it is the last, its bytes.
     Part(ShardId, Epoch, Place, u32, bool, Vec<u8>),
     /// A copy has taken a part of a snapshot.
@@ -40,7 +40,7 @@
 }
 
 /// What a primary answers.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Told {
     /// It is promised, and stands on so many machines.
     Promised(u8),
