Go on telling all of an endpoint that was switched off while nobody could agree

An endpoint switched off by failure without a majority of the council was proposed once: when the wait ended the registry held the endpoint as already switched off, which was taken for somebody else's change, so that only this gateway knew. It is wanted again now as it stands here, unless that very endpoint was changed.

--- a/src/node/tenants.rs
+++ b/src/node/tenants.rs
@@ -236,15 +236,20 @@
                     admin::problem(status, &text, Some(why.remedy()), stays)
                 });
             }
-            // Switched off it stays on what others have changed since, unless that was this very endpoint.
+            // Switched off it stays, on what others have changed since, unless that was this very endpoint; also where nobody
+            // agreed in time, and only this gateway knows.
             Some(Waits::Disabled(id, version)) if why.may_come_again() => {
-                let untouched =
-                    |(_, t): (_, &Tenant)| t.endpoint(id).is_some_and(|(_, e)| e.version == version);
-                if !self.second.tenants.iter().any(untouched) {
-                    return;
-                }
-                if let Some((tenant, _)) = self.second.tenants.disable(id) {
-                    self.agree_on_disabled(now, &tenant, id);
+                let of = |(name, t): (&String, &Tenant)| Some((name.clone(), t.endpoint(id)?.1.version));
+                let found = self.second.tenants.iter().find_map(of);
+                match found {
+                    Some((tenant, now_at)) if now_at == version => {
+                        self.second.tenants.disable(id);
+                        self.agree_on_disabled(now, &tenant, id);
+                    }
+                    Some((tenant, now_at)) if now_at == version + 1 => {
+                        self.agree_on_disabled(now, &tenant, id)
+                    }
+                    _ => {}
                 }
             }
             _ => {}
