Nothing begins for a client that has gone, after a window, or for want of descriptors

- A client that left while its attempt waited for a connection was followed by that attempt, up to a connect's time later, where the settings allow no cancelling (module: on_client_gone does nothing then).
The core now recalls what has not begun at every end of a request (*: closed, reset, shut for writing).
- A repeat of a keyed call could leave after its window, while its connection came up: its last moment is now a deadline of the core's (*).
- A 'missed' that came a second time was taken for the answer to the next attempt of the same call on the same connection, so that a call that must not run twice was sent a third time while the second ran.
Such a call now goes on another connection (*).
- At the end of the listener whoever the machine had accepted was reset: stop_accepting asked the lifecycle, which said no by then (*).
Half a request then was turned away with 408 whatever time it had left (*).
- A notice that could not be read moved the list's number to whatever number stood before it: what it told, say a drain, was lost, or with a large number all later ones.
- Clients could hold all but 56 descriptors; workers then got no connection, and each was taken for dead, as an end by this side's limits counted as a failed connect.
Clients get half, and the limits are told apart (*: 90 workers, 160 descriptors).
- A worker's answer read in the turn in which the deadline was found to have passed lost against it (*).
- An order or attempt decided on before a drain was read is looked at again where its bytes leave.

Tests of the files touched moved to files of their own; src/core.rs became a folder.

--- a/lab/src/emulator/mod.rs
+++ b/lab/src/emulator/mod.rs
@@ -664,6 +664,8 @@
                 );
             }
             Command::Halt { attempt, why } => self.ended(n, attempt, why, Left::Some),
+            // Nothing waits in a buffer here: what was sent has begun.
+            Command::Recall { .. } => {}
             Command::Stage { order, worker, function, copies } => {
                 let i = &mut self.instances[n];
                 if let Some(l) = i.loads.as_mut().filter(|_| copies > 0) {
--- a/src/core.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,9 @@
 use crate::counters::{Counters, Ends, Final};
 use crate::ending::{Ending, Left};
 
+mod command;
+pub use command::{Answer, Back, Call, Command};
+
 new_key_type! {
     /// The slot of a request; a stale key names nothing.
     pub struct RequestKey;
@@ -29,6 +32,8 @@
 enum Due {
     Wake(u64),
     Attempt(u64),
+    /// An attempt that has not begun by now must not begin.
+    Begin(u64),
     Request(u64),
     Order(u64),
     Probe(u64),
@@ -45,121 +50,6 @@
     pub number: u64,
 }
 
-/// A call as a front hands it in.
-#[derive(Clone, Debug)]
-pub struct Call<O> {
-    /// Whose answer it is; handed back with it.
-    pub origin: O,
-    /// The identity that workers are told.
-    pub id: Rc<str>,
-    /// What the worker gets.
-    pub body: Rc<[u8]>,
-    /// What the module is told; the core numbers the request.
-    pub arrival: Arrival,
-}
-
-impl<O> Call<O> {
-    /// The same call with another origin.
-    pub fn with<P>(self, origin: P) -> Call<P> {
-        let Call { id, body, arrival, .. } = self;
-        Call { origin, id, body, arrival }
-    }
-}
-
-/// The final answer to a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// A worker's body.
-    Served(Vec<u8>),
-    /// Refused: trying again is harmless, after this time.
-    Refused {
-        /// The module's advice.
-        retry_after: Micros,
-    },
-    /// Failed; promises nothing.
-    Failed,
-}
-
-/// What the sockets' side is to do.
-#[derive(Debug)]
-pub enum Command<O> {
-    /// Send an attempt.
-    Go {
-        /// Names it until it has ended.
-        attempt: AttemptKey,
-        /// To whom.
-        worker: WorkerId,
-        /// The request's identity.
-        id: Rc<str>,
-        /// Its class.
-        class: ClassId,
-        /// The function.
-        function: FunctionId,
-        /// When the gateway stops waiting.
-        expires: Micros,
-        /// The payload.
-        body: Rc<[u8]>,
-    },
-    /// An attempt is given up: take it back or tell the worker, and report its ending with how much of it
-    /// had left.
-    Halt {
-        /// Which.
-        attempt: AttemptKey,
-        /// The ending to report.
-        why: Ending,
-    },
-    /// Send an order to load.
-    Stage {
-        /// Names it until it has ended.
-        order: OrderKey,
-        /// To whom.
-        worker: WorkerId,
-        /// What.
-        function: FunctionId,
-        /// How many copies; 0 only asks.
-        copies: u8,
-    },
-    /// Nobody waits for an order any more: take it back if it has not left, and report it as timed out.
-    Forget {
-        /// Which.
-        order: OrderKey,
-    },
-    /// Have idle copies unloaded.
-    Purge {
-        /// To whom.
-        worker: WorkerId,
-        /// What.
-        function: FunctionId,
-    },
-    /// Probe a worker.
-    Probe {
-        /// Names it until it has ended.
-        probe: ProbeKey,
-        /// Whom.
-        worker: WorkerId,
-    },
-    /// The one final answer to a call.
-    Answer {
-        /// Whose.
-        origin: O,
-        /// What.
-        answer: Answer,
-    },
-}
-
-/// What came back with an attempt's end.
-#[derive(Debug, Default)]
-pub struct Back {
-    /// The answer's body.
-    pub body: Vec<u8>,
-    /// What it tells of the copy.
-    pub warmth: Option<Warmth>,
-    /// Requests of the function that the worker held.
-    pub crowd: u32,
-    /// The worker's report.
-    pub report: Option<Report>,
-}
-
 /// A function as the wire names it.
 struct Hex(u64);
 
@@ -176,8 +66,8 @@
     attempts: u8,
     out: Option<AttemptKey>,
     answered: bool,
-    /// Whether an attempt was sent that is not proved never to have run.
-    may_have_run: bool,
+    /// When the first attempt was sent that is not proved never to have run.
+    ran_from: Option<Micros>,
 }
 
 #[derive(Debug)]
@@ -187,6 +77,8 @@
     number: u8,
     sent: Micros,
     expires: Micros,
+    /// When it must have begun, if it may not begin at any time.
+    begin_by: Option<Micros>,
 }
 
 /// The decisions and everything that is open.
@@ -195,7 +87,8 @@
     brain: Brain,
     grace: Micros,
     order_limit: Micros,
-    safe: Vec<bool>,
+    /// What repeating does, by class.
+    effects: Vec<Effect>,
     requests: SlotMap<RequestKey, Request<O>>,
     by_id: HashMap<RequestId, RequestKey>,
     /// The identities of all that is open.
@@ -221,13 +114,13 @@
     /// A core that knows only the settings.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Core<O> {
         let (grace, order_limit) = (settings.answer_grace, settings.order_limit);
-        let safe: Vec<bool> = settings.classes.iter().map(|c| c.effect == Effect::Safe).collect();
-        let counters = Counters { ends: vec![Ends::default(); safe.len()], ..Counters::default() };
+        let effects: Vec<Effect> = settings.classes.iter().map(|c| c.effect).collect();
+        let counters = Counters { ends: vec![Ends::default(); effects.len()], ..Counters::default() };
         Core {
             brain: Brain::new(settings, seed, now),
             grace,
             order_limit: if order_limit == 0 { 10_000_000 } else { order_limit },
-            safe,
+            effects,
             requests: SlotMap::with_key(),
             by_id: HashMap::new(),
             ids: HashSet::new(),
@@ -311,6 +204,10 @@
                     let key = AttemptKey::from(KeyData::from_ffi(k));
                     self.commands.push_back(Command::Halt { attempt: key, why: Ending::TimedOut });
                 }
+                Due::Begin(k) => {
+                    let key = AttemptKey::from(KeyData::from_ffi(k));
+                    self.commands.push_back(Command::Recall { attempt: key, why: Ending::Withdrawn });
+                }
                 Due::Request(k) => self.overdue(RequestKey::from(KeyData::from_ffi(k))),
                 Due::Order(k) => {
                     self.commands.push_back(Command::Forget { order: OrderKey::from(KeyData::from_ffi(k)) });
@@ -365,7 +262,7 @@
             attempts: 0,
             out: None,
             answered: false,
-            may_have_run: false,
+            ran_from: None,
         });
         self.by_id.insert(brain_id, key);
         // The module answers by the deadline; this guards the one answer against its oversight.
@@ -382,6 +279,7 @@
         r.answered = true;
         let request = r.brain_id;
         self.counters.left += 1;
+        self.recall(key);
         self.feed(now, Event::ClientGone { request });
         self.drop_finished(key);
     }
@@ -396,11 +294,16 @@
     pub fn ended(&mut self, now: Micros, key: AttemptKey, ending: Ending, left: Left, back: Back) {
         let Some(a) = self.attempts.remove(key) else { return };
         self.deadlines.remove(&(a.expires, Due::Attempt(key.data().as_ffi())));
+        if let Some(at) = a.begin_by {
+            self.deadlines.remove(&(at, Due::Begin(key.data().as_ffi())));
+        }
         self.counters.ended(ending);
         let Some(r) = self.requests.get_mut(a.request) else { return };
         r.out = None;
         let outcome = ending.outcome(left);
-        r.may_have_run |= !crate::brain::never_ran(outcome);
+        if !crate::brain::never_ran(outcome) {
+            r.ran_from.get_or_insert(a.sent);
+        }
         let first = outcome == Outcome::Ok && !r.answered;
         if first {
             r.answered = true;
@@ -464,12 +367,24 @@
         self.feed(now, Event::Probed { worker, outcome: ending.outcome(Left::Some), report });
     }
 
-    /// Whether refusing this call is harmless: its class is safe, or nothing of it can have run.
+    /// A request has its end: an attempt of it that has not begun must not begin any more, whether or not the
+    /// settings let one be cancelled that has.
+    fn recall(&mut self, key: RequestKey) {
+        let Some(attempt) = self.requests.get(key).and_then(|r| r.out) else { return };
+        self.commands.push_back(Command::Recall { attempt, why: Ending::CalledOff });
+    }
+
+    fn effect_of(&self, class: ClassId) -> Effect {
+        self.effects.get(class.0 as usize).copied().unwrap_or_default()
+    }
+
+    /// The module has let a request's time pass: it is refused where that is harmless (its class is safe, or nothing of
+    /// it can have run), and has failed otherwise.
     fn overdue(&mut self, key: RequestKey) {
         let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
         r.answered = true;
-        let safe = self.safe.get(r.call.arrival.class.0 as usize).copied().unwrap_or(false);
-        let (answer, how) = if (safe || !r.may_have_run) && r.out.is_none() {
+        let safe = self.effects.get(r.call.arrival.class.0 as usize) == Some(&Effect::Safe);
+        let (answer, how) = if (safe || r.ran_from.is_none()) && r.out.is_none() {
             (Answer::Refused { retry_after: 0 }, Final::Refused)
         } else {
             (Answer::Failed, Final::Failed)
@@ -477,6 +392,7 @@
         self.counters.answered(r.call.arrival.class, how);
         self.counters.overdue += 1;
         self.commands.push_back(Command::Answer { origin: r.call.origin.clone(), answer });
+        self.recall(key);
         self.drop_finished(key);
     }
 
@@ -546,15 +462,26 @@
 
     fn send(&mut self, now: Micros, request: RequestId, worker: WorkerId, within: Option<Micros>) {
         let Some(&key) = self.by_id.get(&request) else { return };
+        let class = self.requests.get(key).map_or(ClassId::default(), |r| r.call.arrival.class);
+        let effect = self.effect_of(class);
         let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered && r.out.is_none()) else { return };
+        // Workers drop repeats for so long only; a connection that is still coming up may not carry one past that.
+        let begin_by = match effect {
+            Effect::Keyed { window, .. } => r.ran_from.map(|from| from + window),
+            Effect::Safe | Effect::Unsafe => None,
+        };
         let expires = within.map_or(r.call.arrival.expires, |w| r.call.arrival.expires.min(now + w));
         let number = r.attempts;
         r.attempts = r.attempts.saturating_add(1);
-        let attempt = self.attempts.insert(Attempt { request: key, worker, number, sent: now, expires });
+        let attempt = Attempt { request: key, worker, number, sent: now, expires, begin_by };
+        let attempt = self.attempts.insert(attempt);
         r.out = Some(attempt);
         self.counters.sent += 1;
         tracing::debug!(call = request.0, worker = worker.0, "sent");
         self.deadlines.insert((expires, Due::Attempt(attempt.data().as_ffi())));
+        if let Some(at) = begin_by {
+            self.deadlines.insert((at, Due::Begin(attempt.data().as_ffi())));
+        }
         self.commands.push_back(Command::Go {
             attempt,
             worker,
@@ -574,215 +501,10 @@
         self.counters.answered(r.call.arrival.class, if refused { Final::Refused } else { Final::Failed });
         tracing::debug!(call = request.0, ?answer, "given up");
         self.commands.push_back(Command::Answer { origin: r.call.origin.clone(), answer });
+        self.recall(key);
         self.drop_finished(key);
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::collections::BTreeMap;
-
-    const SECOND: Micros = 1_000_000;
-
-    fn settings() -> Settings {
-        let class = |effect| Class { aim: SECOND, deadline: 2 * SECOND, worth: 1.0, late_worth: 0.2, effect };
-        Settings {
-            instances: 1,
-            tick: 4_000,
-            classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
-            answer_grace: 16_000,
-            keep: 8 * SECOND,
-            may_load: true,
-            may_cancel: true,
-            on_miss: OnMiss::Answers,
-            max_attempts: 3,
-            ..Settings::default()
-        }
-    }
-
-    fn member(id: u32) -> Member {
-        Member {
-            worker: WorkerId(id),
-            zone: ZoneId(0),
-            cell: CellId(0),
-            status: Status::Ready,
-            capacity: 1.0,
-            started: None,
-        }
-    }
-
-    fn call(origin: u32, now: Micros) -> Call<u32> {
-        let arrival = Arrival {
-            request: RequestId(0),
-            class: ClassId((origin % 2) as u8),
-            tenant: TenantId(0),
-            function: FunctionId(u64::from(origin % 5)),
-            expires: now + SECOND / 2 + Micros::from(origin % 7) * 100_000,
-            work: None,
-            memory_mb: 1.0,
-            lanes: 2,
-            load_time: None,
-        };
-        Call { origin, id: format!("{origin:016x}").into(), body: Rc::from(&b""[..]), arrival }
-    }
-
-    /// Workers that answer, miss, fail, say nothing, or whose connections end, in a fixed pseudo-random order:
-    /// each call gets one answer by its time, no attempt of a booking follows one that may have run, and no
-    /// call has two attempts out.
-    #[test]
-    fn whatever_workers_do_each_call_gets_one_answer_in_time() {
-        let mut core: Core<u32> = Core::new(settings(), 3, 0);
-        core.members(1, ListKind::Full, (1..5).map(member).collect());
-        let mut state = 9u64;
-        let mut next = |n: u64| {
-            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-            (state >> 33) % n
-        };
-        let mut answers: BTreeMap<u32, u32> = BTreeMap::new();
-        let mut due: BTreeMap<u32, Micros> = BTreeMap::new();
-        let mut out: BTreeMap<AttemptKey, Rc<str>> = BTreeMap::new();
-        let mut ran: BTreeSet<Rc<str>> = BTreeSet::new();
-        let mut now = 1;
-        for step in 0..6_000u32 {
-            now += 2_000;
-            if step < 4_000 && step % 4 == 0 {
-                let c = call(step, now);
-                due.insert(step, c.arrival.expires);
-                core.call(now, c);
-            }
-            core.tick(now, &mut Vec::new());
-            while let Some(command) = core.command() {
-                match command {
-                    Command::Go { attempt, id, class, .. } => {
-                        assert!(!out.values().any(|i| *i == id), "two attempts out");
-                        assert!(class == ClassId(0) || !ran.contains(&id), "a booking may run twice");
-                        out.insert(attempt, id);
-                    }
-                    Command::Halt { attempt, why } => {
-                        if let Some(id) = out.remove(&attempt) {
-                            ran.insert(id);
-                        }
-                        core.ended(now, attempt, why, Left::Some, Back::default());
-                    }
-                    Command::Stage { order, copies, .. } => {
-                        let ending = if next(3) == 0 { Ending::NoRoom } else { Ending::Served };
-                        core.order_ended(now, order, ending, Left::Some, u32::from(copies));
-                    }
-                    Command::Answer { origin, .. } => {
-                        *answers.entry(origin).or_default() += 1;
-                        assert!(now <= due[&origin] + 20_000, "{origin} is late");
-                    }
-                    _ => {}
-                }
-            }
-            let ready: Vec<AttemptKey> = out.keys().copied().filter(|_| next(12) == 0).collect();
-            for attempt in ready {
-                let (ending, left) = match next(8) {
-                    0 => (Ending::Missed, Left::Some),
-                    1 => (Ending::Failed, Left::Some),
-                    2 => (Ending::Reset, Left::Some),
-                    3 => (Ending::Reset, Left::Nothing),
-                    4 => continue,
-                    _ => (Ending::Served, Left::Some),
-                };
-                let id = out.remove(&attempt).unwrap();
-                if !crate::brain::never_ran(ending.outcome(left)) {
-                    ran.insert(id);
-                }
-                core.ended(now, attempt, ending, left, Back::default());
-                core.ended(now, attempt, Ending::Served, Left::Some, Back::default());
-            }
-        }
-        assert_eq!((answers.len(), core.open()), (1_000, 0));
-        assert!(answers.values().all(|n| *n == 1));
-        assert_eq!(core.counters.overdue, 0, "the module itself kept the time");
-        assert!(core.requests.is_empty() && core.attempts.is_empty() && core.by_id.is_empty());
-    }
-
-    use proptest::prelude::*;
-
-    proptest! {
-        /// The books hold after every step, whatever comes in whatever order: a call that was taken is open, has one
-        /// of the three final answers, in all and in its class, or its client left.
-        #[test]
-        fn what_was_taken_has_ended_or_is_pending(
-            steps in proptest::collection::vec((0..8u8, any::<prop::sample::Index>()), 1..200),
-        ) {
-            let mut core: Core<u32> = Core::new(settings(), 3, 0);
-            core.members(1, ListKind::Full, (1..4).map(member).collect());
-            let (mut now, mut out, mut open) = (1, Vec::new(), Vec::new());
-            for (n, (what, which)) in steps.into_iter().enumerate() {
-                now += 50_000;
-                match what {
-                    0..=2 => open.push(core.call(now, call(n as u32, now))),
-                    3 if !open.is_empty() => core.caller_gone(now, open.swap_remove(which.index(open.len()))),
-                    4 => core.turned_away(ClassId(1)),
-                    5..=7 if !out.is_empty() => {
-                        let attempt = out.swap_remove(which.index(out.len()));
-                        let ending = [Ending::Served, Ending::Failed, Ending::Missed][usize::from(what) - 5];
-                        core.ended(now, attempt, ending, Left::Some, Back::default());
-                    }
-                    _ => {}
-                }
-                core.tick(now, &mut Vec::new());
-                while let Some(command) = core.command() {
-                    match command {
-                        Command::Go { attempt, .. } => out.push(attempt),
-                        Command::Halt { attempt, why } => {
-                            out.retain(|a| *a != attempt);
-                            core.ended(now, attempt, why, Left::Some, Back::default());
-                        }
-                        Command::Stage { order, copies, .. } => {
-                            core.order_ended(now, order, Ending::Served, Left::Some, u32::from(copies));
-                        }
-                        _ => {}
-                    }
-                }
-                let c = &core.counters;
-                let by_class = |of: fn(&Ends) -> u64| c.ends.iter().map(of).sum::<u64>();
-                prop_assert_eq!(c.taken, c.served + c.refused + c.failed + c.left + core.open() as u64);
-                prop_assert_eq!(by_class(|e| e.served), c.served);
-                prop_assert_eq!(by_class(|e| e.refused), c.refused);
-                prop_assert_eq!(by_class(|e| e.failed), c.failed);
-            }
-        }
-    }
-
-    /// Guards the processor: at a high rate all that is held was looked over for each event, which took more time
-    /// the more was held, and so more was.
-    #[test]
-    fn what_comes_in_one_turn_is_decided_on_at_once() {
-        let mut core: Core<u32> = Core::new(settings(), 3, 0);
-        core.members(1, ListKind::Full, vec![member(1)]);
-        for n in 0..200 {
-            core.call(10, call(n * 2, 10));
-        }
-        let mut out = Vec::new();
-        while let Some(command) = core.command() {
-            out.extend(match command {
-                Command::Go { attempt, .. } => Some(attempt),
-                _ => None,
-            });
-        }
-        assert!(out.len() > 1, "some of them are out");
-        assert_eq!(core.counters.settled, 1, "one look for the list and 200 calls");
-        for attempt in out {
-            core.ended(20_000, attempt, Ending::Served, Left::Some, Back::default());
-        }
-        while core.command().is_some() {}
-        assert_eq!(core.counters.settled, 2, "and one for all the answers");
-    }
-
-    #[test]
-    fn the_module_giving_up_is_an_answer_at_once() {
-        let mut core: Core<u32> = Core::new(settings(), 3, 0);
-        core.members(1, ListKind::Full, vec![member(1)]);
-        core.call(10, call(1, 10));
-        let Some(Command::Go { attempt, .. }) = core.command() else { panic!("it is sent") };
-        // A booking that may have run is failed in the very turn, not towards its deadline.
-        core.ended(20, attempt, Ending::Reset, Left::Some, Back::default());
-        let answer = std::iter::from_fn(|| core.command()).find(|c| matches!(c, Command::Answer { .. }));
-        assert!(matches!(answer, Some(Command::Answer { origin: 1, answer: Answer::Failed })));
-    }
-}
+mod tests;
--- a/src/ending.rs
+++ b/src/ending.rs
@@ -35,8 +35,10 @@
     Withdrawn,
     /// Nothing was open on the connection for so long that this side closed it.
     Idle,
-    /// This side is at a limit of connections or bytes.
+    /// This side has no descriptor or no room left for it.
     Overflow,
+    /// All connections to this worker carry as much as they may.
+    Crowded,
     /// This side is shutting down.
     Shutdown,
 }
@@ -61,9 +63,16 @@
             (Ending::Failed, _) => Outcome::Error,
             (Ending::Over, _) => Outcome::Moot,
             (Ending::Refused | Ending::NeverUp, _) => Outcome::ConnectFailed,
-            (Ending::TimedOut | Ending::CalledOff | Ending::Withdrawn | Ending::Shutdown, Left::Nothing) => {
-                Outcome::Moot
-            }
+            (Ending::Crowded, Left::Nothing) => Outcome::Full,
+            // What this side did or lacks tells nothing of the worker.
+            (
+                Ending::TimedOut
+                | Ending::CalledOff
+                | Ending::Withdrawn
+                | Ending::Overflow
+                | Ending::Shutdown,
+                Left::Nothing,
+            ) => Outcome::Moot,
             (_, Left::Nothing) => Outcome::ConnectFailed,
             (Ending::TimedOut, Left::Some) => Outcome::Timeout,
             (Ending::CalledOff, Left::Some) => Outcome::Cancelled,
@@ -101,44 +110,11 @@
             Ending::Withdrawn => "withdrawn",
             Ending::Idle => "idle",
             Ending::Overflow => "overflow",
+            Ending::Crowded => "crowded",
             Ending::Shutdown => "shutdown",
         }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::brain::never_ran;
-
-    /// What this side did itself tells others nothing of the worker.
-    #[test]
-    fn others_are_told_only_what_the_worker_did() {
-        use Ending::*;
-        for e in [Withdrawn, Idle, Overflow, Shutdown] {
-            assert!(e.seen(Left::Some).is_none() && e.seen(Left::Nothing).is_none(), "{e:?}");
-        }
-        for e in [TimedOut, CalledOff, Reset, Closed] {
-            assert!(e.seen(Left::Nothing).is_none() && e.seen(Left::Some).is_some(), "{e:?}");
-        }
-        assert_eq!(
-            (Served.seen(Left::Some), NeverUp.seen(Left::Nothing)),
-            (Some(Seen::Answered), Some(Seen::Refused))
-        );
-    }
-
-    #[test]
-    fn only_what_never_left_or_was_turned_away_is_proved_not_to_have_run() {
-        use Ending::*;
-        for e in [Reset, Closed, Malformed, TimedOut, CalledOff, Withdrawn, Idle, Overflow, Shutdown] {
-            assert!(never_ran(e.outcome(Left::Nothing)), "{e:?} before a byte left");
-            assert!(!never_ran(e.outcome(Left::Some)), "{e:?} after a byte left");
-        }
-        for e in [Missed, NoRoom, Over, Refused, NeverUp] {
-            assert!(never_ran(e.outcome(Left::Some)), "{e:?}");
-        }
-        for e in [Served, Failed] {
-            assert!(!never_ran(e.outcome(Left::Some)), "{e:?}");
-        }
-    }
-}
+mod tests;
--- a/src/node.rs
+++ b/src/node.rs
@@ -78,8 +78,13 @@
 /// When all places are taken, a connection that has been idle for this long may yield its own to a new one:
 /// long enough for a request that is on its way to have come.
 const CLIENT_YIELDS: Micros = 150_000;
-/// Descriptors kept for all that is not a client: workers, the board, portals, files, the event loop itself.
-const RESERVED: usize = 56;
+/// One descriptor in so many is for clients, who hold a third at the most; the others stay free for workers, the board,
+/// the second address, files and the event loop, whatever clients do.
+const CLIENTS_PART: usize = 2;
+/// Descriptors that workers' connections leave to the board, the second address, files and the event loop.
+const SPARE_DESCRIPTORS: usize = 24;
+/// Places for clients, however few descriptors there are.
+const LEAST_CLIENTS: usize = 8;
 /// Connections accepted from one listener in one turn.
 const MOST_ACCEPTS: usize = 256;
 /// How long a connection that is to be closed may go on with a request that has begun to come.
@@ -346,6 +351,7 @@
             members.extend(told.into_iter().map(|m| (m.worker, m)));
             self.last_rev = self.last_rev.max(notice.rev);
         }
+        members.values().for_each(|m| self.roster.set_leaving(m.worker, m.status != Status::Ready));
         let ready = members.values().filter(|m| m.status == Status::Ready).map(|m| m.worker).collect();
         let listed = members.into_values().filter(|m| m.status != Status::Gone).collect();
         self.core.members(now, ListKind::Cached, listed);
@@ -360,7 +366,7 @@
             self.core.limits(now, ration, fall_multiple, bears);
         }
         let sockets = self.sockets();
-        self.most_clients = sockets.saturating_sub(RESERVED).max(sockets / 2).max(8);
+        self.most_clients = (sockets / CLIENTS_PART).max(LEAST_CLIENTS);
         self.most_others = if self.has_others { self.most_clients / 4 } else { 0 };
     }
 
@@ -477,6 +483,11 @@
         for key in std::mem::take(&mut self.ready) {
             self.on_ready(key);
         }
+        // An answer that has been read counts before a deadline that has passed in the same turn.
+        while let Some(done) = self.done.pop_front() {
+            let now = self.clock.now();
+            self.report(now, done);
+        }
         self.tick();
         if self.accept {
             self.accept_all();
@@ -502,9 +513,10 @@
             match token {
                 BOARD_AGAIN => self.open_board(now),
                 DRAIN_OVER => {
-                    self.stop_accepting(now);
-                    self.stop_webhooks(now);
-                    self.leave_group(now);
+                    if self.stop_accepting(now) {
+                        self.stop_webhooks(now);
+                        self.leave_group(now);
+                    }
                 }
                 ACCEPT_AGAIN => self.accept = true,
                 BUNDLE_AGAIN => self.load_bundle(now),
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -2,22 +2,34 @@
 
 use super::*;
 
+/// What is left in a listener's queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Queue {
+    /// Nothing.
+    Empty,
+    /// Perhaps more than one turn takes.
+    More,
+    /// Somebody for whom there is no room now; it is tried again.
+    Stuck,
+}
+
 impl Node {
     pub(super) fn accept_all(&mut self) {
         self.accept = false;
+        if !self.ops.life.accepts(self.clock.now()) {
+            return;
+        }
         for at in 0..self.listeners.len() {
-            self.accept_from(at);
+            // Guards all others against a flood: who is left waits for the next turn.
+            self.accept |= self.accept_from(at) == Queue::More;
         }
     }
 
-    pub(super) fn accept_from(&mut self, at: usize) {
-        let now = self.clock.now();
+    /// Accepts from one listener until its queue is empty, as many as one turn has room for.
+    fn accept_from(&mut self, at: usize) -> Queue {
         for _ in 0..MOST_ACCEPTS {
-            let Some(listener) = self.listeners.get(at) else { return };
+            let Some(listener) = self.listeners.get(at) else { return Queue::Empty };
             let kind = listener.kind;
-            if !self.ops.life.accepts(now) {
-                return;
-            }
             // What is not accepted waits in the machine's queue until a connection has ended. The platform's
             // clients keep their room whatever comes to the other listeners.
             let room = match kind {
@@ -26,7 +38,7 @@
             };
             let socket = listener.socket.clone();
             if !room && !self.make_room(kind) {
-                return;
+                return Queue::Stuck;
             }
             match socket.accept() {
                 Ok((stream, _)) => {
@@ -41,7 +53,7 @@
                     self.set_deadline(key, Some(by));
                     self.on_ready(key);
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Queue::Empty,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => {
@@ -49,12 +61,11 @@
                     // after a pause, or this would be a busy loop.
                     let at = self.clock.now() + ACCEPT_PAUSE;
                     self.core.hang(at, ACCEPT_AGAIN);
-                    return;
+                    return Queue::Stuck;
                 }
             }
         }
-        // Guards all others against a flood: who is left waits for the next turn.
-        self.accept = true;
+        Queue::More
     }
 
     /// All places are taken: closes the connection that has had nothing open for longest. Guards the places
@@ -193,13 +204,36 @@
         }
     }
 
-    pub(super) fn stop_accepting(&mut self, now: Micros) {
-        // What came before still counts; `accepts` has become false where another process takes it.
-        self.accept_all();
+    /// Closes the listeners once nobody waits there any more; tells whether they are closed. Guards those whom the
+    /// machine has accepted already: the end of a listener resets them. Where another process shares the socket,
+    /// they are that one's.
+    pub(super) fn stop_accepting(&mut self, now: Micros) -> bool {
+        let waits = self.ops.life.takes_rest(now) && self.accept_rest();
+        if waits {
+            self.core.hang(now + ACCEPT_PAUSE, DRAIN_OVER);
+            return false;
+        }
         for listener in std::mem::take(&mut self.listeners) {
             self.handle.remove(listener.token);
         }
         self.thin_out(now);
+        true
+    }
+
+    /// Accepts all that the machine has accepted; tells whether somebody is left who has no room yet.
+    fn accept_rest(&mut self) -> bool {
+        let mut waits = false;
+        for at in 0..self.listeners.len() {
+            let mut queue = Queue::More;
+            // A whole queue at the most, or a flood would keep the listener open.
+            for _ in 0..=BACKLOG_CONNECTS as usize / MOST_ACCEPTS {
+                if queue == Queue::More {
+                    queue = self.accept_from(at);
+                }
+            }
+            waits |= queue == Queue::Stuck;
+        }
+        waits
     }
 
     /// Gives idle connections the time by which they are closed, if they are to be, the longest idle first.
@@ -208,6 +242,8 @@
         let leaves = self.ops.life.idle_until(now, 0, 1).is_some();
         for (key, (conn, role)) in self.conns.iter_mut() {
             match role {
+                // Half a request has its own time, and its answer ends the connection.
+                Role::Client { open: None, .. } if !conn.input.bytes().is_empty() && !conn.closing => {}
                 Role::Client { open: None, .. } if conn.out.is_empty() => idle.push((conn.idle, key)),
                 Role::Client { open: None, .. } => conn.closing |= leaves,
                 _ => {}
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -4,6 +4,15 @@
 use super::*;
 use crate::front::webhook::message::Outcome;
 
+/// What a second run of what is sent does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Repeat {
+    /// Nothing that matters.
+    Harmless,
+    /// It must not happen.
+    Harmful,
+}
+
 impl Node {
     /// Carries out commands and reports endings until there is nothing left; then writes.
     pub(super) fn pump(&mut self) {
@@ -76,6 +85,11 @@
                 let left = left.map_or(Left::Some, |key| self.give_up(now, key, Open::Attempt(attempt)));
                 self.done.push_back(Done::plain(Open::Attempt(attempt), why, left));
             }
+            Command::Recall { attempt, why } => {
+                if self.unrecorded(attempt) || self.recall(attempt) {
+                    self.done.push_back(Done::plain(Open::Attempt(attempt), why, Left::Nothing));
+                }
+            }
             Command::Stage { order: key, worker, function, copies } => {
                 let order = Order { key, worker, function, copies };
                 if !self.order_waits(now, order) {
@@ -91,13 +105,13 @@
                 self.done.push_back(Done::plain(Open::Order(order), Ending::TimedOut, left));
             }
             Command::Purge { worker, function } => {
-                if let Ok(key) = self.link(now, worker, "") {
+                if let Ok(key) = self.link(now, worker, "", Repeat::Harmless) {
                     let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
                     link.purge(&mut conn.out, function);
                     self.dirty.push(key);
                 }
             }
-            Command::Probe { probe, worker } => match self.link(now, worker, "") {
+            Command::Probe { probe, worker } => match self.link(now, worker, "", Repeat::Harmless) {
                 Ok(key) => {
                     let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
                     link.probe(&mut conn.out, probe);
@@ -113,7 +127,11 @@
 
     /// Sends an order to load.
     pub(super) fn stage(&mut self, now: Micros, order: Order) {
-        match self.link(now, order.worker, "") {
+        if self.roster.is_leaving(order.worker) {
+            let done = Done::plain(Open::Order(order.key), Ending::Withdrawn, Left::Nothing);
+            return self.done.push_back(done);
+        }
+        match self.link(now, order.worker, "", Repeat::Harmless) {
             Ok(key) => {
                 let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
                 link.stage(&mut conn.out, order.key, order.function, order.copies);
@@ -137,7 +155,11 @@
         expires: Micros,
         body: &[u8],
     ) {
-        let key = match self.link(now, worker, &id) {
+        let linked = match self.roster.is_leaving(worker) {
+            true => Err(Ending::Withdrawn),
+            false => self.link(now, worker, &id, self.repeat_of(class)),
+        };
+        let key = match linked {
             Ok(key) => key,
             Err(ending) => {
                 return self.done.push_back(Done::plain(Open::Attempt(attempt), ending, Left::Nothing))
@@ -151,6 +173,21 @@
         self.dirty.push(key);
     }
 
+    /// What a second run of a call of this class does.
+    fn repeat_of(&self, class: ClassId) -> Repeat {
+        match self.config.settings.classes.get(class.0 as usize).map(|c| c.effect) {
+            Some(Effect::Safe) => Repeat::Harmless,
+            Some(Effect::Keyed { .. } | Effect::Unsafe) | None => Repeat::Harmful,
+        }
+    }
+
+    /// Takes an attempt back if none of its bytes have left; tells whether it has.
+    fn recall(&mut self, attempt: AttemptKey) -> bool {
+        let Some(key) = self.attempts.get(attempt) else { return false };
+        let Some((conn, Role::Worker(link))) = self.conns.get_mut(*key) else { return false };
+        link.take_back(&mut conn.out, Open::Attempt(attempt))
+    }
+
     /// Gives up what is open on a connection. One that has said nothing since takes nothing new: its machine
     /// may have vanished, and then only a new connection shows whether it is back.
     pub(super) fn give_up(&mut self, now: Micros, key: ConnKey, what: Open) -> Left {
@@ -167,11 +204,21 @@
     }
 
     /// A connection to a worker that takes this, opened if need be.
-    pub(super) fn link(&mut self, now: Micros, worker: WorkerId, id: &str) -> Result<ConnKey, Ending> {
+    pub(super) fn link(
+        &mut self,
+        now: Micros,
+        worker: WorkerId,
+        id: &str,
+        repeat: Repeat,
+    ) -> Result<ConnKey, Ending> {
         let streams = self.config.streams;
         let keys = self.links.entry(worker).or_default();
         let fits = |key: &&ConnKey| match self.conns.get(**key) {
-            Some((conn, Role::Worker(link))) => link.takes(id, streams) && conn.out.len() < BACKLOG,
+            Some((conn, Role::Worker(link))) => {
+                link.takes(id, streams)
+                    && conn.out.len() < BACKLOG
+                    && (repeat == Repeat::Harmless || !link.may_hear_again(now, id))
+            }
             _ => false,
         };
         if let Some(key) = keys.iter().copied().find(|key| fits(&key)) {
@@ -181,12 +228,16 @@
             return Ok(key);
         }
         let keys_held = keys.len();
-        if keys_held >= MOST_LINKS || self.conns.len() >= self.sockets().saturating_sub(24) {
+        if keys_held >= MOST_LINKS {
+            return Err(Ending::Crowded);
+        }
+        if self.conns.len() >= self.sockets().saturating_sub(SPARE_DESCRIPTORS) {
             return Err(Ending::Overflow);
         }
-        let address = *self.roster.addresses.get(&worker).ok_or(Ending::NeverUp)?;
+        let address = *self.roster.addresses.get(&worker).ok_or(Ending::Withdrawn)?;
         let stream = net::connect(address).map_err(|e| match e.kind() {
             io::ErrorKind::ConnectionRefused => Ending::Refused,
+            _ if net::is_own_limit(&e) => Ending::Overflow,
             _ => Ending::NeverUp,
         })?;
         let role = Role::Worker(Link::new(worker, now));
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -25,11 +25,13 @@
         let notice = match Notice::parse(&event.data, &self.config.names) {
             Ok(notice) => notice,
             Err(e) => {
-                // The list held stays as it is; the next event goes on from there.
+                // The list held stays as it is, and so does its number: the event is asked for once more, as it may
+                // have been spoilt on the way. Unreadable again, it is passed over.
                 self.core.counters.unreadable += 1;
-                tracing::warn!(event = ?event.id, "a notice is passed over: {e}");
-                self.last_rev = self.last_rev.max(event.id.unwrap_or(0));
-                return true;
+                tracing::warn!(event = ?event.id, "a notice cannot be read: {e}");
+                let again = self.gap_at == Some(self.last_rev);
+                self.gap_at = Some(self.last_rev);
+                return again;
             }
         };
         self.on_notice(now, &notice)
@@ -59,7 +61,10 @@
         if notice.snapshot {
             let listed = |w: &WorkerId| members.iter().any(|m| m.worker == *w);
             let gone: Vec<WorkerId> = self.links.keys().filter(|w| !listed(w)).copied().collect();
-            gone.into_iter().for_each(|w| self.retire(w, None));
+            for worker in gone {
+                self.roster.set_leaving(worker, true);
+                self.retire(worker, None);
+            }
         }
         let kind = if notice.snapshot { ListKind::Full } else { ListKind::Delta };
         let told = members.into_iter().filter(|m| !notice.snapshot || m.status != Status::Gone).collect();
@@ -70,6 +75,7 @@
     }
 
     pub(super) fn on_member(&mut self, m: &Member) {
+        self.roster.set_leaving(m.worker, m.status != Status::Ready);
         match (m.status, m.started) {
             (Status::Ready, Some(started)) => self.retire(m.worker, Some(started)),
             (Status::Ready, None) => {}
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -17,6 +17,9 @@
 /// Bytes that a connection may hold of an answer not yet whole.
 pub const READ_LIMIT: usize = LONGEST_WORD + 4096;
 
+/// A worker's answer may come a second time within this.
+const SECOND_ANSWER: Micros = 250_000;
+
 /// Why an answer cannot be read. The connection is of no more use after it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RespError {
@@ -166,6 +169,8 @@
     pub suspect: bool,
     open: BTreeMap<Rc<str>, (Open, u64)>,
     given_up: VecDeque<(Rc<str>, Micros)>,
+    /// Identities whose attempt was answered as one that never ran, and until when that answer may come again.
+    turned_away: VecDeque<(Rc<str>, Micros)>,
     next_tag: u64,
 }
 
@@ -198,6 +203,7 @@
             suspect: false,
             open: BTreeMap::new(),
             given_up: VecDeque::new(),
+            turned_away: VecDeque::new(),
             next_tag: KEPT_FRAME + 1,
         }
     }
@@ -216,6 +222,12 @@
             && !self.given_up.iter().any(|(i, _)| &**i == id)
     }
 
+    /// Whether an answer that turned this identity away may still come a second time. Guards calls that must not run
+    /// twice: taken for the answer to a further attempt here, it would say that this one never ran.
+    pub fn may_hear_again(&self, now: Micros, id: &str) -> bool {
+        self.turned_away.iter().any(|(i, until)| &**i == id && now < *until)
+    }
+
     fn add(&mut self, id: Rc<str>, what: Open, out: &mut Outbox, bytes: Vec<u8>) {
         let tag = self.next_tag;
         self.next_tag += 1;
@@ -273,6 +285,17 @@
         Left::Some
     }
 
+    /// Takes something back if none of its bytes have left; tells whether it has.
+    pub fn take_back(&mut self, out: &mut Outbox, what: Open) -> bool {
+        let found = self.open.iter().find(|(_, (open, _))| *open == what);
+        let Some((id, tag)) = found.map(|(id, (_, tag))| (id.clone(), *tag)) else { return false };
+        let unsent = out.withdraw(tag);
+        if unsent {
+            self.open.remove(&id);
+        }
+        unsent
+    }
+
     /// Takes back every attempt and order that waits with none of its bytes gone. Guards the rules on drains,
     /// loads and cold starts for what is queued here.
     pub fn withdraw_unsent(&mut self, out: &mut Outbox, done: &mut Vec<Done>) {
@@ -298,7 +321,7 @@
         let mut unmatched = 0;
         while let Some((words, size)) = parse(input.bytes())? {
             (self.heard, self.partial) = (now, None);
-            unmatched += u64::from(!self.answer(&words, done)?);
+            unmatched += u64::from(!self.answer(now, &words, done)?);
             input.consume(size);
         }
         if !input.bytes().is_empty() {
@@ -307,7 +330,7 @@
         Ok(unmatched)
     }
 
-    fn answer(&mut self, words: &[&[u8]], done: &mut Vec<Done>) -> Result<bool, RespError> {
+    fn answer(&mut self, now: Micros, words: &[&[u8]], done: &mut Vec<Done>) -> Result<bool, RespError> {
         let (id, word, rest) = match words {
             [id, word, rest @ ..] if rest.len() <= 2 => (*id, *word, rest),
             _ => return Err(RespError::Words(words.len())),
@@ -346,7 +369,16 @@
             }
         }
         d.back.body = rest.get(1).map_or_else(Vec::new, |b| b.to_vec());
-        self.open.retain(|i, _| i.as_bytes() != id);
+        self.open.retain(|i, _| {
+            let answered = i.as_bytes() == id;
+            if answered && matches!(ending, Ending::Missed | Ending::NoRoom | Ending::Over) {
+                self.turned_away.push_back((i.clone(), now + SECOND_ANSWER));
+            }
+            !answered
+        });
+        while self.turned_away.front().is_some_and(|(_, until)| *until <= now) {
+            self.turned_away.pop_front();
+        }
         done.push(d);
         Ok(true)
     }
@@ -363,120 +395,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use slotmap::SlotMap;
-
-    const ID: &str = "9b1f03aa5c7e2d41";
-
-    struct Rig {
-        link: Link,
-        out: Outbox,
-        input: Buffer,
-        done: Vec<Done>,
-        keys: SlotMap<AttemptKey, ()>,
-    }
-
-    impl Rig {
-        fn new() -> Rig {
-            let link = Link::new(WorkerId(1), 0);
-            let keys = SlotMap::with_key();
-            Rig { link, out: Outbox::default(), input: Buffer::default(), done: Vec::new(), keys }
-        }
-
-        fn go(&mut self, id: &str) -> AttemptKey {
-            let attempt = self.keys.insert(());
-            let go =
-                Go { attempt, id: id.into(), class: "c", function: FunctionId(7), wait_ms: 9, body: b"x" };
-            self.link.go(&mut self.out, go);
-            attempt
-        }
-
-        fn hear(&mut self, bytes: &[u8]) -> Result<u64, RespError> {
-            self.input.feed(bytes);
-            self.link.input(1, &mut self.input, &mut self.done)
-        }
-
-        fn ends(&self) -> Vec<(Ending, Left)> {
-            self.done.iter().map(|d| (d.ending, d.left)).collect()
-        }
-    }
-
-    #[test]
-    fn the_late_answer_of_a_given_up_attempt_is_nobodys_and_its_identity_waits() {
-        let mut r = Rig::new();
-        let first = r.go(ID);
-        r.out.drain();
-        assert_eq!(r.link.give_up(&mut r.out, Open::Attempt(first), 5, 100), Left::Some);
-        assert_eq!(r.out.drain(), array(&[b"halt", ID.as_bytes()]));
-        assert!(!r.link.takes(ID, 100), "a resend goes on another connection");
-        assert!(r.link.takes("9b1f03aa5c7e2d42", 100));
-        assert_eq!(r.hear(&array(&[ID.as_bytes(), b"200", b"-", b"old"])), Ok(1));
-        assert!(r.done.is_empty() && r.link.takes(ID, 100), "it has come, so the identity is free again");
-    }
-
-    #[test]
-    fn what_has_not_left_is_taken_back_whole_and_without_a_word() {
-        let mut r = Rig::new();
-        let (first, _) = (r.go(ID), r.go("9b1f03aa5c7e2d42"));
-        assert_eq!(r.link.give_up(&mut r.out, Open::Attempt(first), 5, 100), Left::Nothing);
-        assert!(r.link.takes(ID, 100));
-        let mut done = Vec::new();
-        r.link.withdraw_unsent(&mut r.out, &mut done);
-        assert_eq!((done.len(), done[0].ending, done[0].left), (1, Ending::Withdrawn, Left::Nothing));
-        assert_eq!((r.out.drain(), r.link.open()), (vec![], 0), "a drained worker hears nothing more");
-    }
-
-    #[test]
-    fn when_a_connection_ends_only_what_left_may_have_run() {
-        let mut r = Rig::new();
-        r.go(ID);
-        r.out.drain();
-        r.go("9b1f03aa5c7e2d42");
-        r.link.end(&r.out, Ending::Reset, &mut r.done);
-        assert_eq!(r.ends(), vec![(Ending::Reset, Left::Some), (Ending::Reset, Left::Nothing)]);
-    }
-
-    #[test]
-    fn an_answer_is_read_with_all_that_it_tells() {
-        let mut r = Rig::new();
-        r.go(ID);
-        let fields = b"remark=f,queue_fn=3,report=inflight:7;x0:0.5;x1:2;new:1,other=1";
-        let bytes = array(&[ID.as_bytes(), b"500", fields, b""]);
-        for b in &bytes {
-            assert_eq!(r.hear(&[*b]), Ok(0));
-        }
-        let back = &r.done[0].back;
-        let report = Report { inflight: Some(7.0), pinned: Some(0.5), loads: Some(2.0), ..Report::default() };
-        assert_eq!((back.warmth, back.crowd, back.report), (Some(Warmth::LoadFailed), 3, Some(report)));
-    }
-
-    #[test]
-    fn what_is_no_answer_is_told_clearly_and_never_panics() {
-        for (bytes, error) in [
-            (&b"+OK\r\n"[..], "expected an array"),
-            (b"*2\r\n:1\r\n", "expected a bulk string"),
-            (b"*99\r\n", "length '99' is not a number within bounds"),
-            (b"*2\r\n$-1\r\n", "length '-1' is not a number within bounds"),
-            (b"*2\r\n$2\r\nabXX", "expected the end of a bulk string"),
-            (b"*1\r\n$1\r\na\r\n", "an answer of 1 words"),
-        ] {
-            assert_eq!(Rig::new().hear(bytes).map_err(|e| e.to_string()), Err(error.into()));
-        }
-        let mut r = Rig::new();
-        r.go(ID);
-        assert!(r.hear(&array(&[ID.as_bytes(), b"teapot", b"-", b""])).is_err());
-        // Every damage of one byte to a good answer is read, waited on or refused.
-        let good = array(&[ID.as_bytes(), b"200", b"remark=w,queue_fn=1", b"body"]);
-        for at in 0..good.len() {
-            for byte in [0, b'\r', b'\n', b'*', b'$', b'9', 0xff] {
-                let mut bad = good.clone();
-                bad[at] = byte;
-                let mut r = Rig::new();
-                r.go(ID);
-                let _ = r.hear(&bad);
-                assert!(r.done.len() <= 1);
-            }
-        }
-    }
-}
+mod tests;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,6 +12,8 @@
 
 use serde_json::{json, Value};
 
+pub mod by_hand;
+
 /// Nothing waits longer than this; no verdict depends on it but that of a gateway that hangs.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -241,6 +243,25 @@
         rustix::process::kill_process(pid, signal).expect("it lives");
     }
 
+    /// Stops it; once this returns it does nothing more until [`Gateway::thaw`].
+    pub fn freeze(&self) {
+        self.signal(rustix::process::Signal::STOP);
+        until("it stands still", || {
+            let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid())).expect("it lives");
+            stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+        });
+    }
+
+    /// Has it go on, with all that came meanwhile in one turn.
+    pub fn thaw(&self) {
+        self.signal(rustix::process::Signal::CONT);
+    }
+
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.pid())).expect("it lives").count()
+    }
+
     /// SIGKILL.
     pub fn kill(mut self) {
         self.child.kill().expect("it lives");
