The decision module becomes a folder of eight small files, its decisions the same

The test of the module's size now reads every file of the folder and compares them with those that the deploy file names.

--- a/src/bin/molelug-simhost/main.rs
+++ b/src/bin/molelug-simhost/main.rs
@@ -7,11 +7,11 @@
 use std::process::ExitCode;
 
 use molelug::settings::Field;
-use molelug::Brain;
+use molelug::Policy;
 use wire::{Message, Reply, WireError};
 
 struct Instance {
-    brain: Brain,
+    policy: Policy,
     fields: Vec<Field>,
 }
 
@@ -26,7 +26,7 @@
             let fields = instances.get(&who).map_or(&[][..], |i| &i.fields);
             match wire::message(&body, count, index, fields)? {
                 Message::Enlist(seed, settings, fields) => {
-                    instances.insert(who, Instance { brain: Brain::new(*settings, seed, now), fields });
+                    instances.insert(who, Instance { policy: Policy::new(*settings, seed, now), fields });
                 }
                 Message::Killed => {
                     instances.remove(&who);
@@ -34,8 +34,8 @@
                 Message::Event(event) => {
                     if let Some(instance) = instances.get_mut(&who) {
                         // Each by itself, as they come to a gateway with time to spare.
-                        instance.brain.take(now, event, &mut actions);
-                        instance.brain.settle(now, &mut actions);
+                        instance.policy.take(now, event, &mut actions);
+                        instance.policy.settle(now, &mut actions);
                     }
                 }
                 Message::Ignored => {}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,9 +9,9 @@
 use slotmap::{new_key_type, Key, KeyData, SlotMap};
 
 use crate::api::*;
-use crate::brain::Brain;
 use crate::counters::{Counters, Ends, Final};
 use crate::ending::{Ending, Left};
+use crate::policy::Policy;
 
 mod command;
 pub use command::{Answer, Back, Call, Command};
@@ -61,7 +61,7 @@
 
 #[derive(Debug)]
 struct Request<O> {
-    brain_id: RequestId,
+    request_id: RequestId,
     call: Call<O>,
     attempts: u8,
     out: Option<AttemptKey>,
@@ -84,7 +84,7 @@
 /// The decisions and everything that is open.
 #[derive(Debug)]
 pub struct Core<O> {
-    brain: Brain,
+    policy: Policy,
     grace: Micros,
     order_limit: Micros,
     /// What repeating does, by class.
@@ -117,7 +117,7 @@
         let effects: Vec<Effect> = settings.classes.iter().map(|c| c.effect).collect();
         let counters = Counters { ends: vec![Ends::default(); effects.len()], ..Counters::default() };
         Core {
-            brain: Brain::new(settings, seed, now),
+            policy: Policy::new(settings, seed, now),
             grace,
             order_limit: if order_limit == 0 { 10_000_000 } else { order_limit },
             effects,
@@ -150,7 +150,7 @@
 
     /// Workers that the module would send to now.
     pub fn fit(&self) -> usize {
-        self.brain.fit
+        self.policy.fit
     }
 
     /// Whether a request under this identity has no answer yet, or an attempt out. Another call under it is not to
@@ -172,7 +172,7 @@
         let Some(now) = self.unsettled.take() else { return };
         self.counters.settled += 1;
         let mut actions = std::mem::take(&mut self.actions);
-        self.brain.settle(now, &mut actions);
+        self.policy.settle(now, &mut actions);
         for action in actions.drain(..) {
             self.act(now, action);
         }
@@ -237,7 +237,7 @@
 
     /// The most that a worker served for this gateway, answers a microsecond, as the module has seen it.
     pub fn bears(&self) -> f64 {
-        self.brain.bears
+        self.policy.bears
     }
 
     /// Tells the module what others saw of a worker; see [`Event::Rumour`].
@@ -251,24 +251,24 @@
         while self.by_id.contains_key(&RequestId(self.next_id)) {
             self.next_id = self.next_id.wrapping_add(1);
         }
-        let brain_id = RequestId(self.next_id);
-        call.arrival.request = brain_id;
+        let request_id = RequestId(self.next_id);
+        call.arrival.request = request_id;
         let arrival = call.arrival.clone();
         let expires = call.arrival.expires;
         self.ids.insert(call.id.clone());
         let key = self.requests.insert(Request {
-            brain_id,
+            request_id,
             call,
             attempts: 0,
             out: None,
             answered: false,
             ran_from: None,
         });
-        self.by_id.insert(brain_id, key);
+        self.by_id.insert(request_id, key);
         // The module answers by the deadline; this guards the one answer against its oversight.
         self.deadlines.insert((expires + self.grace, Due::Request(key.data().as_ffi())));
         self.counters.taken += 1;
-        tracing::debug!(call = brain_id.0, class = arrival.class.0, function = %Hex(arrival.function.0), "taken");
+        tracing::debug!(call = request_id.0, class = arrival.class.0, function = %Hex(arrival.function.0), "taken");
         self.feed(now, Event::Request(arrival));
         key
     }
@@ -277,7 +277,7 @@
     pub fn caller_gone(&mut self, now: Micros, key: RequestKey) {
         let Some(r) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
         r.answered = true;
-        let request = r.brain_id;
+        let request = r.request_id;
         self.counters.left += 1;
         self.recall(key);
         self.feed(now, Event::ClientGone { request });
@@ -301,7 +301,7 @@
         let Some(r) = self.requests.get_mut(a.request) else { return };
         r.out = None;
         let outcome = ending.outcome(left);
-        if !crate::brain::never_ran(outcome) {
+        if !crate::policy::never_ran(outcome) {
             r.ran_from.get_or_insert(a.sent);
         }
         let first = outcome == Outcome::Ok && !r.answered;
@@ -312,7 +312,7 @@
             self.commands.push_back(Command::Answer { origin, answer: Answer::Served(back.body) });
         }
         let ended = Ended {
-            request: r.brain_id,
+            request: r.request_id,
             worker: a.worker,
             attempt: a.number,
             terminal: r.answered,
@@ -400,7 +400,7 @@
         let done = |r: &Request<O>| r.answered && r.out.is_none();
         if self.requests.get(key).is_some_and(done) {
             if let Some(r) = self.requests.remove(key) {
-                self.by_id.remove(&r.brain_id);
+                self.by_id.remove(&r.request_id);
                 self.ids.remove(&r.call.id);
                 let at = r.call.arrival.expires + self.grace;
                 self.deadlines.remove(&(at, Due::Request(key.data().as_ffi())));
@@ -417,7 +417,7 @@
         }
         while let Some(event) = self.events.front().cloned() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.brain.take(now, event, &mut actions);
+            self.policy.take(now, event, &mut actions);
             self.unsettled = Some(now);
             for action in actions.drain(..) {
                 self.act(now, action);
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -108,7 +108,7 @@
                 _ => (Ending::Served, Left::Some),
             };
             let id = out.remove(&attempt).unwrap();
-            if !crate::brain::never_ran(ending.outcome(left)) {
+            if !crate::policy::never_ran(ending.outcome(left)) {
                 ran.insert(id);
             }
             core.ended(now, attempt, ending, left, Back::default());
--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::{Effect, Micros};
-use crate::brain::allowed;
+use crate::policy::allowed;
 
 pub mod breaker;
 pub mod networks;
--- a/src/delivery/verdict.rs
+++ b/src/delivery/verdict.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::Micros;
-use crate::brain::never_ran;
 use crate::ending::{Ending, Left};
+use crate::policy::never_ran;
 
 /// How an attempt at a callback ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/ending/tests.rs
+++ b/src/ending/tests.rs
@@ -1,7 +1,7 @@
 //! What each way to end means to the decision module and to other instances.
 
 use super::*;
-use crate::brain::never_ran;
+use crate::policy::never_ran;
 
 /// What this side did itself tells others nothing of the worker.
 #[test]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,6 @@
 pub mod admin;
 pub mod api;
 pub mod board;
-pub mod brain;
 pub mod cli;
 pub mod clock;
 pub mod config;
@@ -20,6 +19,7 @@
 pub mod net;
 pub mod node;
 pub mod operations;
+pub mod policy;
 pub mod replication;
 pub mod settings;
 pub mod store;
@@ -27,4 +27,4 @@
 pub mod worker;
 
 pub use api::{Action, Event, Outcome, Settings};
-pub use brain::Brain;
+pub use policy::Policy;
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -49,7 +49,7 @@
         match done.what {
             Open::Attempt(key) => {
                 self.attempts.remove(key);
-                self.guarded_ended(key, crate::brain::never_ran(done.ending.outcome(done.left)));
+                self.guarded_ended(key, crate::policy::never_ran(done.ending.outcome(done.left)));
                 let worker = self.core.worker_of(key);
                 self.tell_outcome(now, worker, done.ending, done.left);
                 self.core.ended(now, key, done.ending, done.left, done.back);
--- a/src/store/recovery.rs
+++ b/src/store/recovery.rs
@@ -3,9 +3,9 @@
 
 use super::records::{AttemptRecord, CallRecord};
 use crate::api::{Effect, Micros};
-use crate::brain::allowed;
 use crate::delivery::verdict::{Dead, State};
 use crate::delivery::Waiting;
+use crate::policy::allowed;
 
 /// What is done with a call found at a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,7 +1,9 @@
 //! The decision module, without the bench.
 
+use std::collections::BTreeSet;
+
 use molelug::api::*;
-use molelug::brain::{allowed, never_ran, Allowed, Brain};
+use molelug::policy::{allowed, never_ran, Allowed, Policy};
 
 const SECOND: Micros = 1_000_000;
 
@@ -37,7 +39,7 @@
 }
 
 struct Rig {
-    brain: Brain,
+    policy: Policy,
     now: Micros,
     next: u32,
     lanes: u32,
@@ -45,7 +47,7 @@
 
 impl Rig {
     fn new(settings: Settings, workers: u32) -> Rig {
-        let mut rig = Rig { brain: Brain::new(settings, 1, 0), now: 1, next: 0, lanes: 1 };
+        let mut rig = Rig { policy: Policy::new(settings, 1, 0), now: 1, next: 0, lanes: 1 };
         let members = (1..=workers).map(|w| member(w, Status::Ready, None)).collect();
         rig.event(Event::Members { kind: ListKind::Full, members });
         rig
@@ -54,8 +56,8 @@
     /// Actions other than timers.
     fn event(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
-        self.brain.take(self.now, event, &mut out);
-        self.brain.settle(self.now, &mut out);
+        self.policy.take(self.now, event, &mut out);
+        self.policy.settle(self.now, &mut out);
         out.retain(|a| !matches!(a, Action::Wake { .. }));
         out
     }
@@ -310,7 +312,7 @@
 fn many_instances_share_one_cold_budget() {
     let budget = |seed| {
         let mut rig = Rig::new(Settings { instances: 100, ..settings() }, 0);
-        rig.brain = Brain::new(Settings { instances: 100, ..settings() }, seed, 0);
+        rig.policy = Policy::new(Settings { instances: 100, ..settings() }, seed, 0);
         rig.event(Event::Members { kind: ListKind::Delta, members: vec![member(1, Status::Ready, Some(1))] });
         sent(&rig.ask(7, 0).1).len()
     };
@@ -402,7 +404,7 @@
     let (mut tried, mut ordered) = (0, 0);
     for seed in 0..400usize {
         let mut rig = Rig::new(settings(seed), 0);
-        rig.brain = Brain::new(settings(seed), seed as u64, 0);
+        rig.policy = Policy::new(settings(seed), seed as u64, 0);
         let members = (1..=40).map(|w| member(w, Status::Ready, Some(1))).collect();
         rig.event(Event::Members { kind: ListKind::Full, members });
         let (id, actions) = rig.ask(7, 0);
@@ -623,7 +625,7 @@
     for seed in 0..100 {
         for function in 0..24 {
             let mut rig = Rig::new(settings.clone(), 0);
-            rig.brain = Brain::new(settings.clone(), seed, 0);
+            rig.policy = Policy::new(settings.clone(), seed, 0);
             let mut members: Vec<Member> = (1..=12).map(|w| member(w, Status::Ready, Some(1))).collect();
             members.push(member(13, Status::Ready, None));
             rig.event(Event::Members { kind: ListKind::Full, members });
@@ -868,7 +870,7 @@
             rig.end(id, worker, Outcome::Ok, 10_000);
         }
         rig.wake();
-        sizes.push(format!("{:?}", rig.brain).len());
+        sizes.push(format!("{:?}", rig.policy).len());
     }
     let (early, late) = (sizes[1_000..2_000].iter().max(), sizes[3_000..].iter().max());
     assert!(late.unwrap() < &(early.unwrap() * 5 / 4), "{early:?} {late:?}");
@@ -890,7 +892,7 @@
             }
             rig.wake();
         }
-        sizes.push(format!("{:?}", rig.brain).len());
+        sizes.push(format!("{:?}", rig.policy).len());
     }
     let (early, late) = (sizes[50..100].iter().max(), sizes[300..].iter().max());
     assert!(late.unwrap() < &(early.unwrap() * 11 / 10), "{early:?} {late:?}");
@@ -1126,11 +1128,21 @@
     assert_eq!(run(), run());
 }
 
+/// The whole module: every file of its folder, which are the files that the deploy file names.
 #[test]
 fn the_module_stays_small() {
-    let text = include_str!("../src/brain.rs");
-    assert!(text.lines().filter(|l| !l.trim().is_empty()).count() <= 1_000);
-    assert!(text.lines().all(|l| l.chars().count() <= 110));
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml")).unwrap();
+    let deploy: toml::Table = deploy.parse().unwrap();
+    let named: BTreeSet<String> =
+        deploy["policy"].as_array().unwrap().iter().map(|f| f.as_str().unwrap().to_owned()).collect();
+    let files = std::fs::read_dir(root.join("src/policy")).unwrap().map(|f| f.unwrap().file_name());
+    let found: BTreeSet<String> = files.map(|f| format!("src/policy/{}", f.to_str().unwrap())).collect();
+    assert_eq!(named, found);
+    let texts: Vec<String> = found.iter().map(|f| std::fs::read_to_string(root.join(f)).unwrap()).collect();
+    let lines: Vec<&str> = texts.iter().flat_map(|t| t.lines()).filter(|l| !l.trim().is_empty()).collect();
+    assert!(lines.len() <= 1_000, "{} lines", lines.len());
+    assert!(lines.iter().all(|l| l.chars().count() <= 110));
 }
 
 /// A rumour reorders the walk for its time and excludes nobody.
