--- a/src/node.rs
+++ b/src/node.rs
@@ -3,7 +3,6 @@
 //! Callbacks only note what is ready; all work is done after them, in [`Node::turn`].
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
@@ -31,8 +30,10 @@
 
 mod clients;
 mod commands;
+mod connections;
 mod copies;
 mod council;
+mod error;
 mod gossip;
 mod handover;
 mod history;
@@ -44,6 +45,7 @@
 mod tenants;
 mod trials;
 mod webhooks;
+pub use error::NodeError;
 use operations::Ops;
 use second::Second;
 use webhooks::{JobKey, PortalLink};
@@ -111,38 +113,6 @@
 /// Connections to one worker at once.
 const MOST_LINKS: usize = 4;
 
-/// Why the gateway cannot start or go on.
-#[derive(Debug)]
-pub enum NodeError {
-    /// An address cannot be listened on.
-    Listen(SocketAddr, io::Error),
-    /// The event loop failed.
-    Loop(calloop::Error),
-    /// The operator's file cannot be used.
-    Operator(crate::config::ConfigError),
-    /// The administration API's callers cannot be used.
-    Identity(crate::identity::IdentityError),
-}
-
-impl fmt::Display for NodeError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            NodeError::Listen(at, e) => write!(f, "cannot listen on {at}: {e}"),
-            NodeError::Loop(e) => write!(f, "the event loop failed: {e}"),
-            NodeError::Operator(e) => write!(f, "{e}"),
-            NodeError::Identity(e) => write!(f, "{e}"),
-        }
-    }
-}
-
-impl std::error::Error for NodeError {}
-
-impl From<calloop::Error> for NodeError {
-    fn from(e: calloop::Error) -> NodeError {
-        NodeError::Loop(e)
-    }
-}
-
 /// Whose a call is.
 #[derive(Clone, Copy, Debug)]
 enum Origin {
@@ -534,207 +504,4 @@
             }
         }
     }
-
-    // ---- Connections ----
-
-    fn add(&mut self, stream: std::net::TcpStream, up: bool, role: Role) -> io::Result<ConnKey> {
-        let now = self.clock.now();
-        let (handle, stream) = (&self.handle, Stream(Rc::new(stream)));
-        self.conns.try_insert_with_key(|key| {
-            let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-            let note = move |_, _: &mut _, node: &mut Node| {
-                node.ready.push(key);
-                Ok(PostAction::Continue)
-            };
-            let token =
-                handle.insert_source(source, note).map_err(|e| io::Error::other(e.error.to_string()))?;
-            Ok((Conn::new(stream, token, up, now), role))
-        })
-    }
-
-    fn set_deadline(&mut self, key: ConnKey, at: Option<Micros>) {
-        let Some((conn, _)) = self.conns.get_mut(key) else { return };
-        let token = Token { kind: CONN, number: key.data().as_ffi() };
-        if let Some(old) = conn.deadline.take() {
-            self.core.unhang(old, token);
-        }
-        conn.deadline = at;
-        if let Some(at) = at {
-            self.core.hang(at, token);
-        }
-    }
-
-    /// Ends a connection, and with it everything open on it.
-    fn close(&mut self, key: ConnKey, ending: Ending) {
-        self.set_deadline(key, None);
-        let Some((conn, role)) = self.conns.remove(key) else { return };
-        self.handle.remove(conn.token);
-        let now = self.clock.now();
-        match role {
-            Role::Client { kind, open, .. } => {
-                self.clients -= 1;
-                self.others -= usize::from(kind != Kind::Platform);
-                self.accept |= !self.listeners.is_empty();
-                if let Some(Owed::Call(request)) = open {
-                    self.core.caller_gone(now, request);
-                }
-            }
-            Role::Line => self.ops.line_closed(key),
-            Role::Peer(peer) => self.peer_closed(now, key, &peer),
-            Role::Worker(mut link) => {
-                tracing::debug!(
-                    worker = link.worker.0,
-                    open = link.open(),
-                    how = ending.name(),
-                    "connection ends"
-                );
-                let mut done = Vec::new();
-                link.end(&conn.out, ending, &mut done);
-                self.done.extend(done);
-                if let Some(keys) = self.links.get_mut(&link.worker) {
-                    keys.retain(|k| *k != key);
-                    if keys.is_empty() {
-                        self.links.remove(&link.worker);
-                    }
-                }
-            }
-            Role::Board(_) => self.core.hang(now + BOARD_PAUSE, BOARD_AGAIN),
-            Role::Portal(link) => {
-                let untouched = link.untouched(&conn.out);
-                self.portal_closed(now, key, &link, ending, untouched);
-            }
-        }
-    }
-
-    fn on_ready(&mut self, key: ConnKey) {
-        let now = self.clock.now();
-        let Some((conn, role)) = self.conns.get_mut(key) else { return };
-        let was_up = conn.up;
-        match conn.check_connect() {
-            Ok(true) => {}
-            Ok(false) => return,
-            Err(ending) => return self.close(key, ending),
-        }
-        let limit = match role {
-            Role::Client { .. } => READ_LIMIT,
-            Role::Portal(_) => crate::front::webhook::answer::READ_LIMIT,
-            Role::Worker(_) => worker::READ_LIMIT,
-            Role::Board(_) => board::READ_LIMIT,
-            Role::Line => line::READ_LIMIT,
-            Role::Peer(_) => council::READ_LIMIT,
-        };
-        let read = conn.read(limit);
-        if !was_up {
-            let next = match role {
-                Role::Worker(_) => now + self.config.conn_idle * 4 / 5,
-                Role::Portal(_) => conn.deadline.unwrap_or(now),
-                Role::Peer(_) => now + council::SILENT,
-                _ => now + BOARD_SILENT,
-            };
-            self.set_deadline(key, Some(next));
-        }
-        self.dirty.push(key);
-        // What came before the end still counts.
-        self.on_input(key, now);
-        let Some((conn, role)) = self.conns.get(key) else { return };
-        match read {
-            Err(ending) => self.close(key, ending),
-            Ok(()) if conn.ended => self.close(key, Ending::Closed),
-            // Clients' buffers are read on when their request has been answered.
-            Ok(()) if !conn.more || matches!(role, Role::Client { .. }) => {}
-            // Something longer than the buffer may be: it would never come whole, and nothing behind it.
-            Ok(()) if conn.input.bytes().len() >= limit => self.close(key, Ending::Malformed),
-            Ok(()) => self.ready.push(key),
-        }
-    }
-
-    fn on_input(&mut self, key: ConnKey, now: Micros) {
-        let Some((conn, role)) = self.conns.get_mut(key) else { return };
-        match role {
-            Role::Client { kind: Kind::Platform, .. } => self.on_client(key, now),
-            Role::Client { .. } => self.on_second(key, now),
-            Role::Portal(_) => self.on_portal(key, now),
-            Role::Line => self.on_line(key, now),
-            Role::Peer(_) => self.on_peer(key, now),
-            Role::Worker(link) => {
-                let mut done = Vec::new();
-                let result = link.input(now, &mut conn.input, &mut done);
-                self.done.extend(done);
-                match result {
-                    Ok(unmatched) => {
-                        self.core.counters.unmatched += unmatched;
-                        let due = link.partial.map(|since| since + ANSWER_SLOW);
-                        if due.is_some() && due < conn.deadline {
-                            self.set_deadline(key, due);
-                        }
-                    }
-                    Err(e) => {
-                        let worker = link.worker.0;
-                        self.core.counters.unreadable += 1;
-                        tracing::warn!(
-                            worker = format_args!("{worker:08x}"),
-                            "an answer cannot be read: {e}"
-                        );
-                        self.close(key, Ending::Malformed);
-                    }
-                }
-            }
-            Role::Board(feed) => {
-                let mut events = Vec::new();
-                let result = feed.input(&mut conn.input, &mut events);
-                let ended = feed.ended();
-                let answered = feed.has_answered();
-                self.set_deadline(key, Some(now + BOARD_SILENT));
-                for event in events {
-                    if !self.on_event(now, &event) {
-                        return self.close(key, Ending::Malformed);
-                    }
-                }
-                if answered {
-                    self.heard_board(now);
-                }
-                if let Err(e) = result {
-                    self.core.counters.unreadable += 1;
-                    tracing::warn!("{e}");
-                    self.close(key, Ending::Malformed);
-                } else if ended {
-                    self.close(key, Ending::Closed);
-                }
-            }
-        }
-    }
-
-    fn on_deadline(&mut self, now: Micros, key: ConnKey) {
-        let idle = self.config.conn_idle * 4 / 5;
-        let Some((conn, role)) = self.conns.get_mut(key) else { return };
-        conn.deadline = None;
-        match role {
-            Role::Client { open: Some(_), .. } => {}
-            Role::Client { .. } => self.end_idle(key, now),
-            Role::Worker(_) if !conn.up => self.close(key, Ending::NeverUp),
-            // Guards what waits behind an answer that stopped short: nothing after it can be told apart.
-            Role::Worker(link) if link.partial.is_some_and(|since| now >= since + ANSWER_SLOW) => {
-                self.core.counters.unreadable += 1;
-                self.close(key, Ending::Malformed)
-            }
-            Role::Worker(link) if link.open() == 0 && (link.suspect || now >= link.heard + idle) => {
-                self.close(key, Ending::Idle)
-            }
-            Role::Worker(link) => {
-                let next = match link.open() {
-                    _ if link.partial.is_some() => now + ANSWER_SLOW,
-                    _ if link.suspect => now + RETIRED_AGAIN,
-                    0 => link.heard + idle,
-                    _ => now + idle,
-                };
-                self.set_deadline(key, Some(next));
-            }
-            Role::Portal(link) if link.is_idle() => self.close(key, Ending::Idle),
-            Role::Line | Role::Peer(_) => self.close(key, Ending::Idle),
-            Role::Board(_) | Role::Portal(_) => {
-                let ending = if conn.up { Ending::TimedOut } else { Ending::NeverUp };
-                self.close(key, ending)
-            }
-        }
-    }
 }
--- a/src/node/council.rs
+++ b/src/node/council.rs
@@ -4,6 +4,7 @@
 //! The time is the machine's since it started, asleep or not: a lease must not outlive a sleep that its grantor did not have.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
 use std::fs::File;
 use std::io::Write;
 use std::path::PathBuf;
--- /dev/null
+++ b/src/node/error.rs
@@ -0,0 +1,23 @@
+//! Why a gateway cannot start or go on.
+
+use std::io;
+use std::net::SocketAddr;
+
+/// Why the gateway cannot start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// An address cannot be listened on.
+    #[error(
+        "cannot listen on {0}: {1}; see that no other process does and that the address is this machine's"
+    )]
+    Listen(SocketAddr, #[source] io::Error),
+    /// The event loop failed.
+    #[error("the event loop failed: {0}; see the limits of descriptors and memory")]
+    Loop(#[from] calloop::Error),
+    /// The operator's file cannot be used.
+    #[error("{0}")]
+    Operator(#[source] crate::config::ConfigError),
+    /// The administration API's callers cannot be used.
+    #[error("{0}")]
+    Identity(#[source] crate::identity::IdentityError),
+}
