Pass a second turning-away over once, in place of a second connection that cost dials

The mend for late second answers sent calls that must not run twice on another connection for 250 ms. A retry waited for a dial there, and a dial that fails benches a sound worker.

Now the next attempt stays on its connection, and the first answer there within 250 ms that turns it away is passed over, as it may be the first attempt's. If it is its own the call ends with its time, unanswered by a worker; nothing runs twice either way.

--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -4,15 +4,6 @@
 use super::*;
 use crate::front::webhook::message::Outcome;
 
-/// What a second run of what is sent does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Repeat {
-    /// Nothing that matters.
-    Harmless,
-    /// It must not happen.
-    Harmful,
-}
-
 impl Node {
     /// Carries out commands and reports endings until there is nothing left; then writes.
     pub(super) fn pump(&mut self) {
@@ -105,13 +96,13 @@
                 self.done.push_back(Done::plain(Open::Order(order), Ending::TimedOut, left));
             }
             Command::Purge { worker, function } => {
-                if let Ok(key) = self.link(now, worker, "", Repeat::Harmless) {
+                if let Ok(key) = self.link(now, worker, "") {
                     let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
                     link.purge(&mut conn.out, function);
                     self.dirty.push(key);
                 }
             }
-            Command::Probe { probe, worker } => match self.link(now, worker, "", Repeat::Harmless) {
+            Command::Probe { probe, worker } => match self.link(now, worker, "") {
                 Ok(key) => {
                     let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
                     link.probe(&mut conn.out, probe);
@@ -131,7 +122,7 @@
             let done = Done::plain(Open::Order(order.key), Ending::Withdrawn, Left::Nothing);
             return self.done.push_back(done);
         }
-        match self.link(now, order.worker, "", Repeat::Harmless) {
+        match self.link(now, order.worker, "") {
             Ok(key) => {
                 let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
                 link.stage(&mut conn.out, order.key, order.function, order.copies);
@@ -157,7 +148,7 @@
     ) {
         let linked = match self.roster.is_leaving(worker) {
             true => Err(Ending::Withdrawn),
-            false => self.link(now, worker, &id, self.repeat_of(class)),
+            false => self.link(now, worker, &id),
         };
         let key = match linked {
             Ok(key) => key,
@@ -165,19 +156,20 @@
                 return self.done.push_back(Done::plain(Open::Attempt(attempt), ending, Left::Nothing))
             }
         };
+        let once = self.runs_once(class);
         let Some((conn, Role::Worker(link))) = self.conns.get_mut(key) else { return };
         let class = self.config.names.classes.get(class.0 as usize).map_or("", String::as_str);
         let wait_ms = expires.saturating_sub(now) / 1000;
-        link.go(&mut conn.out, Go { attempt, id, class, function, wait_ms, body });
+        link.go(&mut conn.out, Go { attempt, id, class, function, wait_ms, body, once });
         self.attempts.insert(attempt, key);
         self.dirty.push(key);
     }
 
-    /// What a second run of a call of this class does.
-    fn repeat_of(&self, class: ClassId) -> Repeat {
+    /// Whether a call of this class must not run twice.
+    fn runs_once(&self, class: ClassId) -> bool {
         match self.config.settings.classes.get(class.0 as usize).map(|c| c.effect) {
-            Some(Effect::Safe) => Repeat::Harmless,
-            Some(Effect::Keyed { .. } | Effect::Unsafe) | None => Repeat::Harmful,
+            Some(Effect::Safe) => false,
+            Some(Effect::Keyed { .. } | Effect::Unsafe) | None => true,
         }
     }
 
@@ -204,21 +196,11 @@
     }
 
     /// A connection to a worker that takes this, opened if need be.
-    pub(super) fn link(
-        &mut self,
-        now: Micros,
-        worker: WorkerId,
-        id: &str,
-        repeat: Repeat,
-    ) -> Result<ConnKey, Ending> {
+    pub(super) fn link(&mut self, now: Micros, worker: WorkerId, id: &str) -> Result<ConnKey, Ending> {
         let streams = self.config.streams;
         let keys = self.links.entry(worker).or_default();
         let fits = |key: &&ConnKey| match self.conns.get(**key) {
-            Some((conn, Role::Worker(link))) => {
-                link.takes(id, streams)
-                    && conn.out.len() < BACKLOG
-                    && (repeat == Repeat::Harmless || !link.may_hear_again(now, id))
-            }
+            Some((conn, Role::Worker(link))) => link.takes(id, streams) && conn.out.len() < BACKLOG,
             _ => false,
         };
         if let Some(key) = keys.iter().copied().find(|key| fits(&key)) {
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -152,6 +152,16 @@
     }
 }
 
+/// Something open on a connection.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    what: Open,
+    /// The tag of its frame.
+    tag: u64,
+    /// Whether it must not run twice.
+    once: bool,
+}
+
 /// What is open on one connection to a worker. It reads and writes buffers, never a socket.
 #[derive(Debug)]
 pub struct Link {
@@ -167,9 +177,10 @@
     pub partial: Option<Micros>,
     /// Whether nothing new goes on it: it kept silent for too long, or its worker has gone.
     pub suspect: bool,
-    open: BTreeMap<Rc<str>, (Open, u64)>,
+    open: BTreeMap<Rc<str>, Entry>,
     given_up: VecDeque<(Rc<str>, Micros)>,
-    /// Identities whose attempt was answered as one that never ran, and until when that answer may come again.
+    /// Identities of calls that must not run twice whose attempt was answered as one that never ran, and until when
+    /// that answer may come again.
     turned_away: VecDeque<(Rc<str>, Micros)>,
     next_tag: u64,
 }
@@ -189,6 +200,8 @@
     pub wait_ms: u64,
     /// The payload.
     pub body: &'a [u8],
+    /// Whether the call must not run twice.
+    pub once: bool,
 }
 
 impl Link {
@@ -222,16 +235,18 @@
             && !self.given_up.iter().any(|(i, _)| &**i == id)
     }
 
-    /// Whether an answer that turned this identity away may still come a second time. Guards calls that must not run
-    /// twice: taken for the answer to a further attempt here, it would say that this one never ran.
-    pub fn may_hear_again(&self, now: Micros, id: &str) -> bool {
-        self.turned_away.iter().any(|(i, until)| &**i == id && now < *until)
+    /// Whether an answer that turns this identity away may be the first attempt's, come a second time; asked once for
+    /// each. Guards calls that must not run twice: taken for the answer to the next attempt, it would say that this one
+    /// never ran. If it is that one's own after all, the call ends with its time.
+    fn is_heard_again(&mut self, now: Micros, id: &[u8]) -> bool {
+        let at = self.turned_away.iter().position(|(i, until)| i.as_bytes() == id && now < *until);
+        at.and_then(|at| self.turned_away.remove(at)).is_some()
     }
 
-    fn add(&mut self, id: Rc<str>, what: Open, out: &mut Outbox, bytes: Vec<u8>) {
+    fn add(&mut self, id: Rc<str>, what: Open, once: bool, out: &mut Outbox, bytes: Vec<u8>) {
         let tag = self.next_tag;
         self.next_tag += 1;
-        self.open.insert(id, (what, tag));
+        self.open.insert(id, Entry { what, tag, once });
         match what {
             Open::Attempt(_) => out.push_counted(tag, bytes),
             _ => out.push(tag, bytes),
@@ -243,7 +258,7 @@
         let (class, key, max) = (go.class, go.function.0, go.wait_ms.max(1));
         let fields = format!("profile={class},thing={key:016x},max={max}");
         let bytes = array(&[b"go", go.id.as_bytes(), fields.as_bytes(), go.body]);
-        self.add(go.id, Open::Attempt(go.attempt), out, bytes);
+        self.add(go.id, Open::Attempt(go.attempt), go.once, out, bytes);
     }
 
     /// Sends an order to load.
@@ -251,14 +266,14 @@
         let tag: Rc<str> = format!("o{:x}", order.data().as_ffi()).into();
         let fields = format!("thing={:016x},copies={copies}", function.0);
         let bytes = array(&[b"stage", tag.as_bytes(), fields.as_bytes()]);
-        self.add(tag, Open::Order(order), out, bytes);
+        self.add(tag, Open::Order(order), false, out, bytes);
     }
 
     /// Sends a probe that brings a load report.
     pub fn probe(&mut self, out: &mut Outbox, probe: ProbeKey) {
         let tag: Rc<str> = format!("p{:x}", probe.data().as_ffi()).into();
         let bytes = array(&[b"stat", tag.as_bytes()]);
-        self.add(tag, Open::Probe(probe), out, bytes);
+        self.add(tag, Open::Probe(probe), false, out, bytes);
     }
 
     /// Orders idle copies to be unloaded.
@@ -268,10 +283,10 @@
 
     /// Gives something up: takes it back unsent, or tells the worker.
     pub fn give_up(&mut self, out: &mut Outbox, what: Open, now: Micros, until: Micros) -> Left {
-        let Some(id) = self.open.iter().find(|(_, (w, _))| *w == what).map(|(id, _)| id.clone()) else {
+        let Some(id) = self.open.iter().find(|(_, e)| e.what == what).map(|(id, _)| id.clone()) else {
             return Left::Some;
         };
-        let Some((_, tag)) = self.open.remove(&id) else { return Left::Some };
+        let Some(Entry { tag, .. }) = self.open.remove(&id) else { return Left::Some };
         if out.withdraw(tag) {
             return Left::Nothing;
         }
@@ -287,8 +302,8 @@
 
     /// Takes something back if none of its bytes have left; tells whether it has.
     pub fn take_back(&mut self, out: &mut Outbox, what: Open) -> bool {
-        let found = self.open.iter().find(|(_, (open, _))| *open == what);
-        let Some((id, tag)) = found.map(|(id, (_, tag))| (id.clone(), *tag)) else { return false };
+        let found = self.open.iter().find(|(_, e)| e.what == what);
+        let Some((id, tag)) = found.map(|(id, e)| (id.clone(), e.tag)) else { return false };
         let unsent = out.withdraw(tag);
         if unsent {
             self.open.remove(&id);
@@ -299,7 +314,7 @@
     /// Takes back every attempt and order that waits with none of its bytes gone. Guards the rules on drains,
     /// loads and cold starts for what is queued here.
     pub fn withdraw_unsent(&mut self, out: &mut Outbox, done: &mut Vec<Done>) {
-        self.open.retain(|_, (what, tag)| {
+        self.open.retain(|_, Entry { what, tag, .. }| {
             let unsent = out.withdraw(*tag);
             if unsent {
                 done.push(Done::plain(*what, Ending::Withdrawn, Left::Nothing));
@@ -310,7 +325,7 @@
 
     /// The connection has ended, and with it everything open on it.
     pub fn end(&mut self, out: &Outbox, ending: Ending, done: &mut Vec<Done>) {
-        for (_, (what, tag)) in std::mem::take(&mut self.open) {
+        for (_, Entry { what, tag, .. }) in std::mem::take(&mut self.open) {
             let left = if out.untouched(tag) { Left::Nothing } else { Left::Some };
             done.push(Done::plain(what, ending, left));
         }
@@ -338,7 +353,8 @@
         let text = |b: &[u8]| String::from_utf8_lossy(&b[..b.len().min(64)]).into_owned();
         let of = rest.first().copied().unwrap_or(b"-");
         let Ok(of) = std::str::from_utf8(of) else { return Err(RespError::Answer(text(of))) };
-        let Some((what, _)) = std::str::from_utf8(id).ok().and_then(|id| self.open.get(id)).copied() else {
+        let open = std::str::from_utf8(id).ok().and_then(|id| self.open.get(id)).copied();
+        let Some(Entry { what, once, .. }) = open else {
             self.given_up.retain(|(i, _)| i.as_bytes() != id);
             return Ok(false);
         };
@@ -350,6 +366,10 @@
             (b"504", _) => Ending::Over,
             _ => return Err(RespError::Answer(text(word))),
         };
+        let turned_away = matches!(ending, Ending::Missed | Ending::NoRoom | Ending::Over);
+        if once && turned_away && self.is_heard_again(now, id) {
+            return Ok(false);
+        }
         let mut d = Done::plain(what, ending, Left::Some);
         for (name, value) in fields(of) {
             match name {
@@ -371,7 +391,7 @@
         d.back.body = rest.get(1).map_or_else(Vec::new, |b| b.to_vec());
         self.open.retain(|i, _| {
             let answered = i.as_bytes() == id;
-            if answered && matches!(ending, Ending::Missed | Ending::NoRoom | Ending::Over) {
+            if answered && once && turned_away {
                 self.turned_away.push_back((i.clone(), now + SECOND_ANSWER));
             }
             !answered
