Log ends of discovery streams; count rejected load orders and closed streams

Change: the end of a discovery stream and the first failed connect after it are logged with their reason; counters discovery_closed and orders_refused.

--- a/src/core/load_orders.rs
+++ b/src/core/load_orders.rs
@@ -4,7 +4,7 @@
 
 use super::deadlines::Deadline;
 use super::{Command, Core, HexFunctionId, LoadOrderKey};
-use crate::api::{Event, FunctionId, Micros, WorkerId};
+use crate::api::{Event, FunctionId, Micros, Outcome, WorkerId};
 use crate::completion::{CloseReason, SendProgress};
 
 /// How long a load order may take where the settings state nothing.
@@ -68,6 +68,10 @@
         };
         self.deadlines
             .remove(order.expires_at, Deadline::LoadOrder(key.data().as_ffi()));
+        let outcome = reason.outcome(progress);
+        if outcome == Outcome::Rejected {
+            self.counters.load_orders_rejected += 1;
+        }
         tracing::debug!(
             worker = order.worker.0,
             function = %HexFunctionId(order.function.0),
@@ -80,7 +84,7 @@
             Event::LoadEnded {
                 worker: order.worker,
                 function: order.function,
-                outcome: reason.outcome(progress),
+                outcome,
                 copies,
             },
         );
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -48,6 +48,9 @@
     /// Load orders for no copy, which only ask how many are loaded.
     #[serde(rename = "asks")]
     pub load_queries: u64,
+    /// Load orders that a worker rejected.
+    #[serde(rename = "orders_refused")]
+    pub load_orders_rejected: u64,
     /// Health checks started.
     #[serde(rename = "probes")]
     pub health_checks: u64,
@@ -62,6 +65,8 @@
     pub bad_requests: u64,
     /// Worker connections opened.
     pub connects: u64,
+    /// Connections to service discovery that ended, whether it had answered on them or not.
+    pub discovery_closed: u64,
     /// Worker replies that matched nothing in flight.
     pub unmatched: u64,
     /// Worker replies or watch events that could not be read.
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -93,10 +93,13 @@
                 self.completed.extend(completed);
                 self.routes.remove(worker.worker, key);
             }
-            Role::Discovery(_) => self.core.schedule(
-                now + DISCOVERY_RECONNECT_INTERVAL,
-                GatewayDeadline::DiscoveryReconnect.into(),
-            ),
+            Role::Discovery(stream) => {
+                self.discovery_closed(&stream, reason);
+                self.core.schedule(
+                    now + DISCOVERY_RECONNECT_INTERVAL,
+                    GatewayDeadline::DiscoveryReconnect.into(),
+                );
+            }
             Role::Portal(worker) => {
                 let untouched = worker.untouched(&connection.outbox);
                 self.portal_closed(now, key, &worker, reason, untouched);
--- a/src/gateway/discovery_state.rs
+++ b/src/gateway/discovery_state.rs
@@ -11,4 +11,6 @@
     pub(super) last_revision: u64,
     /// The revision after which an update was missed or unreadable and has been asked for again.
     pub(super) revision_gap: Option<u64>,
+    /// Connections to service discovery in a row that ended before it answered.
+    pub(super) failed_connects: u32,
 }
--- a/src/gateway/endpoint_updates.rs
+++ b/src/gateway/endpoint_updates.rs
@@ -2,6 +2,7 @@
 
 use super::{Gateway, GatewayDeadline, Role};
 use crate::api::{ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus};
+use crate::completion::CloseReason;
 use crate::discovery::{WatchEvent, WatchStream};
 use crate::{discovery, net};
 
@@ -44,6 +45,25 @@
         }
     }
 
+    /// Logs the end of a discovery connection: that of a stream that had answered, and the first failed connect after it.
+    pub(super) fn discovery_closed(&mut self, stream: &WatchStream, reason: CloseReason) {
+        let answered = stream.has_answered();
+        if answered || self.discovery.failed_connects == 0 {
+            tracing::info!(
+                revision = self.discovery.last_revision,
+                reason = reason.name(),
+                answered,
+                "discovery stream closed"
+            );
+        }
+        self.core.counters.discovery_closed += 1;
+        self.discovery.failed_connects = if answered {
+            0
+        } else {
+            self.discovery.failed_connects.saturating_add(1)
+        };
+    }
+
     /// Handles one event; `false` if service discovery is to be asked again for what was missed.
     pub(super) fn read_watch_event(
         &mut self,
