--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -5,7 +5,8 @@
 use std::process::ExitCode;
 
 use crate::{
-    bench, conformance, crash, demo, emulator, fault_injection, gossip, lease_trials, load, rate,
+    bench, conformance, crash, demo, emulator, fault_injection, gossip, lease_trials, load, outage,
+    rate,
 };
 use bpaf::Bpaf;
 
@@ -148,6 +149,22 @@
         #[bpaf(positional("HISTORY"))]
         folder: PathBuf,
     },
+    /// Long trials from seeds, judged by what workers and clients recorded
+    #[bpaf(command)]
+    Soak {
+        /// How many seeds
+        #[bpaf(long, argument("N"), fallback(50))]
+        seeds: u64,
+        /// The first seed
+        #[bpaf(long, argument("S"), fallback(1))]
+        seed: u64,
+        /// How many run at once
+        #[bpaf(long, argument("N"), fallback(4))]
+        parallel: usize,
+        /// The subject: outage
+        #[bpaf(positional("SUBJECT"))]
+        subject: String,
+    },
     /// Measure a structure against plain ones
     #[bpaf(command)]
     Bench(#[bpaf(external(bench))] Bench),
@@ -362,6 +379,17 @@
             plot.as_deref(),
         ),
         Command::Check { folder } => crate::history::run(&folder),
+        Command::Soak {
+            seeds,
+            seed,
+            parallel,
+            subject,
+        } => match subject.as_str() {
+            "outage" => outage::soak(seeds, seed, parallel),
+            other => Err(std::io::Error::other(format!(
+                "no subject '{other}': there is outage"
+            ))),
+        },
         Command::Bench(Bench::Wheel) => bench::wheel(),
         Command::Bench(Bench::Rate {
             callers,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod history;
 pub mod lease_trials;
 pub mod load;
+pub mod outage;
 pub mod rate;
--- /dev/null
+++ b/testbed/src/outage/discovery.rs
@@ -0,0 +1,192 @@
+//! A stand-in of service discovery that fails in many ways.
+
+use std::io::{Read, Result, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use super::scenario::OutageKind;
+
+/// How often a stream looks for something to say.
+const STEP: Duration = Duration::from_millis(10);
+/// How often a comment is sent.
+const COMMENT_INTERVAL: Duration = Duration::from_secs(1);
+/// How often a dribbling stream sends one byte.
+const DRIBBLE_INTERVAL: Duration = Duration::from_millis(600);
+
+/// What all streams share.
+#[derive(Debug)]
+struct Shared {
+    /// The events from revision 2 on; revision 1 is in the gateways' files.
+    events: Vec<String>,
+    kind: OutageKind,
+    over: bool,
+}
+
+/// The stand-in.
+#[derive(Clone, Debug)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl Discovery {
+    /// Starts it on a free port.
+    pub fn start() -> Result<Discovery> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let discovery = Discovery {
+            address,
+            shared: Arc::new(Mutex::new(Shared {
+                events: Vec::new(),
+                kind: OutageKind::None,
+                over: false,
+            })),
+        };
+        let own = discovery.clone();
+        std::thread::spawn(move || own.accept(listener));
+        Ok(discovery)
+    }
+
+    /// Has it fail in this way from now on.
+    pub fn set(&self, kind: OutageKind) {
+        self.lock().kind = kind;
+    }
+
+    /// Adds an event that describes these workers.
+    pub fn publish(&self, endpoints: &[Value]) {
+        let mut shared = self.lock();
+        let revision = shared.events.len() as u64 + 2;
+        let event = json!({ "rev": revision,
+            "pool": { "index": revision, "snapshot": false, "endpoints": endpoints } });
+        shared
+            .events
+            .push(format!("id: {revision}\ndata: {event}\n\n"));
+    }
+
+    /// Ends it.
+    pub fn stop(&self) {
+        self.lock().over = true;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            let (kind, over) = {
+                let shared = self.lock();
+                (shared.kind, shared.over)
+            };
+            if over {
+                return;
+            }
+            match (&listener, kind == OutageKind::Refused) {
+                (Some(_), true) => listener = None,
+                (None, false) => listener = TcpListener::bind(self.address).ok(),
+                _ => {}
+            }
+            let accepted = listener.as_ref().and_then(|listener| {
+                listener.set_nonblocking(true).ok()?;
+                listener.accept().ok()
+            });
+            let Some((stream, _)) = accepted else {
+                std::thread::sleep(STEP / 2);
+                continue;
+            };
+            if kind == OutageKind::Reset {
+                // Ends the connection with a reset in place of an orderly end.
+                let _ = rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO));
+                continue;
+            }
+            let own = self.clone();
+            std::thread::spawn(move || own.serve(stream));
+        }
+    }
+
+    /// Serves one stream until it fails or the gateway goes.
+    fn serve(&self, mut stream: TcpStream) -> Option<()> {
+        stream.set_nonblocking(false).ok()?;
+        stream.set_nodelay(true).ok()?;
+        let mut next = self.read_revision(&mut stream)?.saturating_sub(1) as usize;
+        let mut has_answered = false;
+        let mut last_comment = Instant::now();
+        let mut last_byte = Instant::now();
+        loop {
+            std::thread::sleep(STEP);
+            let (kind, pending) = {
+                let shared = self.lock();
+                if shared.over {
+                    return None;
+                }
+                let pending: Vec<String> = shared.events.iter().skip(next).cloned().collect();
+                (shared.kind, pending)
+            };
+            if kind == OutageKind::Refused || kind == OutageKind::Reset {
+                return None;
+            }
+            if kind == OutageKind::Silent {
+                continue;
+            }
+            if !has_answered {
+                stream
+                    .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+                    .ok()?;
+                has_answered = true;
+                last_comment = Instant::now() - COMMENT_INTERVAL;
+            }
+            match kind {
+                OutageKind::CutInEvent => {
+                    stream.write_all(b"id: 99\ndata: {\"rev\":99,\"poo").ok()?;
+                    // Nothing more is said until the outage is over; then the stream ends.
+                    while self.lock().kind == kind {
+                        std::thread::sleep(STEP);
+                    }
+                    return None;
+                }
+                OutageKind::Dribble => {
+                    if last_byte.elapsed() >= DRIBBLE_INTERVAL {
+                        last_byte = Instant::now();
+                        stream.write_all(b"x").ok()?;
+                    }
+                    continue;
+                }
+                _ => {}
+            }
+            if last_comment.elapsed() >= COMMENT_INTERVAL {
+                last_comment += COMMENT_INTERVAL;
+                stream.write_all(b": \n\n").ok()?;
+            }
+            if kind == OutageKind::None {
+                for event in &pending {
+                    stream.write_all(event.as_bytes()).ok()?;
+                }
+                next += pending.len();
+            }
+        }
+    }
+
+    /// Reads the request and the revision after which it asks.
+    fn read_revision(&self, stream: &mut TcpStream) -> Option<u64> {
+        let mut head = Vec::new();
+        let mut chunk = [0; 1024];
+        while !head.windows(4).any(|w| w == b"\r\n\r\n") {
+            match stream.read(&mut chunk).ok()? {
+                0 => return None,
+                n => head.extend(&chunk[..n]),
+            }
+        }
+        let text = String::from_utf8_lossy(&head).into_owned();
+        text.lines()
+            .find_map(|line| line.strip_prefix("Last-Event-ID: "))?
+            .trim()
+            .parse()
+            .ok()
+    }
+}
--- /dev/null
+++ b/testbed/src/outage/run.rs
@@ -0,0 +1,262 @@
+//! Plays one scenario between real processes.
+
+use std::io::{Error, Result};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use super::clients::{Addresses, Call, Client, CALLERS};
+use super::discovery::Discovery;
+use super::judge::{Verdict, WorkerRecord};
+use super::scenario::{OutageKind, Restarts, Scenario};
+use super::worker::{DrainableWorker, ProcessState};
+use crate::fakes::gateway::{settings, Folder};
+use crate::fakes::Gateway;
+
+/// How long after SIGTERM the platform waits at least, on top of the longest deadline.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// How long after the beginning of the outage a gateway is restarted.
+const RESTART_AFTER: Duration = Duration::from_millis(4_000);
+/// How long a killed gateway is away.
+const RESTART_TIME: Duration = Duration::from_millis(1_000);
+/// The gateways are ready before the first call.
+const SETTLE_TIME: Duration = Duration::from_millis(400);
+
+/// Something that happens at a time of the run.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Discovery(OutageKind),
+    Worker(usize, ProcessState),
+    /// Discovery has this of a worker from now on.
+    Publish(usize, &'static str),
+    Terminate,
+    Kill,
+    Restart,
+}
+
+/// The processes and stand-ins of a run.
+struct Stage {
+    scenario: Scenario,
+    discovery: Discovery,
+    workers: Vec<DrainableWorker>,
+    folders: Vec<Folder>,
+    gateways: Vec<Gateway>,
+    addresses: Addresses,
+}
+
+/// Plays a scenario and judges it.
+///
+/// # Errors
+///
+/// A process or stand-in cannot be started, or a gateway has ended by itself.
+pub fn play(scenario: &Scenario) -> Result<Verdict> {
+    let mut stage = Stage::set_up(scenario)?;
+    std::thread::sleep(SETTLE_TIME);
+    let begun = Instant::now();
+    let over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = stage.clients(begun, &over);
+    for (at, step) in steps(scenario) {
+        std::thread::sleep((begun + at).saturating_duration_since(Instant::now()));
+        stage.perform(step)?;
+    }
+    std::thread::sleep((begun + scenario.ends_at).saturating_duration_since(Instant::now()));
+    over.store(true, Ordering::Relaxed);
+    let mut calls: Vec<Call> = Vec::new();
+    for client in clients {
+        calls.extend(client.join().map_err(|_| Error::other("a client failed"))?);
+    }
+    stage.finish()?;
+    let records: Vec<WorkerRecord> = stage
+        .workers
+        .iter()
+        .enumerate()
+        .map(|(worker, stand_in)| WorkerRecord {
+            worker,
+            received: stand_in.received(),
+        })
+        .collect();
+    Ok(Verdict::of(scenario, begun, &records, &calls))
+}
+
+/// All that happens, in order.
+fn steps(scenario: &Scenario) -> Vec<(Duration, Step)> {
+    let mut steps = vec![
+        (scenario.outage_at, Step::Discovery(scenario.kind)),
+        (scenario.outage_ends_at, Step::Discovery(OutageKind::None)),
+    ];
+    for drain in &scenario.drains {
+        let worker = drain.worker;
+        steps.extend([
+            (drain.at, Step::Worker(worker, ProcessState::Draining)),
+            (drain.at + scenario.lag, Step::Publish(worker, "DRAINING")),
+            (drain.ends_at, Step::Worker(worker, ProcessState::Ended)),
+            (
+                drain.ends_at + scenario.lag,
+                Step::Publish(worker, "DELETED"),
+            ),
+            (
+                drain.returns_at,
+                Step::Worker(worker, ProcessState::Serving),
+            ),
+            (
+                drain.returns_at + scenario.lag,
+                Step::Publish(worker, "SERVING"),
+            ),
+        ]);
+    }
+    let restart_at = scenario.outage_at + RESTART_AFTER;
+    let kill_at = match scenario.restarts {
+        Restarts::None => None,
+        Restarts::Kill => Some(restart_at),
+        Restarts::Terminate => {
+            // A series of signals counts from the first.
+            steps.extend((0..3).map(|n| (restart_at + n * KILL_AFTER / 4, Step::Terminate)));
+            Some(restart_at + KILL_AFTER + scenario.deadline)
+        }
+    };
+    if let Some(at) = kill_at {
+        steps.extend([(at, Step::Kill), (at + RESTART_TIME, Step::Restart)]);
+    }
+    steps.retain(|(at, _)| *at < scenario.ends_at);
+    steps.sort_by_key(|(at, _)| *at);
+    steps
+}
+
+fn endpoint(worker: &DrainableWorker, status: &str, since_ms: u64) -> Value {
+    json!({ "name": worker.name, "address": worker.address.to_string(), "zone": "north", "type": "std",
+            "group": 0, "status": status, "weight": 4, "since_ms": since_ms })
+}
+
+fn unix_ms() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
+
+impl Stage {
+    fn set_up(scenario: &Scenario) -> Result<Stage> {
+        let discovery = Discovery::start()?;
+        let workers: Vec<DrainableWorker> = (0..scenario.workers)
+            .map(|n| DrainableWorker::start(format!("s-{n:08x}")))
+            .collect::<Result<_>>()?;
+        let mut stage = Stage {
+            scenario: scenario.clone(),
+            discovery,
+            workers,
+            folders: Vec::new(),
+            gateways: Vec::new(),
+            addresses: Addresses::new(Mutex::new(Vec::new())),
+        };
+        for number in 0..scenario.gateways {
+            let folder = Folder::new("outage")?;
+            std::fs::write(
+                folder.0.join("config.json"),
+                stage.config(number).to_string(),
+            )?;
+            std::fs::write(folder.0.join("operator.toml"), "")?;
+            let gateway = Gateway::again(&folder.0, "")?;
+            stage.lock_addresses().push(gateway.platform);
+            stage.folders.push(folder);
+            stage.gateways.push(gateway);
+        }
+        Ok(stage)
+    }
+
+    fn config(&self, number: usize) -> Value {
+        let scenario = &self.scenario;
+        let mut settings = settings(scenario.deadline.as_millis() as f64);
+        settings["groupSize"] = json!(scenario.gateways);
+        settings["me"] = json!(number);
+        settings["caps"]["probes"] = json!(scenario.health_checks);
+        settings["obligations"]["drainGraceMs"] = json!(scenario.grace.as_millis() as f64);
+        if scenario.load_rate_limit {
+            settings["familyInfo"]["loadWindowMs"] = json!(10_000.0);
+            settings["familyInfo"]["loadsAnyway"] = json!(3.0);
+            settings["familyInfo"]["loadRatio"] = json!(0.3);
+        }
+        let endpoints: Vec<Value> = self
+            .workers
+            .iter()
+            .map(|worker| endpoint(worker, "SERVING", 0))
+            .collect();
+        let known = json!({ "rev": 1, "notices": [
+            { "rev": 1, "pool": { "index": 1, "snapshot": true, "endpoints": endpoints } } ] });
+        json!({ "name": format!("n{number}"), "listen": "127.0.0.1:0",
+            "seed": format!("{:016x}", scenario.seed.wrapping_mul(0x9e37_79b9) + number as u64),
+            "known": known, "board": self.discovery.address.to_string(),
+            "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 1024 }, "settings": settings })
+    }
+
+    fn clients(
+        &self,
+        begun: Instant,
+        over: &Arc<AtomicBool>,
+    ) -> Vec<std::thread::JoinHandle<Vec<Call>>> {
+        (0..self.scenario.gateways)
+            .flat_map(|gateway| (0..CALLERS).map(move |number| (gateway, number)))
+            .map(|(gateway, number)| {
+                let client = Client {
+                    gateway,
+                    number,
+                    scenario: self.scenario.clone(),
+                    addresses: self.addresses.clone(),
+                    begun,
+                    over: over.clone(),
+                };
+                std::thread::spawn(move || client.run())
+            })
+            .collect()
+    }
+
+    fn perform(&mut self, step: Step) -> Result<()> {
+        match step {
+            Step::Discovery(kind) => self.discovery.set(kind),
+            Step::Worker(worker, state) => self.workers[worker].set(state),
+            Step::Publish(worker, status) => {
+                let since_ms = if status == "SERVING" { unix_ms() } else { 0 };
+                let entry = endpoint(&self.workers[worker], status, since_ms);
+                self.discovery.publish(&[entry]);
+            }
+            Step::Terminate => {
+                // It may have ended in order since the first signal.
+                if !self.gateways[0].has_ended()? {
+                    self.gateways[0].end()?;
+                }
+            }
+            Step::Kill => {
+                if !self.gateways[0].has_ended()? {
+                    self.gateways[0].kill()?;
+                }
+            }
+            Step::Restart => {
+                self.gateways[0] = Gateway::again(&self.folders[0].0, "")?;
+                self.lock_addresses()[0] = self.gateways[0].platform;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all; a gateway that has ended before is an error.
+    fn finish(&mut self) -> Result<()> {
+        for gateway in &mut self.gateways {
+            if gateway.has_ended()? {
+                let log = gateway.log.join(" | ");
+                return Err(Error::other(format!("a gateway has ended: {log}")));
+            }
+            gateway.kill()?;
+        }
+        self.discovery.stop();
+        for worker in &self.workers {
+            worker.stop();
+        }
+        Ok(())
+    }
+
+    fn lock_addresses(&self) -> std::sync::MutexGuard<'_, Vec<std::net::SocketAddr>> {
+        self.addresses
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/testbed/tests/outage.rs
@@ -0,0 +1,64 @@
+//! Regression of the incident in `docs/incidents/2026-12-02-discovery-outage.md`.
+//!
+//! Symptom: calls and load orders reached workers 7 s plus the grace and more after those had begun to drain.
+//! Sequence: discovery goes out of reach of all gateways; two workers drain half a second later and stay up; calls of
+//! new functions go on. The workers reject everything; the gateways send and order on until discovery is back.
+//! Cause: a worker that was listed as ready counted as ready for ever, as nothing knew how old the list was; and a
+//! rejected load order was given again at once.
+//! What settled it: `worker s-c7c5f56f: taken 11.103, turned away` against a drain at 3.54 that counts as told at
+//! 10.54 (grace 0.5 s); five orders for one function between 30.998 and 30.999; with the stand-ins of this test the
+//! same in each kind of outage, and none while discovery was in reach.
+
+use std::path::PathBuf;
+
+use molelug_testbed::fakes::gateway::PROGRAM;
+use molelug_testbed::outage::{play, OutageKind, Scenario, Verdict};
+
+fn ready() {
+    PROGRAM.get_or_init(|| PathBuf::from(env!("CARGO_BIN_EXE_molelug-testbed")));
+}
+
+/// Plays scenarios at once, each between processes of its own.
+fn play_all(scenarios: Vec<Scenario>) -> Vec<Verdict> {
+    ready();
+    let threads: Vec<_> = scenarios
+        .into_iter()
+        .map(|scenario| std::thread::spawn(move || play(&scenario).expect("the run ends")))
+        .collect();
+    threads
+        .into_iter()
+        .map(|thread| thread.join().expect("a run"))
+        .collect()
+}
+
+fn assert_all(verdicts: &[Verdict], holds: impl Fn(&Verdict) -> bool) {
+    let failed: Vec<String> = verdicts
+        .iter()
+        .filter(|verdict| !holds(verdict))
+        .map(ToString::to_string)
+        .collect();
+    assert!(
+        failed.is_empty(),
+        "\n{}\n{}",
+        Verdict::HEADER,
+        failed.join("\n")
+    );
+}
+
+#[test]
+fn nothing_new_reaches_workers_that_drained_in_an_outage() {
+    let kinds = [
+        OutageKind::Refused,
+        OutageKind::Silent,
+        OutageKind::CommentsOnly,
+        OutageKind::Reset,
+        OutageKind::CutInEvent,
+        OutageKind::Dribble,
+    ];
+    let mut scenarios: Vec<Scenario> = kinds.map(Scenario::reported).into();
+    scenarios.push(Scenario {
+        health_checks: false,
+        ..Scenario::reported(OutageKind::Refused)
+    });
+    assert_all(&play_all(scenarios), Verdict::keeps_rules);
+}
