--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -46,6 +46,21 @@
     Failed,
 }
 
+/// A sign of the stream of service discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoverySignal {
+    /// A new stream has answered. What was missed comes first.
+    Opened,
+    /// An update has come; it has been applied.
+    Update,
+    /// A heartbeat has come: nothing has changed.
+    Heartbeat,
+    /// Part of an update or heartbeat has come.
+    Incomplete,
+    /// The stream has ended.
+    Closed,
+}
+
 /// A request as it arrives.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -102,6 +117,13 @@
         /// The entries.
         workers: Vec<WorkerEntry>,
     },
+    /// The stream of service discovery has given a sign.
+    Discovery(DiscoverySignal),
+    /// A connection to a worker was refused: no process accepts calls at its address.
+    WorkerRefused {
+        /// The worker.
+        worker: WorkerId,
+    },
     /// A request arrived.
     Request(Arrival),
     /// An attempt ended.
@@ -131,10 +153,14 @@
     HealthChecked {
         /// The worker.
         worker: WorkerId,
-        /// How it ended.
+        /// How it ended; [`Outcome::Error`] if the worker answered that it takes nothing new.
         outcome: Outcome,
         /// The worker's load report, where one came along.
         load_report: Option<LoadReport>,
+        /// The time since it was sent, in microseconds.
+        latency: Micros,
+        /// When the connection that carried it was opened, where that is known.
+        connection_opened_at: Option<Micros>,
     },
     /// Peers observed a worker's health. The caller has weighed their observations. They may change
     /// the order of workers and bring a trial forward, but never exclude a worker.
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -11,7 +11,9 @@
 mod settings;
 
 pub use action::Action;
-pub use event::{Arrival, AttemptEnd, Event, ListUpdate, WorkerEntry, WorkerStatus};
+pub use event::{
+    Arrival, AttemptEnd, DiscoverySignal, Event, ListUpdate, WorkerEntry, WorkerStatus,
+};
 pub use ids::{CellId, ClassId, FunctionId, RequestId, TenantId, WorkerId, ZoneId};
 pub use outcome::{CopyStart, LoadReport, Outcome};
 pub use settings::{Class, Effect, IdempotencyScope, LoadRateLimit, OnMiss, Settings, Tenant};
--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -126,4 +126,9 @@
     pub max_retry_after: Micros,
     /// Whether the endpoint list has to be subscribed to.
     pub must_subscribe: bool,
+    /// What discovery has to tell counts as told after this, in microseconds, whether it was in reach or not; none
+    /// where the list does not age.
+    pub list_max_age: Option<Micros>,
+    /// Whether discovery sends heartbeats that confirm the list, rather than a subscription that holds until it fails.
+    pub discovery_heartbeats: bool,
 }
--- a/src/bin/molelug-simhost/main.rs
+++ b/src/bin/molelug-simhost/main.rs
@@ -42,6 +42,8 @@
                         // Each by itself, as they come to a gateway with time to spare.
                         instance.policy.take(now, event, &mut actions);
                         instance.policy.settle(now, &mut actions);
+                        // Nobody reads them here.
+                        while instance.policy.next_evidence_change().is_some() {}
                     }
                 }
                 Message::Ignored => {}
--- a/src/bin/molelug-simhost/wire.rs
+++ b/src/bin/molelug-simhost/wire.rs
@@ -273,6 +273,8 @@
             worker: WorkerId(u32_at(r, 3)?),
             outcome: outcome(u16_at(r, 7)?)?,
             load_report: report(r, 17, fields)?,
+            latency: micros(f64_at(r, 9)?),
+            connection_opened_at: None,
         },
         other => return bad(format!("unknown event code {other}")),
     }))
--- a/src/config.rs
+++ b/src/config.rs
@@ -17,6 +17,9 @@
 use crate::settings;
 use crate::tenancy::{Registry, Spec};
 
+/// What service discovery has to tell counts as told after this, whether it was in reach or not.
+const LIST_MAX_AGE: Micros = 7_000_000;
+
 /// Why a configuration cannot be used.
 #[derive(Debug)]
 pub enum ConfigError {
@@ -213,6 +216,10 @@
         // Clients of the simulator are told nothing; on sockets every refusal says when to come back.
         let advice = number("caps.maxRetryAfterMs").unwrap_or(0.0);
         module.max_retry_after = module.max_retry_after.max((advice * 1e3) as Micros);
+        // On sockets discovery pushes; there is nothing to subscribe to. Its heartbeats tell how old the list is.
+        module.must_subscribe = false;
+        module.discovery_heartbeats = board.is_some();
+        module.list_max_age = board.is_some().then_some(LIST_MAX_AGE);
         let listed = |list: &str, field: &str| -> Vec<String> {
             let named = |v: &Value| {
                 v.get(field)
--- a/src/core/actions.rs
+++ b/src/core/actions.rs
@@ -72,6 +72,7 @@
             self.perform_actions(now, actions);
             self.events.pop_front();
         }
+        self.log_evidence_changes();
     }
 
     /// Has the module decide on all pending requests, if it has taken an event since it last did.
@@ -82,6 +83,7 @@
         self.counters.settled += 1;
         let mut actions = std::mem::take(&mut self.actions);
         self.policy.settle(now, &mut actions);
+        self.log_evidence_changes();
         self.perform_actions(now, actions);
     }
 
@@ -104,7 +106,12 @@
             Action::Reject {
                 request,
                 retry_after,
-            } => self.answer_request(request, Answer::Rejected { retry_after }),
+            } => {
+                if self.policy.healthy_workers() == 0 && self.policy.is_discovery_lost(now) {
+                    self.counters.rejected_without_evidence += 1;
+                }
+                self.answer_request(request, Answer::Rejected { retry_after });
+            }
             Action::Fail { request } => self.answer_request(request, Answer::Failed),
             Action::Load {
                 worker,
@@ -120,8 +127,7 @@
             Action::Wake { after, token } => self
                 .deadlines
                 .insert(now + after.max(1), Deadline::Wake(token)),
-            // Service discovery pushes; there is nothing to subscribe to.
-            Action::Subscribe => {}
+            Action::Subscribe => self.commands.push_back(Command::ReopenDiscovery),
         }
     }
 }
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -114,6 +114,13 @@
         /// The worker to check.
         worker: WorkerId,
     },
+    /// Give up on a health check.
+    AbandonHealthCheck {
+        /// The health check.
+        check: HealthCheckKey,
+    },
+    /// Open the stream of service discovery anew.
+    ReopenDiscovery,
     /// Give the one final answer to a call.
     Answer {
         /// Who is owed the answer.
--- a/src/core/health_checks.rs
+++ b/src/core/health_checks.rs
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 pub(super) struct HealthCheck {
     worker: WorkerId,
+    sent_at: Micros,
     expires_at: Micros,
 }
 
@@ -21,9 +22,11 @@
     /// Starts a health check of a worker.
     pub fn start_health_check(&mut self, now: Micros, worker: WorkerId) -> HealthCheckKey {
         let expires_at = now + HEALTH_CHECK_TIMEOUT;
-        let check = self
-            .health_checks
-            .insert(HealthCheck { worker, expires_at });
+        let check = self.health_checks.insert(HealthCheck {
+            worker,
+            sent_at: now,
+            expires_at,
+        });
         self.deadlines
             .insert(expires_at, Deadline::HealthCheck(check.data().as_ffi()));
         self.counters.health_checks += 1;
@@ -37,25 +40,32 @@
         self.health_checks.contains_key(key)
     }
 
-    /// A health check has ended at the driver.
+    /// A health check has ended at the driver, on a connection that was opened at `connection_opened_at` if there was
+    /// one.
     pub fn health_check_ended(
         &mut self,
         now: Micros,
         key: HealthCheckKey,
         reason: CloseReason,
         load_report: Option<LoadReport>,
+        connection_opened_at: Option<Micros>,
     ) {
         let Some(check) = self.health_checks.remove(key) else {
             return;
         };
         self.deadlines
             .remove(check.expires_at, Deadline::HealthCheck(key.data().as_ffi()));
+        let outcome = reason.outcome(SendProgress::Started);
+        self.count_health_check(outcome);
+        self.note_refused(now, check.worker, reason);
         self.handle_event(
             now,
             Event::HealthChecked {
                 worker: check.worker,
-                outcome: reason.outcome(SendProgress::Started),
+                outcome,
                 load_report,
+                latency: now.saturating_sub(check.sent_at),
+                connection_opened_at,
             },
         );
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 mod attempts;
 mod command;
 mod deadlines;
+mod evidence;
 mod health_checks;
 mod load_orders;
 mod requests;
@@ -25,6 +26,7 @@
 pub use command::{Answer, AttemptDispatch, AttemptReply, Call, Command};
 pub use deadlines::ExternalDeadline;
 use deadlines::{Deadline, DeadlineQueue};
+pub use evidence::EvidenceView;
 use health_checks::HealthCheck;
 use load_orders::{LoadOrder, DEFAULT_LOAD_ORDER_TIMEOUT};
 use requests::Request;
@@ -171,8 +173,9 @@
                     order: LoadOrderKey::from(KeyData::from_ffi(number)),
                 }),
                 Deadline::HealthCheck(number) => {
-                    let check = HealthCheckKey::from(KeyData::from_ffi(number));
-                    self.health_check_ended(now, check, CloseReason::TimedOut, None);
+                    self.commands.push_back(Command::AbandonHealthCheck {
+                        check: HealthCheckKey::from(KeyData::from_ffi(number)),
+                    });
                 }
                 Deadline::External(deadline) => external.push(deadline),
             }
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -54,6 +54,24 @@
     /// Health checks started.
     #[serde(rename = "probes")]
     pub health_checks: u64,
+    /// Health checks that the worker answered as alive.
+    pub checks_alive: u64,
+    /// Health checks that the worker answered as dead: it takes nothing new.
+    pub checks_dead: u64,
+    /// Health checks without an answer.
+    pub checks_unanswered: u64,
+    /// Times that discovery confirmed nothing for too long.
+    pub discovery_lost: u64,
+    /// Times that a worker was doubted although it was listed as ready.
+    pub workers_doubted: u64,
+    /// Times that a worker was suspended, as no recent evidence said that it takes new work.
+    pub workers_suspended: u64,
+    /// Times that a suspended worker was used again.
+    pub workers_resumed: u64,
+    /// Attempts and load orders withheld where their bytes would have left, as the evidence had expired.
+    pub sends_withheld: u64,
+    /// Calls rejected while no worker was known to take new work.
+    pub rejected_without_evidence: u64,
     /// Times that the decision module looked over all pending requests.
     pub settled: u64,
     /// Client connections accepted.
--- a/src/discovery/event_stream.rs
+++ b/src/discovery/event_stream.rs
@@ -44,6 +44,8 @@
     text: Vec<u8>,
     id: Option<String>,
     data: String,
+    /// Whether a comment has come that is not part of an event.
+    heartbeat: bool,
 }
 
 /// One server-sent event.
@@ -75,6 +77,17 @@
         self.framing == Framing::Ended
     }
 
+    /// Whether a heartbeat has come since the last call: a complete comment outside any event. One that stands inside an
+    /// event says nothing of what has changed until that event is complete.
+    pub fn take_heartbeat(&mut self) -> bool {
+        std::mem::take(&mut self.heartbeat)
+    }
+
+    /// Whether what has come ends in the middle of a line or an event.
+    pub fn is_incomplete(&self) -> bool {
+        !self.text.is_empty() || self.id.is_some() || !self.data.is_empty()
+    }
+
     /// Decodes what has come; appends the complete events.
     ///
     /// # Errors
@@ -190,6 +203,10 @@
             events.extend(self.take_event());
             return;
         }
+        if line.starts_with(':') {
+            self.heartbeat |= self.id.is_none() && self.data.is_empty();
+            return;
+        }
         let (field, value) = line.split_once(':').unwrap_or((line, ""));
         let value = value.strip_prefix(' ').unwrap_or(value);
         match field {
@@ -200,7 +217,7 @@
                 }
                 self.data.push_str(value);
             }
-            // A comment has an empty field name; other fields mean nothing here.
+            // Other fields mean nothing here.
             _ => {}
         }
     }
--- a/src/gateway/commands.rs
+++ b/src/gateway/commands.rs
@@ -25,6 +25,7 @@
                 continue;
             } else if let Some(key) = self.dirty.pop() {
                 self.withdraw_expired_effects(key);
+                self.withdraw_without_evidence(now, key);
                 self.flush_connection(key);
             } else {
                 return;
@@ -74,10 +75,15 @@
                     .load_ended(now, key, reason, progress, completed.copies);
             }
             Exchange::HealthCheck(key) => {
-                self.routes.health_checks.remove(key);
-                self.on_health_check_probe_ended(now, key, reason);
+                let connection = self.routes.health_checks.remove(key);
+                let opened_at = connection.and_then(|key| self.worker_connection_opened_at(key));
+                // The lease holder's checker has a timeout of its own.
+                if reason != CloseReason::TimedOut {
+                    self.on_health_check_probe_ended(now, key, reason);
+                }
+                let load_report = completed.reply.load_report;
                 self.core
-                    .health_check_ended(now, key, reason, completed.reply.load_report);
+                    .health_check_ended(now, key, reason, load_report, opened_at);
             }
         }
     }
@@ -118,6 +124,8 @@
             Command::AbandonLoad { order } => self.abandon_load_order(now, order),
             Command::Unload { worker, function } => self.send_unload(now, worker, function),
             Command::HealthCheck { check, worker } => self.send_health_check(now, check, worker),
+            Command::AbandonHealthCheck { check } => self.abandon_health_check(now, check),
+            Command::ReopenDiscovery => self.reopen_discovery(now),
         }
     }
 
@@ -156,6 +164,44 @@
         ));
     }
 
+    fn abandon_health_check(&mut self, now: Micros, check: HealthCheckKey) {
+        let exchange = Exchange::HealthCheck(check);
+        let connection_key = self.routes.health_checks.get(check).copied();
+        let progress = connection_key.map_or(SendProgress::Unsent, |key| {
+            self.cancel_exchange(now, key, exchange)
+        });
+        self.completed.push_back(Completed::without_reply(
+            exchange,
+            CloseReason::TimedOut,
+            progress,
+        ));
+    }
+
+    /// Withdraws attempts and load orders of which no byte has left if their worker is not known any more to take new
+    /// work: the evidence may have expired while they waited behind a connect.
+    fn withdraw_without_evidence(&mut self, now: Micros, key: ConnKey) {
+        let Some((connection, Role::Worker(worker))) = self.connections.get_mut(key) else {
+            return;
+        };
+        if connection.outbox.is_empty() || self.core.may_send(now, worker.worker) {
+            return;
+        }
+        let mut withdrawn = Vec::new();
+        worker.withdraw_unsent_work(&mut connection.outbox, &mut withdrawn);
+        self.core.counters.sends_withheld += withdrawn.len() as u64;
+        self.completed.extend(withdrawn);
+    }
+
+    /// Whether a worker may be sent new work, by the list, the operators and the evidence.
+    fn takes_new_work(&mut self, now: Micros, worker: WorkerId) -> bool {
+        if self.discovery.endpoints.is_draining(worker) {
+            return false;
+        }
+        let has_evidence = self.core.may_send(now, worker);
+        self.core.counters.sends_withheld += u64::from(!has_evidence);
+        has_evidence
+    }
+
     /// Has a worker unload a function's idle copies; without a connection they stay.
     fn send_unload(&mut self, now: Micros, worker: WorkerId, function: FunctionId) {
         let Ok(key) = self.connection_to(now, worker, "") else {
@@ -181,10 +227,10 @@
         self.dirty.push(key);
     }
 
-    /// Sends a load order, unless its worker is draining.
+    /// Sends a load order, unless its worker is not known to take new work.
     pub(super) fn send_load_order(&mut self, now: Micros, order: Order) {
         let exchange = Exchange::LoadOrder(order.key);
-        if self.discovery.endpoints.is_draining(order.worker) {
+        if !self.takes_new_work(now, order.worker) {
             return self.complete_unsent(exchange, CloseReason::Withdrawn);
         }
         let key = match self.connection_to(now, order.worker, "") {
@@ -236,13 +282,13 @@
         self.dirty.push(connection_key);
     }
 
-    /// The connection for an attempt, unless its worker is draining.
+    /// The connection for an attempt, unless its worker is not known to take new work.
     fn connection_for(
         &mut self,
         now: Micros,
         dispatch: &AttemptDispatch,
     ) -> Result<ConnKey, CloseReason> {
-        if self.discovery.endpoints.is_draining(dispatch.worker) {
+        if !self.takes_new_work(now, dispatch.worker) {
             return Err(CloseReason::Withdrawn);
         }
         self.connection_to(now, dispatch.worker, &dispatch.identity)
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -6,10 +6,10 @@
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction};
 
-use super::endpoint_updates::{DISCOVERY_RECONNECT_INTERVAL, DISCOVERY_SILENCE_TIMEOUT};
+use super::endpoint_updates::DISCOVERY_SILENCE_TIMEOUT;
 use super::worker_connections::{PARTIAL_REPLY_TIMEOUT, RETIRED_CHECK_INTERVAL};
 use super::{consensus, ConnKey, Gateway, GatewayDeadline, ListenerKind, PendingResponse, Role};
-use crate::api::Micros;
+use crate::api::{DiscoverySignal, Micros};
 use crate::completion::CloseReason;
 use crate::discovery;
 use crate::front::http::READ_LIMIT;
@@ -94,11 +94,7 @@
                 self.routes.remove(worker.worker, key);
             }
             Role::Discovery(stream) => {
-                self.discovery_closed(&stream, reason);
-                self.core.schedule(
-                    now + DISCOVERY_RECONNECT_INTERVAL,
-                    GatewayDeadline::DiscoveryReconnect.into(),
-                );
+                self.discovery_closed(now, &stream, reason);
             }
             Role::Portal(worker) => {
                 let untouched = worker.untouched(&connection.outbox);
@@ -209,15 +205,27 @@
             return;
         };
         let mut events = Vec::new();
+        let had_answered = stream.has_answered();
         let result = stream.read_events(&mut connection.input, &mut events);
         let ended = stream.has_ended();
         let answered = stream.has_answered();
+        let has_heartbeat = stream.take_heartbeat();
+        let is_incomplete = stream.is_incomplete() || !connection.input.bytes().is_empty();
+        if answered && !had_answered {
+            self.core.discovery_signal(now, DiscoverySignal::Opened);
+        }
         self.set_deadline(key, Some(now + DISCOVERY_SILENCE_TIMEOUT));
         for event in events {
             if !self.read_watch_event(now, &event) {
                 return self.close(key, CloseReason::Malformed);
             }
         }
+        if has_heartbeat {
+            self.core.discovery_signal(now, DiscoverySignal::Heartbeat);
+        }
+        if is_incomplete {
+            self.core.discovery_signal(now, DiscoverySignal::Incomplete);
+        }
         if answered {
             self.note_discovery_answer(now);
         }
--- a/src/gateway/endpoint_updates.rs
+++ b/src/gateway/endpoint_updates.rs
@@ -1,17 +1,15 @@
 //! The connection to service discovery, and what its updates change.
 
-use super::{Gateway, GatewayDeadline, Role};
-use crate::api::{ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus};
+use super::{ConnKey, Gateway, GatewayDeadline, Role};
+use crate::api::{DiscoverySignal, ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus};
 use crate::completion::CloseReason;
-use crate::discovery::{WatchEvent, WatchStream};
+use crate::discovery::{reconnect_pause, WatchEvent, WatchStream};
 use crate::{discovery, net};
 
 /// Service discovery sends a comment every second; after so long a silence it is connected to again.
 pub(super) const DISCOVERY_SILENCE_TIMEOUT: Micros = 2_200_000;
 /// How long a connection to service discovery may take to be established.
 const DISCOVERY_CONNECT_TIMEOUT: Micros = 1_000_000;
-/// How long a new connection to service discovery waits after the end of the last.
-pub(super) const DISCOVERY_RECONNECT_INTERVAL: Micros = 100_000;
 
 impl Gateway {
     /// Connects to service discovery, if there is one and no connection to it.
@@ -38,15 +36,21 @@
                 }
                 self.set_deadline(key, Some(now + DISCOVERY_CONNECT_TIMEOUT));
             }
-            Err(_) => self.core.schedule(
-                now + DISCOVERY_RECONNECT_INTERVAL,
-                GatewayDeadline::DiscoveryReconnect.into(),
-            ),
+            Err(_) => {
+                self.discovery.failed_connects = self.discovery.failed_connects.saturating_add(1);
+                self.schedule_discovery_reconnect(now);
+            }
         }
     }
 
     /// Logs the end of a discovery connection: that of a stream that had answered, and the first failed connect after it.
-    pub(super) fn discovery_closed(&mut self, stream: &WatchStream, reason: CloseReason) {
+    /// Connects again after a pause.
+    pub(super) fn discovery_closed(
+        &mut self,
+        now: Micros,
+        stream: &WatchStream,
+        reason: CloseReason,
+    ) {
         let answered = stream.has_answered();
         if answered || self.discovery.failed_connects == 0 {
             tracing::info!(
@@ -62,6 +66,30 @@
         } else {
             self.discovery.failed_connects.saturating_add(1)
         };
+        if answered {
+            self.core.discovery_signal(now, DiscoverySignal::Closed);
+        }
+        self.schedule_discovery_reconnect(now);
+    }
+
+    fn schedule_discovery_reconnect(&mut self, now: Micros) {
+        let pause = reconnect_pause(self.config.seed, self.discovery.failed_connects);
+        self.core
+            .schedule(now + pause, GatewayDeadline::DiscoveryReconnect.into());
+    }
+
+    /// Ends the stream of service discovery and opens a new one at once.
+    pub(super) fn reopen_discovery(&mut self, now: Micros) {
+        let open: Vec<ConnKey> = self
+            .connections
+            .iter()
+            .filter(|(_, (_, role))| matches!(role, Role::Discovery(_)))
+            .map(|(key, _)| key)
+            .collect();
+        for key in open {
+            self.close(key, CloseReason::Shutdown);
+        }
+        self.connect_discovery(now);
     }
 
     /// Handles one event; `false` if service discovery is to be asked again for what was missed.
@@ -83,7 +111,11 @@
                 return asked_before;
             }
         };
-        self.apply_watch_event(now, &update)
+        let is_complete = self.apply_watch_event(now, &update);
+        if is_complete {
+            self.core.discovery_signal(now, DiscoverySignal::Update);
+        }
+        is_complete
     }
 
     /// Applies one update; `false` if one before it was missed. One that is older than the list is skipped: an event may
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -1,7 +1,6 @@
 //! SIGHUP: the configuration reloaded while calls go on.
 
-use super::{ConnKey, Gateway, Role};
-use crate::completion::CloseReason;
+use super::Gateway;
 
 impl Gateway {
     /// Reads the configuration's file again and moves to the discovery service that it names, from the revision at hand.
@@ -26,17 +25,8 @@
                 break;
             }
         }
-        let open: Vec<ConnKey> = self
-            .connections
-            .iter()
-            .filter(|(_, (_, role))| matches!(role, Role::Discovery(_)))
-            .map(|(key, _)| key)
-            .collect();
         self.config.board = fresh.board;
-        for key in open {
-            self.close(key, CloseReason::Shutdown);
-        }
-        self.connect_discovery(now);
+        self.reopen_discovery(now);
         let address = fresh
             .board
             .map_or("none".to_owned(), |address| address.to_string());
--- a/src/gateway/worker_connections.rs
+++ b/src/gateway/worker_connections.rs
@@ -63,6 +63,14 @@
         progress
     }
 
+    /// When a connection to a worker was opened.
+    pub(super) fn worker_connection_opened_at(&self, key: ConnKey) -> Option<Micros> {
+        match self.connections.get(key) {
+            Some((_, Role::Worker(worker))) => Some(worker.opened_at),
+            _ => None,
+        }
+    }
+
     /// A connection to a worker that takes an exchange under this identity; opened if there is none.
     pub(super) fn connection_to(
         &mut self,
--- a/src/policy/answers.rs
+++ b/src/policy/answers.rs
@@ -64,8 +64,9 @@
             .into_iter()
             .flat_map(|function| &function.candidates);
         let until_capacity = candidates
+            .filter(|worker| self.is_available(now, **worker))
             .filter_map(|worker| self.workers.get(worker))
-            .filter(|worker| worker.ready && worker.is_healthy(now))
+            .filter(|worker| worker.is_healthy(now))
             .map(|worker| {
                 let debt = worker.concurrency_debt(now) - self.mean_run_time_of_all();
                 debt.max(0.0) / worker.concurrency_limit
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -31,7 +31,7 @@
         id: RequestId,
         actions: &mut Vec<Action>,
     ) -> Placement {
-        self.refresh_candidates(function);
+        self.refresh_candidates(now, function);
         let decision = Selection::new(self, now, function, id).decide();
         match decision {
             Decision::Hold => return Placement::Queued,
@@ -85,6 +85,7 @@
                 return;
             }
             self.recent_load_orders.record(now);
+            self.evidence.on_sent(now, key.worker);
             self.load_orders.insert(key);
             self.begin_load(now, key, LOAD_CERTAIN);
             actions.push(Action::Load {
@@ -99,15 +100,12 @@
     }
 
     fn may_order_load(&mut self, now: Micros, key: CopyKey, id: RequestId) -> bool {
-        let ready = self
-            .workers
-            .get(&key.worker)
-            .is_some_and(|worker| worker.ready);
+        let available = self.is_available(now, key.worker);
         let has_further_attempt = self
             .requests
             .get(&id)
             .is_some_and(|request| request.attempts + 1 < self.settings.max_attempts);
-        self.settings.may_load && ready && self.within_load_rate(now, has_further_attempt)
+        self.settings.may_load && available && self.within_load_rate(now, has_further_attempt)
     }
 
     fn send(
@@ -141,6 +139,7 @@
         if let Some(state) = self.workers.get_mut(&worker) {
             state.record_send(now, self.settings.overload_window);
         }
+        self.evidence.on_sent(now, worker);
         actions.push(Action::Send {
             request: id,
             worker,
--- a/src/policy/eligibility.rs
+++ b/src/policy/eligibility.rs
@@ -15,6 +15,7 @@
             return false;
         };
         if !worker.ready
+            || !self.evidence.may_send(now, id)
             || worker.backs_off(now, request.class)
             || !self.within_slow_start(now, id, worker)
         {
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -5,7 +5,9 @@
 
 use super::worker::WorkerState;
 use super::Policy;
-use crate::api::{FunctionId, ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus};
+use crate::api::{
+    DiscoverySignal, FunctionId, ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus,
+};
 
 /// Workers that a function tries at most, in a fleet of any size.
 const MAX_CANDIDATES: usize = 24;
@@ -29,6 +31,15 @@
         update: ListUpdate,
         entries: Vec<WorkerEntry>,
     ) {
+        if !self.settings.discovery_heartbeats {
+            let signal = match update {
+                ListUpdate::Failed => DiscoverySignal::Closed,
+                ListUpdate::Delta | ListUpdate::Snapshot | ListUpdate::Cached => {
+                    DiscoverySignal::Update
+                }
+            };
+            self.evidence.on_discovery(now, signal);
+        }
         if update == ListUpdate::Failed {
             self.subscribed_at = 0;
             return;
@@ -52,6 +63,7 @@
                 self.loads_in_progress.retain(|key, _| key.worker != *id);
             }
         }
+        self.evidence.retain_listed(|id| listed.contains(&id));
     }
 
     fn apply_entry(&mut self, now: Micros, entry: &WorkerEntry) {
@@ -66,11 +78,28 @@
         worker.zone = Some(entry.zone);
         worker.cell = Some(entry.cell);
         worker.ready = entry.status == WorkerStatus::Ready;
+        self.evidence
+            .on_listed(entry.worker, entry.status, restarted);
         if first_listed || restarted || entry.status == WorkerStatus::Removed {
             self.forget_copies(entry.worker);
         }
     }
 
+    /// A worker is back, perhaps with another process, and nobody tells when that started: it is in slow start from now
+    /// on and has no copies.
+    pub(super) fn begin_slow_start(&mut self, now: Micros, id: WorkerId) {
+        let limit = self.initial_concurrency_limit;
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        let (zone, cell, ready) = (worker.zone, worker.cell, worker.ready);
+        *worker = WorkerState::new_process(now, Some(now), limit, worker.in_flight);
+        worker.zone = zone;
+        worker.cell = cell;
+        worker.ready = ready;
+        self.forget_copies(id);
+    }
+
     /// Forgets which copies stand on a worker whose process has ended.
     pub(super) fn forget_copies(&mut self, worker: WorkerId) {
         for function in self.functions.values_mut() {
@@ -101,7 +130,7 @@
     }
 
     /// Brings a function's candidates up to date with the endpoint list.
-    pub(super) fn refresh_candidates(&mut self, id: FunctionId) {
+    pub(super) fn refresh_candidates(&mut self, now: Micros, id: FunctionId) {
         let Some(function) = self.functions.get_mut(&id) else {
             return;
         };
@@ -109,10 +138,11 @@
             return;
         }
         function.candidates_version = self.list_version;
+        let evidence = &self.evidence;
         function.candidates = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.ready)
+            .filter(|(id, worker)| worker.ready && evidence.may_send(now, **id))
             .map(|(worker, _)| *worker)
             .collect();
         function
--- /dev/null
+++ b/src/policy/evidence/discovery.rs
@@ -0,0 +1,171 @@
+//! When service discovery last confirmed the list.
+
+use crate::api::{DiscoverySignal, Micros};
+
+/// Without a confirmation for so long, discovery is lost: more than two of its heartbeats are missing.
+const LOST_AFTER: Micros = 2_500_000;
+/// Before the first confirmation discovery is lost after this.
+const START_TIMEOUT: Micros = 600_000;
+/// A new stream confirms the list once it has brought nothing for so long: what was missed comes first.
+const SETTLE_TIME: Micros = 200_000;
+
+/// What the stream of discovery does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stream {
+    Closed,
+    /// It has answered and may still bring what was missed.
+    Settling(Settling),
+    Current,
+}
+
+/// How far a new stream has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Settling {
+    /// It has brought nothing yet, or is in the middle of something.
+    Incomplete,
+    /// Its last complete heartbeat or update came then.
+    QuietSince(Micros),
+}
+
+/// Whether discovery sends heartbeats, or a subscription holds until it is said to have failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DiscoveryKind {
+    Heartbeats,
+    Subscription,
+}
+
+/// The age of the list.
+#[derive(Debug)]
+pub(super) struct DiscoveryFreshness {
+    kind: DiscoveryKind,
+    stream: Stream,
+    started_at: Micros,
+    confirmed_at: Option<Micros>,
+    /// Whether events are held back: a worker was listed as ready for too long after it had said that it is not. Only
+    /// an update shows that events come again.
+    is_held_back: bool,
+    /// Since when it is reported as lost.
+    lost_since: Option<Micros>,
+}
+
+/// A change that is worth reporting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DiscoveryChange {
+    Lost,
+    Heard { lost_for: Micros },
+}
+
+impl DiscoveryFreshness {
+    pub(super) fn new(kind: DiscoveryKind, now: Micros) -> DiscoveryFreshness {
+        DiscoveryFreshness {
+            kind,
+            stream: Stream::Closed,
+            started_at: now,
+            confirmed_at: None,
+            is_held_back: false,
+            lost_since: None,
+        }
+    }
+
+    /// Takes a signal of the stream. A heartbeat confirms nothing while what a worker said contradicts the list: events
+    /// may be held back behind it.
+    pub(super) fn handle(&mut self, now: Micros, signal: DiscoverySignal, is_contradicted: bool) {
+        self.settle(now);
+        if signal == DiscoverySignal::Update {
+            self.is_held_back = false;
+        }
+        match (signal, self.stream) {
+            (DiscoverySignal::Opened, _) => {
+                self.stream = Stream::Settling(Settling::Incomplete);
+            }
+            (DiscoverySignal::Closed, Stream::Current) => {
+                if self.kind == DiscoveryKind::Subscription {
+                    self.confirmed_at = Some(now);
+                }
+                self.stream = Stream::Closed;
+            }
+            (DiscoverySignal::Closed, _) => self.stream = Stream::Closed,
+            (DiscoverySignal::Update, _) if self.kind == DiscoveryKind::Subscription => {
+                self.stream = Stream::Current;
+                self.confirmed_at = Some(now);
+            }
+            (DiscoverySignal::Update, Stream::Settling(_)) => {
+                self.stream = Stream::Settling(Settling::QuietSince(now));
+            }
+            (DiscoverySignal::Update, Stream::Current) => self.confirmed_at = Some(now),
+            (DiscoverySignal::Heartbeat, Stream::Settling(Settling::Incomplete)) => {
+                self.stream = Stream::Settling(Settling::QuietSince(now));
+            }
+            (DiscoverySignal::Heartbeat, Stream::Current) => {
+                if !is_contradicted && !self.is_held_back {
+                    self.confirmed_at = Some(now);
+                }
+            }
+            (DiscoverySignal::Incomplete, Stream::Settling(_)) => {
+                self.stream = Stream::Settling(Settling::Incomplete);
+            }
+            (DiscoverySignal::Heartbeat, Stream::Settling(Settling::QuietSince(_)))
+            | (DiscoverySignal::Incomplete, Stream::Current)
+            | (
+                DiscoverySignal::Update | DiscoverySignal::Heartbeat | DiscoverySignal::Incomplete,
+                Stream::Closed,
+            ) => {}
+        }
+    }
+
+    /// The list has contradicted a worker for longer than it may lag.
+    pub(super) fn hold_back(&mut self) {
+        self.is_held_back = true;
+    }
+
+    /// Whether a stream is open that can be opened anew.
+    pub(super) fn has_stream(&self) -> bool {
+        self.kind == DiscoveryKind::Heartbeats && self.stream == Stream::Current
+    }
+
+    /// A stream that has been quiet for long enough has brought all that was missed.
+    fn settle(&mut self, now: Micros) {
+        if let Stream::Settling(Settling::QuietSince(quiet_since)) = self.stream {
+            if now >= quiet_since + SETTLE_TIME {
+                self.stream = Stream::Current;
+                if !self.is_held_back {
+                    self.confirmed_at = Some(quiet_since);
+                }
+            }
+        }
+    }
+
+    /// Brings the state up to date; returns a change that is to be reported.
+    pub(super) fn tick(&mut self, now: Micros) -> Option<DiscoveryChange> {
+        self.settle(now);
+        match (self.is_lost(now), self.lost_since) {
+            (true, None) => {
+                self.lost_since = Some(self.confirmed_at.unwrap_or(self.started_at));
+                Some(DiscoveryChange::Lost)
+            }
+            (false, Some(since)) if self.confirmed_at.is_some() => {
+                self.lost_since = None;
+                Some(DiscoveryChange::Heard {
+                    lost_for: now.saturating_sub(since),
+                })
+            }
+            _ => None,
+        }
+    }
+
+    /// When the list was last confirmed.
+    pub(super) fn confirmed_at(&self, now: Micros) -> Option<Micros> {
+        if self.kind == DiscoveryKind::Subscription && self.stream == Stream::Current {
+            return Some(now);
+        }
+        self.confirmed_at
+    }
+
+    /// Whether the list has not been confirmed for too long.
+    pub(super) fn is_lost(&self, now: Micros) -> bool {
+        match self.confirmed_at(now) {
+            Some(at) => now > at + LOST_AFTER,
+            None => now > self.started_at + START_TIMEOUT,
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/evidence/tracker.rs
@@ -0,0 +1,419 @@
+//! The evidence of all workers that are listed as ready.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::change::{DoubtReason, EvidenceChange, SuspendReason};
+use super::check_budget::CheckBudget;
+use super::discovery::{DiscoveryChange, DiscoveryFreshness, DiscoveryKind};
+use super::spans::Spans;
+use super::worker::{ReportedCapacity, WorkerEvidence};
+use crate::api::{DiscoverySignal, Micros, Settings, WorkerId, WorkerStatus};
+
+/// A list that contradicts a worker for so long has its stream opened anew.
+const REOPEN_AFTER: Micros = 3_000_000;
+/// How often at most.
+const REOPEN_INTERVAL: Micros = 5_000_000;
+/// Changes that are kept until they are taken; further ones are dropped.
+const MAX_CHANGES: usize = 4096;
+
+/// What a health check found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckResult {
+    /// The worker takes new work.
+    Alive,
+    /// The worker answers that it does not.
+    Dead,
+    /// Nothing was heard, which proves nothing.
+    NoAnswer,
+}
+
+/// How old the latest evidence of a worker is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerEvidenceAge {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The age; none if there is no evidence.
+    pub age: Option<Micros>,
+    /// Whether it is suspended.
+    pub suspended: bool,
+}
+
+/// Tracks the evidence of workers; see the module.
+#[derive(Debug)]
+pub struct EvidenceTracker {
+    /// None where the list does not age: every listed worker may then be sent to.
+    spans: Option<Spans>,
+    pub(super) may_check: bool,
+    pub(super) seed: u64,
+    pub(super) discovery: DiscoveryFreshness,
+    pub(super) workers: BTreeMap<WorkerId, WorkerEvidence>,
+    pub(super) budget: CheckBudget,
+    /// When a request last came.
+    pub(super) demanded_at: Option<Micros>,
+    /// Whether some worker is doubted, suspended or held back.
+    has_anomalies: bool,
+    /// When the stream of discovery was last asked to be opened anew.
+    reopened_at: Micros,
+    changes: VecDeque<EvidenceChange>,
+}
+
+impl Default for EvidenceTracker {
+    fn default() -> EvidenceTracker {
+        EvidenceTracker::new(&Settings::default(), 0, 0)
+    }
+}
+
+impl EvidenceTracker {
+    /// A tracker that knows no worker yet.
+    pub fn new(settings: &Settings, seed: u64, now: Micros) -> EvidenceTracker {
+        let kind = if settings.discovery_heartbeats {
+            DiscoveryKind::Heartbeats
+        } else {
+            DiscoveryKind::Subscription
+        };
+        EvidenceTracker {
+            spans: Spans::from_settings(settings),
+            may_check: settings.may_health_check,
+            seed,
+            discovery: DiscoveryFreshness::new(kind, now),
+            workers: BTreeMap::new(),
+            budget: CheckBudget::new(settings.instances, now),
+            demanded_at: None,
+            has_anomalies: false,
+            reopened_at: 0,
+            changes: VecDeque::new(),
+        }
+    }
+
+    /// Whether a worker that is listed as ready may be sent new work.
+    pub fn may_send(&self, now: Micros, id: WorkerId) -> bool {
+        let Some(spans) = &self.spans else {
+            return true;
+        };
+        let confirmed_at = self.discovery.confirmed_at(now);
+        self.workers
+            .get(&id)
+            .is_some_and(|worker| worker.may_send(now, spans, confirmed_at))
+    }
+
+    /// The stream of discovery has given a sign.
+    pub fn on_discovery(&mut self, now: Micros, signal: DiscoverySignal) {
+        if self.spans.is_none() {
+            return;
+        }
+        let is_contradicted = self
+            .workers
+            .values()
+            .any(|worker| worker.said_dead_at.is_some());
+        self.discovery.handle(now, signal, is_contradicted);
+        if signal == DiscoverySignal::Update && !self.may_check {
+            // Events are not held back; what the list says of a doubted worker holds.
+            self.drop_doubts();
+        }
+    }
+
+    fn drop_doubts(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.doubt = None;
+        }
+    }
+
+    /// The list describes a worker; `restarted` says that it names another start of its process than before.
+    pub fn on_listed(&mut self, id: WorkerId, status: WorkerStatus, restarted: bool) {
+        if self.spans.is_none() {
+            return;
+        }
+        if status != WorkerStatus::Ready {
+            self.workers.remove(&id);
+            return;
+        }
+        let worker = self.workers.entry(id).or_default();
+        if restarted {
+            worker.begin_process();
+        }
+    }
+
+    /// A complete list has come; others than these are not listed any more.
+    pub fn retain_listed(&mut self, is_listed: impl Fn(WorkerId) -> bool) {
+        self.workers.retain(|id, _| is_listed(*id));
+    }
+
+    /// A request has come.
+    pub fn on_request(&mut self, now: Micros) {
+        self.demanded_at = Some(now);
+    }
+
+    /// An attempt or a load order is sent.
+    pub fn on_sent(&mut self, now: Micros, id: WorkerId) {
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.used_at = now;
+        }
+    }
+
+    /// A worker served what was sent to it at `sent_at`.
+    pub fn on_served(&mut self, now: Micros, id: WorkerId, sent_at: Micros) {
+        self.record_served(now, id, sent_at, None);
+    }
+
+    fn record_served(&mut self, now: Micros, id: WorkerId, at: Micros, opened_at: Option<Micros>) {
+        let confirmed_at = self.discovery.confirmed_at(now);
+        let (Some(spans), Some(worker)) = (&self.spans, self.workers.get_mut(&id)) else {
+            return;
+        };
+        worker.record_served(now, at, opened_at, spans, confirmed_at);
+    }
+
+    /// A worker rejected a call that was sent to it at `sent_at`.
+    pub fn on_rejected(
+        &mut self,
+        now: Micros,
+        id: WorkerId,
+        sent_at: Micros,
+        capacity: ReportedCapacity,
+    ) {
+        let may_check = self.may_check;
+        let doubt = self
+            .workers
+            .get_mut(&id)
+            .and_then(|worker| worker.record_rejection(sent_at, capacity, may_check));
+        self.report_doubt(now, id, doubt);
+    }
+
+    /// A worker rejected a load order.
+    pub fn on_load_rejected(&mut self, now: Micros, id: WorkerId) {
+        let doubt = self
+            .workers
+            .get_mut(&id)
+            .filter(|_| self.may_check)
+            .and_then(|worker| worker.record_load_rejection(now));
+        self.report_doubt(now, id, doubt);
+    }
+
+    /// A worker loaded a copy that was ordered.
+    pub fn on_loaded(&mut self, id: WorkerId) {
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.record_load();
+        }
+    }
+
+    fn report_doubt(&mut self, now: Micros, id: WorkerId, doubt: Option<DoubtReason>) {
+        let Some(reason) = doubt else {
+            return;
+        };
+        self.has_anomalies = true;
+        let evidence_age = self.evidence_age(now, id);
+        self.report(EvidenceChange::Doubted {
+            worker: id,
+            reason,
+            evidence_age,
+        });
+    }
+
+    /// Nothing accepts connections at a worker's address: its process has ended. While discovery is in reach, it is
+    /// for the list to say what that means.
+    pub fn on_process_gone(&mut self, now: Micros, id: WorkerId) {
+        if self.spans.is_none() || !self.discovery.is_lost(now) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.gone_at = Some(now);
+            self.has_anomalies = true;
+        }
+    }
+
+    /// A health check has ended. It was sent at `sent_at`, on a connection opened at `opened_at` if that is known.
+    pub fn on_checked(
+        &mut self,
+        now: Micros,
+        id: WorkerId,
+        result: CheckResult,
+        sent_at: Micros,
+        opened_at: Option<Micros>,
+    ) {
+        if result == CheckResult::Alive {
+            self.record_served(now, id, sent_at, opened_at);
+        }
+        let retry_interval = self.budget.retry_interval();
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        worker
+            .check
+            .end(now, result == CheckResult::Alive, retry_interval);
+        if result == CheckResult::Dead && worker.served_at.is_none_or(|at| at < sent_at) {
+            worker.said_dead_at = Some(sent_at);
+            worker.doubt = None;
+            self.has_anomalies = true;
+        }
+    }
+
+    /// Brings the state up to date. Returns the workers that are suspended or resumed by it.
+    pub fn tick(&mut self, now: Micros) -> Vec<(WorkerId, Availability)> {
+        let Some(spans) = self.spans else {
+            return Vec::new();
+        };
+        match self.discovery.tick(now) {
+            Some(DiscoveryChange::Lost) => {
+                let list_age = self.discovery.confirmed_at(now).map(|at| now - at);
+                self.report(EvidenceChange::DiscoveryLost { list_age });
+            }
+            Some(DiscoveryChange::Heard { lost_for }) => {
+                self.list_is_confirmed();
+                self.report(EvidenceChange::DiscoveryHeard { lost_for });
+            }
+            None => {}
+        }
+        if !self.is_attentive(now) {
+            return Vec::new();
+        }
+        if self.contradicted_for(now) >= Some(spans.told_after) {
+            self.discovery.hold_back();
+        }
+        self.update_availability(now, &spans)
+    }
+
+    /// For how long the list has named a worker as ready that has said that it is not.
+    fn contradicted_for(&self, now: Micros) -> Option<Micros> {
+        let first = self
+            .workers
+            .values()
+            .filter_map(|worker| worker.said_dead_at);
+        first.min().map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether the stream of discovery is to be opened anew, as it contradicts what a worker said: it may be stuck.
+    pub fn take_reopen(&mut self, now: Micros) -> bool {
+        let is_due = now >= self.reopened_at + REOPEN_INTERVAL
+            && self.discovery.has_stream()
+            && self.contradicted_for(now) >= Some(REOPEN_AFTER);
+        if is_due {
+            self.reopened_at = now;
+        }
+        is_due
+    }
+
+    /// Discovery is in reach again: whether a process is gone is its to say from now on.
+    fn list_is_confirmed(&mut self) {
+        for worker in self.workers.values_mut() {
+            let was_gone = worker.gone_at.take().is_some();
+            worker.is_new_process |= was_gone && worker.suspended_since.is_some();
+            worker.doubt = None;
+        }
+    }
+
+    /// Whether workers have to be looked at one by one.
+    pub(super) fn is_attentive(&self, now: Micros) -> bool {
+        self.spans.is_some() && (self.has_anomalies || self.discovery.is_lost(now))
+    }
+
+    fn update_availability(&mut self, now: Micros, spans: &Spans) -> Vec<(WorkerId, Availability)> {
+        let confirmed_at = self.discovery.confirmed_at(now);
+        let mut changed = Vec::new();
+        let mut changes = Vec::new();
+        let mut has_anomalies = false;
+        for (id, worker) in &mut self.workers {
+            let may_send = worker.may_send(now, spans, confirmed_at);
+            match (may_send, worker.suspended_since) {
+                (true, Some(since)) => {
+                    worker.suspended_since = None;
+                    let new_process = std::mem::take(&mut worker.is_new_process);
+                    changed.push((*id, Availability::Resumed { new_process }));
+                    changes.push(EvidenceChange::Resumed {
+                        worker: *id,
+                        new_process,
+                        suspended_for: now - since,
+                    });
+                }
+                (false, None) => {
+                    worker.suspended_since = Some(now);
+                    changed.push((*id, Availability::Suspended));
+                    changes.push(EvidenceChange::Suspended {
+                        worker: *id,
+                        reason: suspend_reason(now, worker),
+                        evidence_age: worker.latest(confirmed_at).map(|at| now - at),
+                    });
+                }
+                (true, None) | (false, Some(_)) => {}
+            }
+            has_anomalies |= !may_send || worker.doubt.is_some() || worker.gone_at.is_some();
+        }
+        self.has_anomalies = has_anomalies;
+        for change in changes {
+            self.report(change);
+        }
+        changed
+    }
+
+    fn report(&mut self, change: EvidenceChange) {
+        if self.changes.len() < MAX_CHANGES {
+            self.changes.push_back(change);
+        }
+    }
+
+    /// The next change that is to be logged.
+    pub fn next_change(&mut self) -> Option<EvidenceChange> {
+        self.changes.pop_front()
+    }
+
+    /// The age of the list; none if discovery has not confirmed it since the start, or the list does not age.
+    pub fn list_age(&self, now: Micros) -> Option<Micros> {
+        self.discovery
+            .confirmed_at(now)
+            .map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether discovery is lost.
+    pub fn is_discovery_lost(&self, now: Micros) -> bool {
+        self.spans.is_some() && self.discovery.is_lost(now)
+    }
+
+    fn evidence_age(&self, now: Micros, id: WorkerId) -> Option<Micros> {
+        let confirmed_at = self.discovery.confirmed_at(now);
+        let latest = self.workers.get(&id)?.latest(confirmed_at)?;
+        Some(now.saturating_sub(latest))
+    }
+
+    /// The evidence of every worker that is listed as ready.
+    pub fn evidence_ages(&self, now: Micros) -> Vec<WorkerEvidenceAge> {
+        let confirmed_at = self.discovery.confirmed_at(now);
+        self.workers
+            .iter()
+            .map(|(id, worker)| WorkerEvidenceAge {
+                worker: *id,
+                age: worker.latest(confirmed_at).map(|at| now.saturating_sub(at)),
+                suspended: worker.suspended_since.is_some(),
+            })
+            .collect()
+    }
+
+    /// Takes over evidence that another process of this gateway had at `at`.
+    pub fn adopt(&mut self, id: WorkerId, at: Micros) {
+        if let Some(worker) = self.workers.get_mut(&id) {
+            if worker.said_dead_at.is_none() && worker.gone_at.is_none() {
+                worker.served_at = worker.served_at.max(Some(at));
+            }
+        }
+    }
+}
+
+/// Whether a worker may be sent new work from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Availability {
+    /// It may not.
+    Suspended,
+    /// It may.
+    Resumed {
+        /// Whether its process may have been replaced.
+        new_process: bool,
+    },
+}
+
+fn suspend_reason(now: Micros, worker: &WorkerEvidence) -> SuspendReason {
+    if worker.said_dead_at.is_some() {
+        SuspendReason::SaidDead
+    } else if now < worker.usable_from {
+        SuspendReason::ProcessReplaced
+    } else {
+        SuspendReason::EvidenceExpired
+    }
+}
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -1,6 +1,7 @@
 //! What the end of an attempt tells of its worker: failures, ejection, and cuts of its concurrency
 //! limit.
 
+use super::evidence::ReportedCapacity;
 use super::latency::SLOW_LATENCY_RATIO;
 use super::request::AttemptState;
 use super::worker::{WorkerState, MAX_CONSECUTIVE_FAILURES};
@@ -32,6 +33,7 @@
     ) {
         let usual = self.mean_run_time_of_all();
         let min_limit = self.min_concurrency_limit();
+        self.record_evidence(now, end, latency_objective);
         let Some(worker) = self.workers.get_mut(&end.worker) else {
             return;
         };
@@ -75,6 +77,32 @@
         }
     }
 
+    /// Records what an attempt's outcome tells of whether its worker takes new work.
+    fn record_evidence(&mut self, now: Micros, end: &AttemptEnd, latency_objective: f64) {
+        let sent_at = now.saturating_sub(end.latency);
+        match end.outcome {
+            Outcome::Ok => self.evidence.on_served(now, end.worker, sent_at),
+            Outcome::Rejected => {
+                // A rejection that took a while limits one class, and says nothing of the worker.
+                let limits_class = end.latency as f64 > latency_objective / 10.0;
+                let capacity = if limits_class {
+                    ReportedCapacity::Used
+                } else {
+                    ReportedCapacity::from_report(end.load_report)
+                };
+                self.evidence
+                    .on_rejected(now, end.worker, sent_at, capacity);
+            }
+            Outcome::Error
+            | Outcome::Timeout
+            | Outcome::ConnectFailed
+            | Outcome::Reset
+            | Outcome::Cancelled
+            | Outcome::NotSent
+            | Outcome::Miss => {}
+        }
+    }
+
     /// The lowest concurrency limit that a worker is cut to.
     pub(super) fn min_concurrency_limit(&self) -> f64 {
         (self.initial_concurrency_limit / 4.0).min(1.0)
--- a/src/policy/loads.rs
+++ b/src/policy/loads.rs
@@ -68,7 +68,12 @@
         if outcome == Outcome::ConnectFailed && self.shares_workers_with_many() {
             self.eject_unreachable(now, key.worker);
         }
-        self.load_orders.remove(&key);
+        let was_ordered = self.load_orders.remove(&key);
+        match outcome {
+            Outcome::Ok if was_ordered => self.evidence.on_loaded(key.worker),
+            Outcome::Rejected if was_ordered => self.evidence.on_load_rejected(now, key.worker),
+            _ => {}
+        }
         self.loads_in_progress.remove(&key);
         let Some(function) = self.functions.get_mut(&key.function) else {
             return;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,13 +8,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::api::{Action, Event, FunctionId, Micros, RequestId, Settings, WorkerId};
+use crate::api::{Action, Event, FunctionId, Micros, Outcome, RequestId, Settings, WorkerId};
 
 mod answers;
 mod cancellation;
 mod dispatch;
 mod eligibility;
 mod endpoints;
+pub mod evidence;
 mod function;
 mod health;
 mod idempotency;
@@ -31,6 +32,7 @@
 
 pub use idempotency::{never_ran, permitted_after, Permitted};
 
+use evidence::{Availability, CheckResult, EvidenceChange, EvidenceTracker, WorkerEvidenceAge};
 use function::FunctionState;
 use limits::TenantBucket;
 use loads::{CopyKey, LoadInProgress};
@@ -57,6 +59,8 @@
     seed: u64,
     functions: BTreeMap<FunctionId, FunctionState>,
     workers: BTreeMap<WorkerId, WorkerState>,
+    /// How recently each worker is known to take new work.
+    evidence: EvidenceTracker,
     /// Counts updates of the endpoint list; candidate lists of an older version are stale.
     list_version: u64,
     requests: BTreeMap<RequestId, RequestState>,
@@ -106,6 +110,7 @@
             .collect();
         Policy {
             seed,
+            evidence: EvidenceTracker::new(&settings, seed, now),
             initial_concurrency_limit: INITIAL_CONCURRENCY_LIMIT / instances,
             tenant_buckets,
             interval_started_at: now,
@@ -118,6 +123,8 @@
     pub fn take(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::WorkerList { update, workers } => self.on_worker_list(now, update, workers),
+            Event::Discovery(signal) => self.evidence.on_discovery(now, signal),
+            Event::WorkerRefused { worker } => self.evidence.on_process_gone(now, worker),
             Event::Request(arrival) => self.on_request(now, &arrival),
             Event::AttemptEnded(end) => self.on_attempt_ended(now, &end, actions),
             Event::Streaming { request } => self.on_streaming(request),
@@ -130,7 +137,18 @@
             } => {
                 self.on_load_ended(now, CopyKey { worker, function }, outcome, copies);
             }
-            Event::HealthChecked { .. } => {}
+            Event::HealthChecked {
+                worker,
+                outcome,
+                latency,
+                connection_opened_at,
+                ..
+            } => {
+                let result = check_result(outcome);
+                let sent_at = now.saturating_sub(latency);
+                self.evidence
+                    .on_checked(now, worker, result, sent_at, connection_opened_at);
+            }
             Event::PeerHealth {
                 worker,
                 unhealthy_until,
@@ -154,6 +172,7 @@
 
     /// Decides on what follows from the events taken, and appends the actions.
     pub fn settle(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        self.apply_evidence(now, actions);
         self.dispatch_queued(now, actions);
         self.expire_overdue(now, actions);
         self.schedule_wake(now, actions);
@@ -163,6 +182,64 @@
         }
     }
 
+    /// Suspends and resumes workers by what is known of them, and has those checked that need it.
+    fn apply_evidence(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let changed = self.evidence.tick(now);
+        if !changed.is_empty() {
+            // Suspended workers leave the candidate lists.
+            self.list_version += 1;
+        }
+        for (worker, availability) in &changed {
+            if *availability == (Availability::Resumed { new_process: true }) {
+                self.begin_slow_start(now, *worker);
+            }
+        }
+        if !changed.is_empty() {
+            self.scan_workers(now);
+        }
+        let checks = self.evidence.due_checks(now).into_iter();
+        actions.extend(checks.map(|worker| Action::HealthCheck { worker }));
+        if self.evidence.take_reopen(now) {
+            actions.push(Action::Subscribe);
+        }
+    }
+
+    /// Whether a worker is listed as ready and recently known to take new work.
+    pub(crate) fn is_available(&self, now: Micros, id: WorkerId) -> bool {
+        let is_ready = self.workers.get(&id).is_some_and(|worker| worker.ready);
+        is_ready && self.evidence.may_send(now, id)
+    }
+
+    /// Whether there is evidence that a worker takes new work; asked again where bytes would leave.
+    pub(crate) fn may_send(&self, now: Micros, worker: WorkerId) -> bool {
+        self.evidence.may_send(now, worker)
+    }
+
+    /// The next change of what is known of discovery and the workers, to be logged.
+    pub fn next_evidence_change(&mut self) -> Option<EvidenceChange> {
+        self.evidence.next_change()
+    }
+
+    /// The age of the list, where discovery has confirmed it.
+    pub(crate) fn list_age(&self, now: Micros) -> Option<Micros> {
+        self.evidence.list_age(now)
+    }
+
+    /// Whether discovery has confirmed nothing for too long.
+    pub(crate) fn is_discovery_lost(&self, now: Micros) -> bool {
+        self.evidence.is_discovery_lost(now)
+    }
+
+    /// The age of the evidence of every worker that is listed as ready.
+    pub(crate) fn evidence_ages(&self, now: Micros) -> Vec<WorkerEvidenceAge> {
+        self.evidence.evidence_ages(now)
+    }
+
+    /// Takes over evidence of another process of this gateway.
+    pub(crate) fn adopt_evidence(&mut self, worker: WorkerId, at: Micros) {
+        self.evidence.adopt(worker, at);
+    }
+
     /// Answers a microsecond that an average worker was seen to serve for this instance, at its
     /// best.
     pub(crate) fn observed_capacity(&self) -> f64 {
@@ -204,3 +281,18 @@
         self.initial_concurrency_limit < 1.0
     }
 }
+
+/// What a health check's outcome says of its worker.
+fn check_result(outcome: Outcome) -> CheckResult {
+    match outcome {
+        Outcome::Ok => CheckResult::Alive,
+        Outcome::Error => CheckResult::Dead,
+        Outcome::Rejected
+        | Outcome::Timeout
+        | Outcome::ConnectFailed
+        | Outcome::Reset
+        | Outcome::Cancelled
+        | Outcome::NotSent
+        | Outcome::Miss => CheckResult::NoAnswer,
+    }
+}
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -104,6 +104,7 @@
         if self.settings.load_rate_limit.is_some() {
             self.recent_requests.record(now);
         }
+        self.evidence.on_request(now);
         let over_quota = self.exceeds_quota(now, arrival.tenant);
         let function = self
             .functions
--- a/src/policy/scan.rs
+++ b/src/policy/scan.rs
@@ -67,11 +67,17 @@
         }
         self.workers
             .retain(|_, worker| worker.ready || worker.in_flight > 0);
-        self.ready_workers = self.workers.values().filter(|worker| worker.ready).count();
-        self.healthy_workers = self
+        let evidence = &self.evidence;
+        let available: Vec<&WorkerState> = self
             .workers
-            .values()
-            .filter(|worker| worker.ready && worker.is_healthy(now))
+            .iter()
+            .filter(|(id, worker)| worker.ready && evidence.may_send(now, **id))
+            .map(|(_, worker)| worker)
+            .collect();
+        self.ready_workers = available.len();
+        self.healthy_workers = available
+            .iter()
+            .filter(|worker| worker.is_healthy(now))
             .count();
         self.measure_capacity(now);
     }
--- a/src/policy/selection_view.rs
+++ b/src/policy/selection_view.rs
@@ -153,7 +153,8 @@
 
     pub(super) fn is_sound(&self, worker: WorkerId) -> bool {
         let state = self.policy.workers.get(&worker);
-        state.is_some_and(|state| state.ready && state.is_healthy(self.now))
+        state.is_some_and(|state| state.is_healthy(self.now))
+            && self.policy.is_available(self.now, worker)
     }
 
     pub(super) fn is_debt_free(&self, worker: WorkerId) -> bool {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,6 +11,9 @@
 mod check;
 pub use check::{check, SettingsError};
 
+/// After a subscription has failed, the list counts as told after so many times `obligations.askWithinMs`.
+const FAILED_SUBSCRIPTION_FACTOR: Micros = 4;
+
 /// Values by path.
 pub type SettingsMap = BTreeMap<String, String>;
 
@@ -168,6 +171,10 @@
             0
         },
         must_subscribe: get("registryMode") == Some("on_request"),
+        list_max_age: (get("registryMode") == Some("on_request"))
+            .then(|| time("obligations.askWithinMs") * FAILED_SUBSCRIPTION_FACTOR)
+            .filter(|age| *age > 0),
+        discovery_heartbeats: false,
     };
     (settings, fields.collect())
 }
--- a/src/worker/connection.rs
+++ b/src/worker/connection.rs
@@ -232,8 +232,24 @@
     /// Withdraws every exchange of which no byte has been sent. Guards the rules on draining workers, loads and slow
     /// start for what is queued here.
     pub fn withdraw_unsent(&mut self, outbox: &mut Outbox, done: &mut Vec<Completed>) {
+        self.withdraw_unsent_if(outbox, done, |_| true);
+    }
+
+    /// Withdraws every attempt and load order of which no byte has been sent; health checks may still go.
+    pub fn withdraw_unsent_work(&mut self, outbox: &mut Outbox, done: &mut Vec<Completed>) {
+        self.withdraw_unsent_if(outbox, done, |exchange| {
+            !matches!(exchange, Exchange::HealthCheck(_))
+        });
+    }
+
+    fn withdraw_unsent_if(
+        &mut self,
+        outbox: &mut Outbox,
+        done: &mut Vec<Completed>,
+        is_concerned: impl Fn(Exchange) -> bool,
+    ) {
         self.open.retain(|_, open| {
-            let unsent = outbox.withdraw(open.tag);
+            let unsent = is_concerned(open.exchange) && outbox.withdraw(open.tag);
             if unsent {
                 done.push(Completed::without_reply(
                     open.exchange,
--- a/testbed/src/emulator/mod.rs
+++ b/testbed/src/emulator/mod.rs
@@ -721,7 +721,7 @@
                         );
                     }
                     i.core
-                        .health_check_ended(now, probe, CloseReason::Served, None);
+                        .health_check_ended(now, probe, CloseReason::Served, None, None);
                     self.drive(who);
                 }
             }
@@ -859,6 +859,12 @@
             } => self.ended(n, attempt, why, SendProgress::Started),
             // Nothing waits in a buffer here: what was sent has begun.
             Command::Withdraw { .. } => {}
+            Command::AbandonHealthCheck { check } => {
+                let core = &mut self.instances[n].core;
+                core.health_check_ended(now, check, CloseReason::TimedOut, None, None);
+            }
+            // The emulator's list does not age.
+            Command::ReopenDiscovery => {}
             Command::Load {
                 order,
                 worker,
--- a/testbed/src/outage/judge.rs
+++ b/testbed/src/outage/judge.rs
@@ -9,6 +9,8 @@
 
 /// What the rules allow on top of the grace, and what a busy machine adds between a gateway's write and the record.
 const SLACK: Duration = Duration::from_millis(50 + 50);
+/// How many late sends are noted one by one.
+const MAX_NOTES: usize = 4;
 /// The share served in the outage, of that beside it, below which a run does not hold, where enough workers stay.
 const MIN_RELATIVE_SHARE: f64 = 0.97;
 
@@ -41,6 +43,8 @@
     pub most_checks_per_s: usize,
     /// The share served beside the outage, and in it.
     pub served: (f64, f64),
+    /// What reached workers too late, and how long after the drain; the first few.
+    pub late: Vec<String>,
 }
 
 impl Verdict {
@@ -87,6 +91,7 @@
             checks: (0, 0),
             most_checks_per_s: 0,
             served: (0.0, 0.0),
+            late: Vec::new(),
         };
         for record in workers {
             verdict.judge_worker(begun, record);
@@ -100,11 +105,14 @@
         for received in &record.received {
             let at = received.at.duration_since(begun);
             match received.kind {
-                Kind::Call if self.is_late(record.worker, at) => self.late_calls += 1,
-                Kind::Call => {}
+                Kind::Call => {
+                    let late = self.note_if_late(record.worker, at, received);
+                    self.late_calls += usize::from(late);
+                }
                 Kind::Load => {
                     self.loads += 1;
-                    self.late_loads += usize::from(self.is_late(record.worker, at));
+                    let late = self.note_if_late(record.worker, at, received);
+                    self.late_loads += usize::from(late);
                 }
                 Kind::HealthCheck if at < self.scenario.outage_at => self.checks.0 += 1,
                 Kind::HealthCheck => {
@@ -123,16 +131,26 @@
         self.most_checks_per_s = self.most_checks_per_s.max(most.unwrap_or(0));
     }
 
-    /// Whether a drain of the worker counted as told at this time, past the grace.
-    fn is_late(&self, worker: usize, at: Duration) -> bool {
-        self.scenario
-            .drains
-            .iter()
-            .filter(|drain| drain.worker == worker)
-            .any(|drain| {
-                let last_send = drain.at + TOLD_AFTER + self.scenario.grace + SLACK;
-                at > last_send && at < drain.returns_at
-            })
+    /// Whether a drain of the worker counted as told at this time, past the grace; if so it is noted.
+    fn note_if_late(&mut self, worker: usize, at: Duration, received: &Received) -> bool {
+        let grace = self.scenario.grace;
+        let drain = self.scenario.drains.iter().find(|drain| {
+            let last_send = drain.at + TOLD_AFTER + grace + SLACK;
+            drain.worker == worker && at > last_send && at < drain.returns_at
+        });
+        let Some(drain) = drain else {
+            return false;
+        };
+        if self.late.len() < MAX_NOTES {
+            self.late.push(format!(
+                "{:?} of worker {worker} at {at:.3?}, {:.3?} after its drain at {:.3?} (it ended at {:.3?})",
+                received.kind,
+                at - drain.at,
+                drain.at,
+                drain.ends_at
+            ));
+        }
+        true
     }
 
     fn judge_calls(&mut self, begun: Instant, calls: &[Call]) {
@@ -185,6 +203,13 @@
             self.served.0,
             self.served.1,
             if self.holds() { "" } else { "FAILED" }
-        )
+        )?;
+        if !self.holds() {
+            write!(f, "\n     {:?}", self.scenario)?;
+        }
+        for note in &self.late {
+            write!(f, "\n     {note}")?;
+        }
+        Ok(())
     }
 }
--- a/tests/common/by_hand.rs
+++ b/tests/common/by_hand.rs
@@ -201,7 +201,7 @@
         self.0.local_addr().expect("an address")
     }
 
-    /// The next poll, answered with the head of a stream.
+    /// The next poll, answered with the head of a stream and, as a notice board does at once, its first comment.
     pub fn poll(&self) -> Poll {
         let mut stream = accept(&self.0);
         let head = read_message(&mut stream, &mut Vec::new(), http_length).expect("a poll");
@@ -212,7 +212,7 @@
             .expect("a number");
         let after = after.trim().parse().expect("a number");
         stream
-            .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: \n\n")
             .expect("it reads");
         Poll { stream, after }
     }
--- a/tests/decisions/combinations.rs
+++ b/tests/decisions/combinations.rs
@@ -96,6 +96,8 @@
         reports_inline: true,
         max_retry_after: 2 * SECOND,
         must_subscribe: false,
+        list_max_age: None,
+        discovery_heartbeats: false,
     }
 }
 
--- a/tests/decisions/driver.rs
+++ b/tests/decisions/driver.rs
@@ -268,6 +268,8 @@
                     worker: id,
                     outcome,
                     load_report: worker.report(&mut self.random),
+                    latency: 0,
+                    connection_opened_at: None,
                 })
             }
             Due::Streaming(request) => {
--- a/tests/decisions/record.rs
+++ b/tests/decisions/record.rs
@@ -133,6 +133,8 @@
         Event::TenantQuota { .. } => "share",
         Event::InstanceLimits { .. } => "limits",
         Event::Wake { .. } => "wake",
+        Event::Discovery(_) => "discovery",
+        Event::WorkerRefused { .. } => "refused",
     }
 }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1371,6 +1371,8 @@
         worker,
         outcome: Outcome::Rejected,
         load_report: None,
+        latency: 1_000,
+        connection_opened_at: None,
     });
     rig.event(Event::WorkerList {
         update: ListUpdate::Snapshot,
@@ -1795,6 +1797,21 @@
     assert_eq!(run(), run());
 }
 
+/// The files of a folder and of those in it, as paths from the root.
+fn files_below(root: &std::path::Path, folder: &str) -> BTreeSet<String> {
+    let mut found = BTreeSet::new();
+    for entry in std::fs::read_dir(root.join(folder)).unwrap() {
+        let entry = entry.unwrap();
+        let path = format!("{folder}/{}", entry.file_name().to_str().unwrap());
+        if entry.file_type().unwrap().is_dir() {
+            found.extend(files_below(root, &path));
+        } else {
+            found.insert(path);
+        }
+    }
+    found
+}
+
 /// The files of the module's folder are those that the deploy file names; each is small, and none reaches for time,
 /// randomness, files, sockets or the environment, nor for a container without an order.
 #[test]
@@ -1818,10 +1835,7 @@
     let named: BTreeSet<String> = policy
         .map(|file| file.as_str().unwrap().to_owned())
         .collect();
-    let files = std::fs::read_dir(root.join("src/policy")).unwrap();
-    let found: BTreeSet<String> = files
-        .map(|file| format!("src/policy/{}", file.unwrap().file_name().to_str().unwrap()))
-        .collect();
+    let found = files_below(root, "src/policy");
     assert_eq!(named, found);
     for file in &found {
         let text = std::fs::read_to_string(root.join(file)).unwrap();
