Back off after rejected load orders; use workers from the moment the list is confirmed

Change: policy::load_backoff pauses a function at a worker (0.25 s, doubling to 8 s) and, from the second rejection in a row, the worker for all functions (0.1 to 2 s). Workers count as unavailable until the tracker says otherwise. Attempts that were never sent clear the belief in their load.

--- a/src/api/action.rs
+++ b/src/api/action.rs
@@ -63,4 +63,6 @@
     },
     /// Subscribe to the endpoint list.
     Subscribe,
+    /// Open the stream of the endpoint list anew, as it may be stuck.
+    ReopenDiscovery,
 }
--- a/src/bin/molelug-simhost/wire.rs
+++ b/src/bin/molelug-simhost/wire.rs
@@ -314,7 +314,7 @@
             Action::HealthCheck { .. } => 72,
             Action::Fail { .. } => 73,
             Action::Unload { .. } => 74,
-            Action::Subscribe => 75,
+            Action::Subscribe | Action::ReopenDiscovery => 75,
             Action::Reject { .. } => 76,
             Action::Cancel { .. } => 78,
         };
@@ -361,7 +361,7 @@
                 self.records.extend(millis(after).to_le_bytes());
                 self.records.extend(token.to_le_bytes());
             }
-            Action::Subscribe => self.records.push(1),
+            Action::Subscribe | Action::ReopenDiscovery => self.records.push(1),
         }
         self.records.resize(start + ACTION, 0);
         self.count += 1;
--- a/src/config.rs
+++ b/src/config.rs
@@ -216,8 +216,7 @@
         // Clients of the simulator are told nothing; on sockets every refusal says when to come back.
         let advice = number("caps.maxRetryAfterMs").unwrap_or(0.0);
         module.max_retry_after = module.max_retry_after.max((advice * 1e3) as Micros);
-        // On sockets discovery pushes; there is nothing to subscribe to. Its heartbeats tell how old the list is.
-        module.must_subscribe = false;
+        // On sockets discovery pushes, and its heartbeats tell how old the list is.
         module.discovery_heartbeats = board.is_some();
         module.list_max_age = board.is_some().then_some(LIST_MAX_AGE);
         let listed = |list: &str, field: &str| -> Vec<String> {
--- a/src/core/actions.rs
+++ b/src/core/actions.rs
@@ -127,7 +127,9 @@
             Action::Wake { after, token } => self
                 .deadlines
                 .insert(now + after.max(1), Deadline::Wake(token)),
-            Action::Subscribe => self.commands.push_back(Command::ReopenDiscovery),
+            // Service discovery pushes; there is nothing to subscribe to.
+            Action::Subscribe => {}
+            Action::ReopenDiscovery => self.commands.push_back(Command::ReopenDiscovery),
         }
     }
 }
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -100,7 +100,8 @@
     }
 
     fn may_order_load(&mut self, now: Micros, key: CopyKey, id: RequestId) -> bool {
-        let available = self.is_available(now, key.worker);
+        let available =
+            self.is_available(now, key.worker) && !self.load_backoffs.is_paused(now, key);
         let has_further_attempt = self
             .requests
             .get(&id)
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -85,8 +85,8 @@
         }
     }
 
-    /// A worker is back, perhaps with another process, and nobody tells when that started: it is in slow start from now
-    /// on and has no copies.
+    /// A worker is back, perhaps with another process, and nobody tells when that started: it is in
+    /// slow start from now on and has no copies.
     pub(super) fn begin_slow_start(&mut self, now: Micros, id: WorkerId) {
         let limit = self.initial_concurrency_limit;
         let Some(worker) = self.workers.get_mut(&id) else {
@@ -108,6 +108,7 @@
             }
         }
         self.loads_in_progress.retain(|key, _| key.worker != worker);
+        self.load_backoffs.forget_worker(worker);
     }
 
     /// Peers' observations move a worker to the end of every candidate list for a while, or end its
--- a/src/policy/evidence/check_budget.rs
+++ b/src/policy/evidence/check_budget.rs
@@ -1,9 +1,10 @@
-//! How many health checks this instance may start: its part of what all instances together may ask of a worker.
+//! How many health checks this instance may start: its part of what all instances together may ask
+//! of a worker.
 
 use crate::api::Micros;
 
-/// Health checks a second at one worker, from all instances together. A check takes a worker half a millisecond at
-/// most, so these take less than a hundredth of one of its cores.
+/// Health checks a second at one worker, from all instances together. A check takes a worker half a
+/// millisecond at most, so these take less than a hundredth of one of its cores.
 const CHECKS_PER_WORKER_PER_S: f64 = 4.0;
 /// The least rate of one instance, so that one among very many can still find a worker.
 const MIN_CHECKS_PER_S: f64 = 0.5;
--- a/src/policy/evidence/checks.rs
+++ b/src/policy/evidence/checks.rs
@@ -112,11 +112,11 @@
     let is_old = worker
         .latest(confirmed_at)
         .is_none_or(|at| now > at + REFRESH_AGE);
-    let is_in_use = worker.suspended_since.is_none() && now < worker.used_at + USE_WINDOW;
+    let is_in_use = worker.is_available && now < worker.used_at + USE_WINDOW;
     if is_lost && is_in_use && is_old {
         return Some(Urgency::InUse);
     }
-    let is_out = worker.said_dead_at.is_some() || worker.suspended_since.is_some();
+    let is_out = worker.said_dead_at.is_some() || !worker.is_available;
     let is_wanted = is_demanded && is_old && (is_lost || is_out);
     is_wanted.then_some(Urgency::Wanted)
 }
--- a/src/policy/evidence/discovery.rs
+++ b/src/policy/evidence/discovery.rs
@@ -41,8 +41,8 @@
     stream: Stream,
     started_at: Micros,
     confirmed_at: Option<Micros>,
-    /// Whether events are held back: a worker was listed as ready for too long after it had said that it is not. Only
-    /// an update shows that events come again.
+    /// Whether events are held back: a worker was listed as ready for too long after it had said
+    /// that it is not. Only an update shows that events come again.
     is_held_back: bool,
     /// Since when it is reported as lost.
     lost_since: Option<Micros>,
@@ -67,8 +67,8 @@
         }
     }
 
-    /// Takes a signal of the stream. A heartbeat confirms nothing while what a worker said contradicts the list: events
-    /// may be held back behind it.
+    /// Takes a signal of the stream. A heartbeat confirms nothing while what a worker said
+    /// contradicts the list: events may be held back behind it.
     pub(super) fn handle(&mut self, now: Micros, signal: DiscoverySignal, is_contradicted: bool) {
         self.settle(now);
         if signal == DiscoverySignal::Update {
--- a/src/policy/evidence/spans.rs
+++ b/src/policy/evidence/spans.rs
@@ -2,8 +2,8 @@
 
 use crate::api::{Micros, Settings};
 
-/// What is left between the last send that evidence allows and the first that would be too late: clocks are read and
-/// bytes written at different moments.
+/// What is left between the last send that evidence allows and the first that would be too late:
+/// clocks are read and bytes written at different moments.
 const MARGIN: Micros = 300_000;
 /// How late the list may be when discovery confirms it: a worker may have begun to drain so long before.
 const LIST_LAG: Micros = 2_000_000;
--- a/src/policy/evidence/tracker.rs
+++ b/src/policy/evidence/tracker.rs
@@ -13,9 +13,6 @@
 const REOPEN_AFTER: Micros = 3_000_000;
 /// How often at most.
 const REOPEN_INTERVAL: Micros = 5_000_000;
-/// Changes that are kept until they are taken; further ones are dropped.
-const MAX_CHANGES: usize = 4096;
-
 /// What a health check found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckResult {
@@ -27,22 +24,11 @@
     NoAnswer,
 }
 
-/// How old the latest evidence of a worker is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WorkerEvidenceAge {
-    /// The worker.
-    pub worker: WorkerId,
-    /// The age; none if there is no evidence.
-    pub age: Option<Micros>,
-    /// Whether it is suspended.
-    pub suspended: bool,
-}
-
 /// Tracks the evidence of workers; see the module.
 #[derive(Debug)]
 pub struct EvidenceTracker {
     /// None where the list does not age: every listed worker may then be sent to.
-    spans: Option<Spans>,
+    pub(super) spans: Option<Spans>,
     pub(super) may_check: bool,
     pub(super) seed: u64,
     pub(super) discovery: DiscoveryFreshness,
@@ -54,7 +40,7 @@
     has_anomalies: bool,
     /// When the stream of discovery was last asked to be opened anew.
     reopened_at: Micros,
-    changes: VecDeque<EvidenceChange>,
+    pub(super) changes: VecDeque<EvidenceChange>,
 }
 
 impl Default for EvidenceTracker {
@@ -128,6 +114,8 @@
             return;
         }
         let worker = self.workers.entry(id).or_default();
+        // Whether it may be used is found when the state is next brought up to date.
+        self.has_anomalies |= !worker.is_available;
         if restarted {
             worker.begin_process();
         }
@@ -209,8 +197,8 @@
         });
     }
 
-    /// Nothing accepts connections at a worker's address: its process has ended. While discovery is in reach, it is
-    /// for the list to say what that means.
+    /// Nothing accepts connections at a worker's address: its process has ended. While discovery is
+    /// in reach, it is for the list to say what that means.
     pub fn on_process_gone(&mut self, now: Micros, id: WorkerId) {
         if self.spans.is_none() || !self.discovery.is_lost(now) {
             return;
@@ -221,7 +209,8 @@
         }
     }
 
-    /// A health check has ended. It was sent at `sent_at`, on a connection opened at `opened_at` if that is known.
+    /// A health check has ended. It was sent at `sent_at`, on a connection opened at `opened_at` if
+    /// that is known.
     pub fn on_checked(
         &mut self,
         now: Micros,
@@ -281,7 +270,8 @@
         first.min().map(|at| now.saturating_sub(at))
     }
 
-    /// Whether the stream of discovery is to be opened anew, as it contradicts what a worker said: it may be stuck.
+    /// Whether the stream of discovery is to be opened anew, as it contradicts what a worker said:
+    /// it may be stuck.
     pub fn take_reopen(&mut self, now: Micros) -> bool {
         let is_due = now >= self.reopened_at + REOPEN_INTERVAL
             && self.discovery.has_stream()
@@ -313,18 +303,22 @@
         let mut has_anomalies = false;
         for (id, worker) in &mut self.workers {
             let may_send = worker.may_send(now, spans, confirmed_at);
-            match (may_send, worker.suspended_since) {
-                (true, Some(since)) => {
-                    worker.suspended_since = None;
+            match (may_send, worker.is_available) {
+                (true, false) => {
+                    worker.is_available = true;
                     let new_process = std::mem::take(&mut worker.is_new_process);
                     changed.push((*id, Availability::Resumed { new_process }));
-                    changes.push(EvidenceChange::Resumed {
-                        worker: *id,
-                        new_process,
-                        suspended_for: now - since,
-                    });
+                    // A worker that is used for the first time was not suspended.
+                    changes.extend(worker.suspended_since.take().map(|since| {
+                        EvidenceChange::Resumed {
+                            worker: *id,
+                            new_process,
+                            suspended_for: now - since,
+                        }
+                    }));
                 }
-                (false, None) => {
+                (false, true) => {
+                    worker.is_available = false;
                     worker.suspended_since = Some(now);
                     changed.push((*id, Availability::Suspended));
                     changes.push(EvidenceChange::Suspended {
@@ -333,7 +327,7 @@
                         evidence_age: worker.latest(confirmed_at).map(|at| now - at),
                     });
                 }
-                (true, None) | (false, Some(_)) => {}
+                (true, true) | (false, false) => {}
             }
             has_anomalies |= !may_send || worker.doubt.is_some() || worker.gone_at.is_some();
         }
@@ -343,57 +337,6 @@
         }
         changed
     }
-
-    fn report(&mut self, change: EvidenceChange) {
-        if self.changes.len() < MAX_CHANGES {
-            self.changes.push_back(change);
-        }
-    }
-
-    /// The next change that is to be logged.
-    pub fn next_change(&mut self) -> Option<EvidenceChange> {
-        self.changes.pop_front()
-    }
-
-    /// The age of the list; none if discovery has not confirmed it since the start, or the list does not age.
-    pub fn list_age(&self, now: Micros) -> Option<Micros> {
-        self.discovery
-            .confirmed_at(now)
-            .map(|at| now.saturating_sub(at))
-    }
-
-    /// Whether discovery is lost.
-    pub fn is_discovery_lost(&self, now: Micros) -> bool {
-        self.spans.is_some() && self.discovery.is_lost(now)
-    }
-
-    fn evidence_age(&self, now: Micros, id: WorkerId) -> Option<Micros> {
-        let confirmed_at = self.discovery.confirmed_at(now);
-        let latest = self.workers.get(&id)?.latest(confirmed_at)?;
-        Some(now.saturating_sub(latest))
-    }
-
-    /// The evidence of every worker that is listed as ready.
-    pub fn evidence_ages(&self, now: Micros) -> Vec<WorkerEvidenceAge> {
-        let confirmed_at = self.discovery.confirmed_at(now);
-        self.workers
-            .iter()
-            .map(|(id, worker)| WorkerEvidenceAge {
-                worker: *id,
-                age: worker.latest(confirmed_at).map(|at| now.saturating_sub(at)),
-                suspended: worker.suspended_since.is_some(),
-            })
-            .collect()
-    }
-
-    /// Takes over evidence that another process of this gateway had at `at`.
-    pub fn adopt(&mut self, id: WorkerId, at: Micros) {
-        if let Some(worker) = self.workers.get_mut(&id) {
-            if worker.said_dead_at.is_none() && worker.gone_at.is_none() {
-                worker.served_at = worker.served_at.max(Some(at));
-            }
-        }
-    }
 }
 
 /// Whether a worker may be sent new work from now on.
--- /dev/null
+++ b/src/policy/evidence/view.rs
@@ -0,0 +1,72 @@
+//! What operators and other processes of the gateway are told.
+
+use super::change::EvidenceChange;
+use super::tracker::EvidenceTracker;
+use crate::api::{Micros, WorkerId};
+
+/// Changes that are kept until they are taken; further ones are dropped.
+const MAX_CHANGES: usize = 4096;
+
+/// How old the latest evidence of a worker is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerEvidenceAge {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The age; none if there is no evidence.
+    pub age: Option<Micros>,
+    /// Whether it is suspended.
+    pub suspended: bool,
+}
+
+impl EvidenceTracker {
+    pub(super) fn report(&mut self, change: EvidenceChange) {
+        if self.changes.len() < MAX_CHANGES {
+            self.changes.push_back(change);
+        }
+    }
+
+    /// The next change that is to be logged.
+    pub fn next_change(&mut self) -> Option<EvidenceChange> {
+        self.changes.pop_front()
+    }
+
+    /// The age of the list; none if discovery has not confirmed it since the start, or the list does not age.
+    pub fn list_age(&self, now: Micros) -> Option<Micros> {
+        self.discovery
+            .confirmed_at(now)
+            .map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether discovery is lost.
+    pub fn is_discovery_lost(&self, now: Micros) -> bool {
+        self.spans.is_some() && self.discovery.is_lost(now)
+    }
+
+    pub(super) fn evidence_age(&self, now: Micros, id: WorkerId) -> Option<Micros> {
+        let confirmed_at = self.discovery.confirmed_at(now);
+        let latest = self.workers.get(&id)?.latest(confirmed_at)?;
+        Some(now.saturating_sub(latest))
+    }
+
+    /// The evidence of every worker that is listed as ready.
+    pub fn evidence_ages(&self, now: Micros) -> Vec<WorkerEvidenceAge> {
+        let confirmed_at = self.discovery.confirmed_at(now);
+        self.workers
+            .iter()
+            .map(|(id, worker)| WorkerEvidenceAge {
+                worker: *id,
+                age: worker.latest(confirmed_at).map(|at| now.saturating_sub(at)),
+                suspended: !worker.is_available,
+            })
+            .collect()
+    }
+
+    /// Takes over evidence that another process of this gateway had at `at`.
+    pub fn adopt(&mut self, id: WorkerId, at: Micros) {
+        if let Some(worker) = self.workers.get_mut(&id) {
+            if worker.said_dead_at.is_none() && worker.gone_at.is_none() {
+                worker.served_at = worker.served_at.max(Some(at));
+            }
+        }
+    }
+}
--- a/src/policy/evidence/worker.rs
+++ b/src/policy/evidence/worker.rs
@@ -74,6 +74,9 @@
     pub(super) is_new_process: bool,
     /// It is not used before this instant.
     pub(super) usable_from: Micros,
+    /// Whether it was said to be usable when the state was last brought up to date.
+    pub(super) is_available: bool,
+    /// Since when it is not, if it was before.
     pub(super) suspended_since: Option<Micros>,
     pub(super) used_at: Micros,
     pub(super) check: CheckState,
@@ -93,6 +96,7 @@
     /// The list names a new process: what was known of the old one is forgotten.
     pub(super) fn begin_process(&mut self) {
         *self = WorkerEvidence {
+            is_available: self.is_available,
             suspended_since: self.suspended_since,
             check: self.check,
             used_at: self.used_at,
@@ -105,7 +109,8 @@
         self.served_at.max(self.listed_at(confirmed_at))
     }
 
-    /// When the list last was evidence: a confirmation after a doubt began is none, as events may be held back.
+    /// When the list last was evidence: a confirmation after a doubt began is none, as events may
+    /// be held back.
     fn listed_at(&self, confirmed_at: Option<Micros>) -> Option<Micros> {
         if self.said_dead_at.is_some() || self.gone_at.is_some() {
             return None;
@@ -129,8 +134,8 @@
         now < own.max(listed)
     }
 
-    /// The worker took new work at `at`, on a connection that was opened at `opened_at` if that is known. Returns
-    /// whether that counts.
+    /// The worker took new work at `at`, on a connection that was opened at `opened_at` if that is
+    /// known. Returns whether that counts.
     pub(super) fn record_served(
         &mut self,
         now: Micros,
@@ -167,8 +172,8 @@
 
     /// The worker rejected a call; returns the doubt that follows, if it is new.
     ///
-    /// Where no health check can settle a doubt, only a rejection despite reported free capacity raises one: an
-    /// overloaded worker would be lost for good otherwise.
+    /// Where no health check can settle a doubt, only a rejection despite reported free capacity
+    /// raises one: an overloaded worker would be lost for good otherwise.
     pub(super) fn record_rejection(
         &mut self,
         sent_at: Micros,
--- a/src/policy/loads.rs
+++ b/src/policy/loads.rs
@@ -69,6 +69,9 @@
             self.eject_unreachable(now, key.worker);
         }
         let was_ordered = self.load_orders.remove(&key);
+        if was_ordered {
+            self.load_backoffs.on_order_ended(now, key, outcome);
+        }
         match outcome {
             Outcome::Ok if was_ordered => self.evidence.on_loaded(key.worker),
             Outcome::Rejected if was_ordered => self.evidence.on_load_rejected(now, key.worker),
@@ -117,8 +120,9 @@
             }
             Outcome::Miss => copy.record_miss(now),
             Outcome::Error if end.copy_start == Some(CopyStart::LoadFailed) => {}
-            Outcome::Error | Outcome::Timeout | Outcome::Cancelled | Outcome::NotSent => return,
-            Outcome::Rejected | Outcome::ConnectFailed | Outcome::Reset => {}
+            Outcome::Error | Outcome::Timeout | Outcome::Cancelled => return,
+            // An attempt that was withdrawn began no load; waiting for one would hold its request back.
+            Outcome::Rejected | Outcome::ConnectFailed | Outcome::Reset | Outcome::NotSent => {}
         }
         copy.loading_since = None;
         self.loads_in_progress.remove(&CopyKey {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -21,6 +21,7 @@
 mod idempotency;
 mod latency;
 mod limits;
+mod load_backoff;
 mod loads;
 mod queue;
 mod request;
@@ -35,6 +36,7 @@
 use evidence::{Availability, CheckResult, EvidenceChange, EvidenceTracker, WorkerEvidenceAge};
 use function::FunctionState;
 use limits::TenantBucket;
+use load_backoff::LoadBackoffs;
 use loads::{CopyKey, LoadInProgress};
 use request::RequestState;
 use window::{DecayingAverage, SlidingWindow};
@@ -72,6 +74,8 @@
     loads_in_progress: BTreeMap<CopyKey, LoadInProgress>,
     /// Load orders without an answer yet.
     load_orders: BTreeSet<CopyKey>,
+    /// Workers that get no load orders for a while, as they rejected some.
+    load_backoffs: LoadBackoffs,
     recent_load_orders: SlidingWindow,
     recent_requests: SlidingWindow,
     recent_answers: SlidingWindow,
@@ -200,7 +204,7 @@
         let checks = self.evidence.due_checks(now).into_iter();
         actions.extend(checks.map(|worker| Action::HealthCheck { worker }));
         if self.evidence.take_reopen(now) {
-            actions.push(Action::Subscribe);
+            actions.push(Action::ReopenDiscovery);
         }
     }
 
--- a/src/policy/scan.rs
+++ b/src/policy/scan.rs
@@ -32,6 +32,7 @@
 
     fn begin_interval(&mut self, now: Micros) {
         self.interval_started_at = now;
+        self.load_backoffs.forget_outdated(now);
         // Without this, memory would grow with every function ever called.
         self.functions.retain(|_, function| function.is_in_use());
         for function in self.functions.values_mut() {
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -270,7 +270,10 @@
         let worker = self.usable.iter().copied().find(|worker| {
             let copies = self.copies_at(*worker);
             let is_near = self.policy.has_spare_capacity || Some(*worker) == self.preferred;
-            is_near && !self.is_warm(copies) && !self.is_loading(copies)
+            is_near
+                && !self.is_warm(copies)
+                && !self.is_loading(copies)
+                && !self.load_is_paused(*worker)
         })?;
         let missed_lately = !self.is_outdated(self.copies_at(worker).missed_at);
         if !self.miss_loads() && (!self.may_risk_miss || missed_lately) {
--- a/src/policy/selection_view.rs
+++ b/src/policy/selection_view.rs
@@ -1,6 +1,7 @@
 //! What the rules of selection look at: the candidates, their copies, and what is known of them.
 
 use super::function::CopyState;
+use super::loads::CopyKey;
 use super::selection::Selection;
 use crate::api::{Micros, WorkerId};
 
@@ -185,6 +186,16 @@
         self.now - self.request.arrived_at
     }
 
+    /// Whether the worker gets no load order for the function now. It does not matter where a miss
+    /// loads by itself.
+    pub(super) fn load_is_paused(&self, worker: WorkerId) -> bool {
+        let key = CopyKey {
+            worker,
+            function: self.request.function,
+        };
+        !self.miss_loads() && self.policy.load_backoffs.is_paused(self.now, key)
+    }
+
     pub(super) fn miss_loads(&self) -> bool {
         self.policy.miss_loads()
     }
--- a/testbed/tests/operator_surface.rs
+++ b/testbed/tests/operator_surface.rs
@@ -83,8 +83,8 @@
     append_help(&[], &mut all);
     assert_eq!(
         all.matches("\n[end]\n").count(),
-        20,
-        "the program, twelve commands and seven under them"
+        21,
+        "the program, thirteen commands and seven under them"
     );
     assert_fixture("help.txt", &all);
 }
--- a/tests/decisions/record.rs
+++ b/tests/decisions/record.rs
@@ -117,6 +117,7 @@
         Action::HealthCheck { worker } => ("probe", format!(" w{}", worker.0)),
         Action::Wake { after, token } => ("wake", format!(" after={after} token={token}")),
         Action::Subscribe => ("subscribe", String::new()),
+        Action::ReopenDiscovery => ("reopen", String::new()),
     }
 }
 
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -497,11 +497,8 @@
     const WORKERS: u32 = 90;
     let worker = Worker::start();
     worker.set(Does::Silent);
-    // Nobody listens there yet.
-    let port = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    let board = BoardByHand::start();
+    let port = board.address();
     let workers: Vec<Value> = (1..=WORKERS)
         .map(|n| serving(&format!("s-{n:08x}"), worker.address))
         .collect();
@@ -515,6 +512,13 @@
         limits,
         &variables,
     );
+    // The board says once that the list holds, and then nobody listens there any more.
+    let confirmed = board.poll();
+    until("the list is confirmed", || {
+        g.figure("members_unavailable") == 0
+    });
+    drop(confirmed);
+    drop(board);
     let _idle: Vec<Client> = (0..DESCRIPTORS).map(|_| Client::connect(&g)).collect();
     let calls: Vec<Client> = (0..60)
         .map(|n| {
