--- a/src/core/evidence.rs
+++ b/src/core/evidence.rs
@@ -31,6 +31,11 @@
         self.policy.may_send(now, worker)
     }
 
+    /// Whether calls are worth taking: discovery has confirmed the list, or has had the time to do so.
+    pub fn knows_workers(&self, now: Micros) -> bool {
+        self.policy.knows_workers(now)
+    }
+
     /// Takes over evidence that another process of this gateway had of a worker at `at`.
     pub fn adopt_evidence(&mut self, worker: WorkerId, at: Micros) {
         self.policy.adopt_evidence(worker, at);
--- a/src/gateway/clients.rs
+++ b/src/gateway/clients.rs
@@ -131,7 +131,11 @@
             },
             Ok(Ask::Ping) => {
                 let emptied = self.ops.lifecycle.is_draining();
-                let status = if emptied { 503 } else { 200 };
+                let status = if emptied || !self.core.knows_workers(now) {
+                    503
+                } else {
+                    200
+                };
                 http::response(status, "", b"", keep_open)
             }
             Err(bad) => {
--- a/src/gateway/operations.rs
+++ b/src/gateway/operations.rs
@@ -202,7 +202,7 @@
 
     fn answer_console(&mut self, now: Micros, ask: Request) -> Vec<u8> {
         match ask {
-            Request::Ready if self.ops.lifecycle.is_ready() => {
+            Request::Ready if self.ops.lifecycle.is_ready() && self.core.knows_workers(now) => {
                 operator_console::answer(true, "ready")
             }
             Request::Ready => operator_console::answer(false, "not ready"),
--- a/src/policy/evidence/view.rs
+++ b/src/policy/evidence/view.rs
@@ -37,6 +37,13 @@
             .map(|at| now.saturating_sub(at))
     }
 
+    /// Whether discovery has confirmed the list since the start, or has had the time to do so.
+    pub fn has_begun(&self, now: Micros) -> bool {
+        self.spans.is_none()
+            || self.discovery.confirmed_at(now).is_some()
+            || self.discovery.is_lost(now)
+    }
+
     /// Whether discovery is lost.
     pub fn is_discovery_lost(&self, now: Micros) -> bool {
         self.spans.is_some() && self.discovery.is_lost(now)
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -239,6 +239,11 @@
         self.evidence.evidence_ages(now)
     }
 
+    /// Whether discovery has confirmed the list since the start, or has had the time to do so.
+    pub(crate) fn knows_workers(&self, now: Micros) -> bool {
+        self.evidence.has_begun(now)
+    }
+
     /// Takes over evidence of another process of this gateway.
     pub(crate) fn adopt_evidence(&mut self, worker: WorkerId, at: Micros) {
         self.evidence.adopt(worker, at);
