--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -119,7 +119,8 @@
     },
     /// The stream of service discovery has given a sign.
     Discovery(DiscoverySignal),
-    /// A connection to a worker was refused: no process accepts calls at its address.
+    /// A connection to a worker was refused while no other was open: its process has ended. With another one open, it may
+    /// only have as many as it takes.
     WorkerRefused {
         /// The worker.
         worker: WorkerId,
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -156,7 +156,6 @@
             self.answer_served(attempt.request, reply.body);
         }
         log_attempt_end(&end, reason);
-        self.note_refused(now, end.worker, reason);
         self.handle_event(now, Event::AttemptEnded(end));
         self.remove_if_finished(attempt.request);
     }
--- a/src/core/evidence.rs
+++ b/src/core/evidence.rs
@@ -2,7 +2,6 @@
 
 use super::Core;
 use crate::api::{DiscoverySignal, Event, Micros, Outcome, WorkerId};
-use crate::completion::CloseReason;
 use crate::policy::evidence::{EvidenceChange, SuspendReason, WorkerEvidenceAge};
 
 /// Microseconds of a millisecond, for log lines.
@@ -60,11 +59,9 @@
         }
     }
 
-    /// Tells the module of a refused connection: it says more than that an attempt failed.
-    pub(super) fn note_refused(&mut self, now: Micros, worker: WorkerId, reason: CloseReason) {
-        if reason == CloseReason::Refused {
-            self.handle_event(now, Event::WorkerRefused { worker });
-        }
+    /// A connection to a worker was refused while no other was open: its process has ended.
+    pub fn worker_refused(&mut self, now: Micros, worker: WorkerId) {
+        self.handle_event(now, Event::WorkerRefused { worker });
     }
 
     /// Counts what a health check found.
--- a/src/core/health_checks.rs
+++ b/src/core/health_checks.rs
@@ -57,7 +57,6 @@
             .remove(check.expires_at, Deadline::HealthCheck(key.data().as_ffi()));
         let outcome = reason.outcome(SendProgress::Started);
         self.count_health_check(outcome);
-        self.note_refused(now, check.worker, reason);
         self.handle_event(
             now,
             Event::HealthChecked {
--- a/src/core/load_orders.rs
+++ b/src/core/load_orders.rs
@@ -79,7 +79,6 @@
             copies,
             "load order ended"
         );
-        self.note_refused(now, order.worker, reason);
         self.handle_event(
             now,
             Event::LoadEnded {
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -92,6 +92,9 @@
                 worker.complete_all(&connection.outbox, reason, &mut completed);
                 self.completed.extend(completed);
                 self.routes.remove(worker.worker, key);
+                if reason == CloseReason::Refused {
+                    self.note_refused(now, worker.worker);
+                }
             }
             Role::Discovery(stream) => {
                 self.discovery_closed(now, &stream, reason);
--- a/src/gateway/worker_connections.rs
+++ b/src/gateway/worker_connections.rs
@@ -118,11 +118,15 @@
             .addresses
             .get(&worker)
             .ok_or(CloseReason::Withdrawn)?;
-        let stream = net::connect(address).map_err(|error| match error.kind() {
+        let connected = net::connect(address).map_err(|error| match error.kind() {
             io::ErrorKind::ConnectionRefused => CloseReason::Refused,
             _ if net::is_local_limit(&error) => CloseReason::LocalLimit,
             _ => CloseReason::ConnectTimeout,
-        })?;
+        });
+        if matches!(connected, Err(CloseReason::Refused)) {
+            self.note_refused(now, worker);
+        }
+        let stream = connected?;
         let role = Role::Worker(WorkerConnection::new(worker, now));
         let key = self
             .add_connection(stream, false, role)
@@ -138,6 +142,14 @@
         Ok(key)
     }
 
+    /// Tells the core of a refused connection, unless another one is open.
+    pub(super) fn note_refused(&mut self, now: Micros, worker: WorkerId) {
+        let keys = self.routes.connections.get(&worker);
+        if keys.is_none_or(Vec::is_empty) {
+            self.core.worker_refused(now, worker);
+        }
+    }
+
     /// Retires a worker's connections that were opened before an instant (or all): what was not sent is withdrawn, what
     /// was sent may still be replied to, and nothing new is sent.
     pub(super) fn retire_connections(&mut self, worker: WorkerId, before: Option<Micros>) {
