Try doubted workers last, and one only not heard of without slow start

Change: doubted workers are tried last, and left out while a check is due and others are usable; slow start and forgotten copies need a sign of an end (said dead, or refused with no connection open).

--- a/src/policy/evidence/checks.rs
+++ b/src/policy/evidence/checks.rs
@@ -9,7 +9,8 @@
 const REFRESH_AGE: Micros = 2_500_000;
 /// A worker is in use for so long after it was last sent to.
 const USE_WINDOW: Micros = 5_000_000;
-/// While discovery is heard, a doubted worker is checked only after this: the list may lag, and tell by itself.
+/// While discovery is heard, a doubted worker is checked only after this: the list may lag, and
+/// tell by itself.
 const DOUBT_PATIENCE: Micros = 2_000_000;
 /// Requests in so short a time make it worth looking for workers that are not in use.
 const DEMAND_WINDOW: Micros = 2_000_000;
--- a/src/policy/evidence/tracker.rs
+++ b/src/policy/evidence/tracker.rs
@@ -82,6 +82,17 @@
             .is_some_and(|worker| worker.may_send(now, spans, confirmed_at))
     }
 
+    /// Whether a worker rejected what it had capacity for, and nothing has settled since whether it drains.
+    pub fn is_doubted(&self, id: WorkerId) -> bool {
+        let worker = self.workers.get(&id);
+        worker.is_some_and(|worker| worker.doubt.is_some())
+    }
+
+    /// Whether a worker is doubted and a health check is going to settle it.
+    pub fn awaits_check(&self, id: WorkerId) -> bool {
+        self.may_check && self.is_doubted(id)
+    }
+
     /// The stream of discovery has given a sign.
     pub fn on_discovery(&mut self, now: Micros, signal: DiscoverySignal) {
         if self.spans.is_none() {
--- a/src/policy/evidence/view.rs
+++ b/src/policy/evidence/view.rs
@@ -68,8 +68,8 @@
             .collect()
     }
 
-    /// The workers that may be sent to and showed by themselves that they take new work, and when. What the list says of
-    /// them is not part of it: that holds for a shorter time.
+    /// The workers that may be sent to and showed by themselves that they take new work, and when.
+    /// What the list says of them is not part of it: that holds for a shorter time.
     pub fn served_evidence(&self, now: Micros) -> Vec<(WorkerId, Micros)> {
         self.workers
             .iter()
--- a/src/policy/evidence/worker.rs
+++ b/src/policy/evidence/worker.rs
@@ -153,11 +153,11 @@
             let on_old_connection = opened_at.is_some_and(|opened_at| opened_at <= latest);
             on_old_connection || at.saturating_sub(latest) < MIN_RESTART_TIME
         });
+        // Without a sign that its process ended, one that was only not heard of is taken for the
+        // same: what reaches it from a gateway that did not use it is little.
         if contrary.is_some() && !same_process {
             // Discovery may tell of the start as late as of a drain.
             self.usable_from = now + spans.told_after;
-        }
-        if !same_process && (contrary.is_some() || self.suspended_since.is_some()) {
             self.is_new_process = true;
         }
         self.served_at = self.served_at.max(Some(at));
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -85,7 +85,7 @@
             preferred: None,
             next_untried: OnceCell::new(),
         };
-        let candidates = selection.candidates_by_peer_health();
+        let candidates = selection.candidates_by_trust();
         selection.usable = selection.usable_of(&candidates);
         selection.preferred = candidates
             .into_iter()
--- a/src/policy/selection_view.rs
+++ b/src/policy/selection_view.rs
@@ -10,13 +10,12 @@
 const CONCURRENCY_CREDIT: f64 = 6.0;
 
 impl Selection<'_> {
-    /// The function's candidates, those that peers observe to be faulty last.
-    pub(super) fn candidates_by_peer_health(&self) -> Vec<WorkerId> {
+    /// The function's candidates, those last that peers observe to be faulty or that are doubted.
+    pub(super) fn candidates_by_trust(&self) -> Vec<WorkerId> {
         let is_suspect = |worker: &&WorkerId| {
-            self.policy
-                .workers
-                .get(worker)
-                .is_some_and(|state| self.now < state.peer_unhealthy_until)
+            let state = self.policy.workers.get(worker);
+            let is_faulty = state.is_some_and(|state| self.now < state.peer_unhealthy_until);
+            is_faulty || self.policy.evidence.is_doubted(**worker)
         };
         let candidates = &self.function.candidates;
         let trusted = candidates.iter().filter(|worker| !is_suspect(worker));
@@ -24,14 +23,27 @@
         trusted.chain(suspect).copied().collect()
     }
 
+    /// The candidates that may take the request now. Those that a check will soon tell more of are
+    /// left out as long as there are others.
     pub(super) fn usable_of(&self, candidates: &[WorkerId]) -> Vec<WorkerId> {
         let credit = self.credit();
-        candidates
+        let usable: Vec<WorkerId> = candidates
             .iter()
             .copied()
             .filter(|worker| self.policy.has_capacity(self.now, *worker, credit))
             .filter(|worker| self.policy.may_take(self.now, *worker, self.request))
-            .collect()
+            .collect();
+        let evidence = &self.policy.evidence;
+        let without_doubted: Vec<WorkerId> = usable
+            .iter()
+            .copied()
+            .filter(|worker| !evidence.awaits_check(*worker))
+            .collect();
+        if without_doubted.is_empty() {
+            usable
+        } else {
+            without_doubted
+        }
     }
 
     pub(super) fn is_preferred(&self, worker: WorkerId) -> bool {
--- a/testbed/src/outage/judge.rs
+++ b/testbed/src/outage/judge.rs
@@ -43,6 +43,8 @@
     pub most_checks_per_s: usize,
     /// The share served beside the outage, and in it.
     pub served: (f64, f64),
+    /// Calls rejected and failed in the outage.
+    pub unserved: (usize, usize),
     /// What reached workers too late, and how long after the drain; the first few.
     pub late: Vec<String>,
 }
@@ -91,6 +93,7 @@
             checks: (0, 0),
             most_checks_per_s: 0,
             served: (0.0, 0.0),
+            unserved: (0, 0),
             late: Vec::new(),
         };
         for record in workers {
@@ -174,6 +177,8 @@
             .filter(is_judged)
             .filter(|call| matches!(call.end, End::Lost | End::Unreachable))
             .count();
+        let ended = |end: End| inside.iter().filter(|call| call.end == end).count();
+        self.unserved = (ended(End::Rejected), ended(End::Failed));
         self.served = (share(beside), share(inside));
         self.lost = lost;
     }
@@ -206,6 +211,11 @@
         )?;
         if !self.holds() {
             write!(f, "\n     {:?}", self.scenario)?;
+            let (rejected, failed) = self.unserved;
+            write!(
+                f,
+                "\n     in the outage {rejected} rejected, {failed} failed"
+            )?;
         }
         for note in &self.late {
             write!(f, "\n     {note}")?;
