Share the stand-ins' listener and command reader; a test of late answers

Cause: two stand-ins of the outage soak had the same accept loop, and a third copy of the reader of commands; no test failed when an answer to a call sent before a worker said dead brought it back. Change: ToggledListener, take_words, OutageKind::ALL; the missing test.

--- a/testbed/src/fakes/worker.rs
+++ b/testbed/src/fakes/worker.rs
@@ -12,6 +12,19 @@
 /// How often each call ran, by the identity that the gateway told and its class.
 pub type Runs = Arc<Mutex<BTreeMap<(String, String), u32>>>;
 
+/// Takes the next complete command off what has come, as text; `None` while there is none, or it cannot be read.
+pub fn take_words(held: &mut Vec<u8>) -> Option<Vec<String>> {
+    let array = parse_array(held).ok()??;
+    let size = array.size_bytes;
+    let words = array
+        .strings
+        .iter()
+        .map(|word| String::from_utf8_lossy(word).into_owned())
+        .collect();
+    held.drain(..size);
+    Some(words)
+}
+
 /// A stand-in worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -72,14 +85,7 @@
         let mut chunk = [0; 16 * 1024];
         let mut seen = 0u32;
         loop {
-            while let Ok(Some(array)) = parse_array(&held) {
-                let size = array.size_bytes;
-                let words: Vec<String> = array
-                    .strings
-                    .iter()
-                    .map(|w| String::from_utf8_lossy(w).into_owned())
-                    .collect();
-                held.drain(..size);
+            while let Some(words) = take_words(&mut held) {
                 let tag = words.get(1)?.as_bytes();
                 let what = words.first()?.as_str();
                 self.pings.fetch_add(
--- a/testbed/src/outage/discovery.rs
+++ b/testbed/src/outage/discovery.rs
@@ -1,13 +1,14 @@
 //! A stand-in of service discovery that fails in many ways.
 
 use std::io::{Read, Result, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
 use super::scenario::OutageKind;
+use super::toggled_listener::ToggledListener;
 
 /// How often a stream looks for something to say.
 const STEP: Duration = Duration::from_millis(10);
@@ -35,10 +36,9 @@
 impl Discovery {
     /// Starts it on a free port.
     pub fn start() -> Result<Discovery> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
+        let listener = ToggledListener::bind()?;
         let discovery = Discovery {
-            address,
+            address: listener.address(),
             shared: Arc::new(Mutex::new(Shared {
                 events: Vec::new(),
                 kind: OutageKind::None,
@@ -77,8 +77,7 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    fn accept(&self, listener: TcpListener) {
-        let mut listener = Some(listener);
+    fn accept(&self, mut listener: ToggledListener) {
         loop {
             let (kind, over) = {
                 let shared = self.lock();
@@ -87,16 +86,8 @@
             if over {
                 return;
             }
-            match (&listener, kind == OutageKind::Refused) {
-                (Some(_), true) => listener = None,
-                (None, false) => listener = TcpListener::bind(self.address).ok(),
-                _ => {}
-            }
-            let accepted = listener.as_ref().and_then(|listener| {
-                listener.set_nonblocking(true).ok()?;
-                listener.accept().ok()
-            });
-            let Some((stream, _)) = accepted else {
+            listener.set_open(kind != OutageKind::Refused);
+            let Some(stream) = listener.accept() else {
                 std::thread::sleep(STEP / 2);
                 continue;
             };
@@ -112,8 +103,6 @@
 
     /// Serves one stream until it fails or the gateway goes.
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
-        stream.set_nonblocking(false).ok()?;
-        stream.set_nodelay(true).ok()?;
         let mut next = self.read_revision(&mut stream)?.saturating_sub(1) as usize;
         let mut has_answered = false;
         let mut last_comment = Instant::now();
--- a/testbed/src/outage/mod.rs
+++ b/testbed/src/outage/mod.rs
@@ -7,6 +7,7 @@
 mod judge;
 mod run;
 mod scenario;
+mod toggled_listener;
 mod worker;
 
 use std::io::Result;
--- a/testbed/src/outage/scenario.rs
+++ b/testbed/src/outage/scenario.rs
@@ -25,7 +25,8 @@
 }
 
 impl OutageKind {
-    const ALL: [OutageKind; 6] = [
+    /// All but [`OutageKind::None`].
+    pub const ALL: [OutageKind; 6] = [
         OutageKind::Refused,
         OutageKind::Silent,
         OutageKind::CommentsOnly,
--- a/testbed/src/outage/worker.rs
+++ b/testbed/src/outage/worker.rs
@@ -2,11 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Result, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use molelug::worker::{encode_array, parse_array};
+use molelug::worker::encode_array;
+
+use super::toggled_listener::ToggledListener;
+use crate::fakes::worker::take_words;
 
 /// How long a run takes.
 const RUN_TIME: Duration = Duration::from_millis(6);
@@ -65,10 +68,10 @@
 impl DrainableWorker {
     /// Starts one on a free port.
     pub fn start(name: String) -> Result<DrainableWorker> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = ToggledListener::bind()?;
         let worker = DrainableWorker {
             name,
-            address: listener.local_addr()?,
+            address: listener.address(),
             shared: Arc::new(Mutex::new(Shared {
                 state: ProcessState::Serving,
                 process: 0,
@@ -113,30 +116,18 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    fn accept(&self, listener: TcpListener) {
-        let mut listener = Some(listener);
+    fn accept(&self, mut listener: ToggledListener) {
         loop {
             let (ended, over, process) = {
                 let shared = self.lock();
-                (
-                    shared.state == ProcessState::Ended,
-                    shared.over,
-                    shared.process,
-                )
+                let ended = shared.state == ProcessState::Ended;
+                (ended, shared.over, shared.process)
             };
             if over {
                 return;
             }
-            match (&listener, ended) {
-                (Some(_), true) => listener = None,
-                (None, false) => listener = TcpListener::bind(self.address).ok(),
-                _ => {}
-            }
-            let accepted = listener.as_ref().and_then(|listener| {
-                listener.set_nonblocking(true).ok()?;
-                listener.accept().ok()
-            });
-            let Some((stream, _)) = accepted else {
+            listener.set_open(!ended);
+            let Some(stream) = listener.accept() else {
                 std::thread::sleep(STEP);
                 continue;
             };
@@ -150,19 +141,10 @@
     }
 
     fn serve(&self, mut stream: TcpStream, process: u32) -> Option<()> {
-        stream.set_nonblocking(false).ok()?;
-        stream.set_nodelay(true).ok()?;
         let mut held = Vec::new();
         let mut chunk = [0; 16 * 1024];
         loop {
-            while let Ok(Some(array)) = parse_array(&held) {
-                let size = array.size_bytes;
-                let words: Vec<String> = array
-                    .strings
-                    .iter()
-                    .map(|word| String::from_utf8_lossy(word).into_owned())
-                    .collect();
-                held.drain(..size);
+            while let Some(words) = take_words(&mut held) {
                 self.answer(&mut stream, &words, process)?;
             }
             match stream.read(&mut chunk).ok()? {
--- a/testbed/tests/outage.rs
+++ b/testbed/tests/outage.rs
@@ -47,15 +47,7 @@
 
 #[test]
 fn nothing_new_reaches_workers_that_drained_in_an_outage() {
-    let kinds = [
-        OutageKind::Refused,
-        OutageKind::Silent,
-        OutageKind::CommentsOnly,
-        OutageKind::Reset,
-        OutageKind::CutInEvent,
-        OutageKind::Dribble,
-    ];
-    let mut scenarios: Vec<Scenario> = kinds.map(Scenario::reported).into();
+    let mut scenarios: Vec<Scenario> = OutageKind::ALL.map(Scenario::reported).into();
     scenarios.push(Scenario {
         health_checks: false,
         ..Scenario::reported(OutageKind::Refused)
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -180,6 +180,17 @@
     assert!(rig.may_send(OTHER));
 }
 
+#[test]
+fn answer_to_an_earlier_call_does_not_bring_a_dead_worker_back() {
+    let mut rig = Rig::heard(&settings(true));
+    let sent_at = rig.now;
+    rig.pass(SECOND);
+    rig.check(WORKER, CheckResult::Dead, None);
+    rig.pass(SECOND);
+    rig.tracker.on_served(rig.now, WORKER, sent_at);
+    assert!(!rig.may_send(WORKER));
+}
+
 #[test]
 fn comments_confirm_nothing_while_a_worker_contradicts_the_list() {
     let mut rig = Rig::heard(&settings(true));
