--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -183,10 +183,11 @@
 #[test]
 fn answer_to_an_earlier_call_does_not_bring_a_dead_worker_back() {
     let mut rig = Rig::heard(&settings(true));
+    rig.tracker.on_served(rig.now, WORKER, rig.now);
+    rig.pass(500 * MS);
     let sent_at = rig.now;
-    rig.pass(SECOND);
+    rig.pass(300 * MS);
     rig.check(WORKER, CheckResult::Dead, None);
-    rig.pass(SECOND);
     rig.tracker.on_served(rig.now, WORKER, sent_at);
     assert!(!rig.may_send(WORKER));
 }
