--- a/src/policy/evidence/tracker.rs
+++ b/src/policy/evidence/tracker.rs
@@ -88,6 +88,12 @@
         worker.is_some_and(|worker| worker.doubt.is_some())
     }
 
+    /// Whether some worker may be doubted, suspended or held back. It saves the look at each of
+    /// them on ordinary days.
+    pub fn has_anomalies(&self) -> bool {
+        self.has_anomalies
+    }
+
     /// Whether a worker is doubted and a health check is going to settle it.
     pub fn awaits_check(&self, id: WorkerId) -> bool {
         self.may_check && self.is_doubted(id)
--- a/src/policy/load_backoff.rs
+++ b/src/policy/load_backoff.rs
@@ -47,6 +47,9 @@
 impl LoadBackoffs {
     /// Whether a worker gets no order for this function now.
     pub(super) fn is_paused(&self, now: Micros, key: CopyKey) -> bool {
+        if self.copies.is_empty() {
+            return false;
+        }
         let copy_until = self.copies.get(&key).map_or(0, |backoff| backoff.until);
         let worker_until = self
             .workers
--- a/src/policy/selection_view.rs
+++ b/src/policy/selection_view.rs
@@ -12,10 +12,11 @@
 impl Selection<'_> {
     /// The function's candidates, those last that peers observe to be faulty or that are doubted.
     pub(super) fn candidates_by_trust(&self) -> Vec<WorkerId> {
+        let has_doubts = self.policy.evidence.has_anomalies();
         let is_suspect = |worker: &&WorkerId| {
             let state = self.policy.workers.get(worker);
             let is_faulty = state.is_some_and(|state| self.now < state.peer_unhealthy_until);
-            is_faulty || self.policy.evidence.is_doubted(**worker)
+            is_faulty || has_doubts && self.policy.evidence.is_doubted(**worker)
         };
         let candidates = &self.function.candidates;
         let trusted = candidates.iter().filter(|worker| !is_suspect(worker));
@@ -34,6 +35,9 @@
             .filter(|worker| self.policy.may_take(self.now, *worker, self.request))
             .collect();
         let evidence = &self.policy.evidence;
+        if !evidence.has_anomalies() {
+            return usable;
+        }
         let without_doubted: Vec<WorkerId> = usable
             .iter()
             .copied()
@@ -166,8 +170,11 @@
 
     pub(super) fn is_sound(&self, worker: WorkerId) -> bool {
         let state = self.policy.workers.get(&worker);
-        state.is_some_and(|state| state.is_healthy(self.now))
-            && self.policy.is_available(self.now, worker)
+        state.is_some_and(|state| {
+            state.ready
+                && state.is_healthy(self.now)
+                && self.policy.evidence.may_send(self.now, worker)
+        })
     }
 
     pub(super) fn is_debt_free(&self, worker: WorkerId) -> bool {
