Show that a read of a shard beside its own changes fails; six known red tests

The property 'replies, rows and checksums do not depend on how operations fall into commits', in memory and on a file, finds it at once and shrinks to a record and BecomePrimary.

They are listed until the mend.

--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -8,6 +8,7 @@
 use crate::delivery::response::State;
 use crate::delivery::{EndpointId, Seq, Waiting};
 
+mod batches;
 mod checksums;
 mod faults;
 mod messages;
