Store pending checksums before a shard is compared with them

Cause: BecomePrimary and ReadShard compare all rows of a shard with its checksums inside the writer's transaction, but the checksums' changes were kept until the end of the commit. If an operation of the same commit had touched the shard, its rows were new and its checksums old: an intact disk was taken for a damaged one, and a primary alone accepted the 'loss' and read its state again beside calls under way. A store that is behind has many operations in a commit, so load made it come.

Change: the checksums that earlier operations of the commit changed, or had computed anew, are stored before an operation that compares them (BecomePrimary, ReadShard, VerifyChecksums). A range that a commit touches gets its checksum stored even if the sum did not change, so that the rows do not depend on commits either (a record and its retention in one commit wrote none, in two commits a zero).

Evidence: the six tests of store::tests::batches failed on the commit before, each time, and pass now, also in six runs of the store's tests one after the other. Why it works: at the comparison rows and checksums are both as of the operation before it, as with one commit each.

--- a/src/store/checksums.rs
+++ b/src/store/checksums.rs
@@ -200,7 +200,8 @@
         self.recounted.insert(shard);
     }
 
-    /// Stores the checksums. This is the last step of a commit but for the store's header.
+    /// Stores the checksums: before an operation that compares them with rows, and as the last step
+    /// of a commit but for the store's header.
     pub(super) fn flush(&mut self) -> Result<(), StoreError> {
         self.flush_changes()?;
         let recounted = std::mem::take(&mut self.recounted);
@@ -218,7 +219,7 @@
 
     fn flush_changes(&mut self) -> Result<(), StoreError> {
         for (range, change) in std::mem::take(&mut self.changes) {
-            if change == 0 || self.recounted.contains(&range.shard) {
+            if self.recounted.contains(&range.shard) {
                 continue;
             }
             let checksum = stored_checksum(self.keyspace, range)?.wrapping_add(change);
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -194,12 +194,16 @@
 }
 
 /// Applies an operation, and notes the shards whose checksums have to be computed from all of their
-/// rows.
+/// rows. One that compares rows with checksums gets the checksums of all operations before it.
 pub(super) fn apply_checksummed(
     tables: &mut Tables,
     keyspace: &mut ChecksummedKeyspace<'_>,
     op: Op,
 ) -> Result<Reply, StoreError> {
+    if op.verifies_checksums() {
+        // Otherwise a shard that the same commit has changed is taken for a damaged one.
+        keyspace.flush()?;
+    }
     let installed = match &op {
         Op::InstallShard(install) => Some(install.shard),
         _ => None,
--- a/src/store/operations.rs
+++ b/src/store/operations.rs
@@ -221,6 +221,14 @@
         };
         Some(seq.shard()).filter(|shard| *shard > 0)
     }
+
+    /// Returns whether the operation compares rows with their checksums.
+    pub(super) fn verifies_checksums(&self) -> bool {
+        matches!(
+            self,
+            Op::ReadShard(_) | Op::BecomePrimary(_) | Op::VerifyChecksums
+        )
+    }
 }
 
 /// The reply to an [`Op`].
