Read a shard's state once while this process is its primary

Cause: after accepted damage, false or true, the primary had its own shard's state read again, and took what was under way in this process for the work of another: calls were resumed beside themselves, callbacks in flight settled as unknown, the identities in use replaced, and the numbers of new calls began again at 1 under the same epoch. A reply to a read of an earlier reign counted as well, if the process had become the primary again meanwhile.

Change: the replicator remembers whether the state was requested, and under which epoch, and whether it was read; it is read again only if the first read failed, and the driver takes only the reply that is awaited.

Why it works: an open shard whose state was read has all its calls and callbacks in this process.

--- a/src/gateway/replication/store_replies.rs
+++ b/src/gateway/replication/store_replies.rs
@@ -80,13 +80,14 @@
         let Ok(Reply::PrimaryState(state)) = reply else {
             return;
         };
-        if !driver.replicator.is_primary(shard) {
+        if !driver.replicator.awaits_state(shard, epoch) {
             return;
         }
         let identities = state.identities.iter().copied();
         let expired_until = state.identities_expired_until;
         let identities = Identities::new(shard, identities, expired_until);
         driver.open_shards.insert(shard, identities);
+        self.notify_replicator(Input::StateLoaded(shard));
         self.resume_shard(now, shard, epoch, *state);
     }
 
--- a/src/replication/primary.rs
+++ b/src/replication/primary.rs
@@ -50,6 +50,18 @@
     pub position: LogPosition,
 }
 
+/// Whether the shard's state was read from the disk since this process became its primary.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum StateRead {
+    /// It was not requested.
+    #[default]
+    Pending,
+    /// It was requested under an epoch.
+    Requested(Epoch),
+    /// It was read: this process knows all that is under way.
+    Complete,
+}
+
 /// A shard while this process is its primary.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Primary {
@@ -78,6 +90,8 @@
     awaiting_position: BTreeSet<Name>,
     /// Whether records are accepted.
     pub is_open: bool,
+    /// Whether the shard's state was read.
+    pub state_read: StateRead,
     /// The replicas.
     pub peers: BTreeMap<Name, Peer>,
     /// When a change of the replica set was last proposed.
@@ -113,6 +127,7 @@
             started_at: now,
             awaiting_position,
             is_open: false,
+            state_read: StateRead::Pending,
             peers: BTreeMap::new(),
             proposed_at: None,
             lagging_since: None,
--- a/src/replication/replicator.rs
+++ b/src/replication/replicator.rs
@@ -181,6 +181,7 @@
             Input::Verified(ranges) => self.disk_verified(now, ranges),
             Input::Corrupt(shard, ranges) => self.set_corrupt(shard, ranges),
             Input::DamageAccepted(shard) => self.damage_accepted(shard),
+            Input::StateLoaded(shard) => self.state_loaded(shard),
             Input::Request {
                 shard,
                 waiter,
--- a/src/replication/replicator/events.rs
+++ b/src/replication/replicator/events.rs
@@ -61,6 +61,9 @@
     Corrupt(ShardId, Vec<u8>),
     /// What is readable of a damaged shard was accepted.
     DamageAccepted(ShardId),
+    /// The state of a shard was read, as requested by [`Output::BecomePrimary`]; what was under way
+    /// in it goes on here.
+    StateLoaded(ShardId),
     /// A request for a shard's primary.
     Request {
         /// The shard.
@@ -123,7 +126,8 @@
     Committed(CommitWaiter, usize),
     /// A record is not committed.
     Rejected(CommitWaiter, ReplicationError),
-    /// This process is the primary of a shard from here on.
+    /// This process is the primary of a shard from here on: read the shard's state, and report that
+    /// by [`Input::StateLoaded`].
     BecomePrimary(ShardId, Epoch),
     /// This process is the primary of a shard no more.
     StepDown(ShardId),
--- a/src/replication/replicator/integrity.rs
+++ b/src/replication/replicator/integrity.rs
@@ -126,14 +126,10 @@
             return;
         }
         replica.wait_reported = false;
-        let epoch = replica.primary.as_ref().map(|primary| primary.epoch);
         self.record_event(HistoryEvent::Repaired {
             shard,
             accepted: true,
         });
-        if let Some(epoch) = epoch {
-            // The state of the shard is read again.
-            self.outputs.push_back(Output::BecomePrimary(shard, epoch));
-        }
+        self.request_state(shard);
     }
 }
--- a/src/replication/replicator/reconfiguration.rs
+++ b/src/replication/replicator/reconfiguration.rs
@@ -5,9 +5,9 @@
 use crate::api::Micros;
 use crate::replication::error::ReplicationError;
 use crate::replication::history::{short_digest, HistoryEvent};
-use crate::replication::primary::{LocalProgress, Primary, PrimaryTerm};
+use crate::replication::primary::{LocalProgress, Primary, PrimaryTerm, StateRead};
 use crate::replication::replica_sets::{Entry, ReplicaSet};
-use crate::replication::{LogPosition, Name, ShardId};
+use crate::replication::{Epoch, LogPosition, Name, ShardId};
 
 impl Replicator {
     /// Has this process agreed on as the user of its disk. Only then does it count for anything.
@@ -162,10 +162,37 @@
         }
         if let Some(primary) = self.primary_mut(id) {
             primary.is_open = true;
-            let epoch = primary.epoch;
             let event = became_primary(id, primary);
             self.record_event(event);
-            self.outputs.push_back(Output::BecomePrimary(id, epoch));
+            self.request_state(id);
+        }
+    }
+
+    /// Has the state of an open shard read, unless it was. While this process is the primary it
+    /// knows itself what is under way; read once more, that would be taken for the work of another
+    /// process.
+    pub(super) fn request_state(&mut self, id: ShardId) {
+        let Some(primary) = self.primary_mut(id) else {
+            return;
+        };
+        if !primary.is_open || primary.state_read == StateRead::Complete {
+            return;
+        }
+        let epoch = primary.epoch;
+        primary.state_read = StateRead::Requested(epoch);
+        self.outputs.push_back(Output::BecomePrimary(id, epoch));
+    }
+
+    /// Returns whether a state that was requested under an epoch is still waited for.
+    pub fn awaits_state(&self, id: ShardId, epoch: Epoch) -> bool {
+        self.primary(id)
+            .is_some_and(|primary| primary.state_read == StateRead::Requested(epoch))
+    }
+
+    /// Notes that the state of a shard was read.
+    pub(super) fn state_loaded(&mut self, id: ShardId) {
+        if let Some(primary) = self.primary_mut(id) {
+            primary.state_read = StateRead::Complete;
         }
     }
 }
--- a/src/replication/tests/disks.rs
+++ b/src/replication/tests/disks.rs
@@ -86,6 +86,36 @@
     assert!(simulation.committed.len() > before);
 }
 
+/// Guards against calls that run twice because a primary reads its own shard's state once more,
+/// and takes what is under way here for the work of another process.
+#[test]
+fn open_shard_is_not_read_again_after_accepted_damage() {
+    let mut simulation = Simulation::new(1, 1, 27, DisabledGuards::default());
+    simulation.run(2_000 * MS);
+    simulation.run_traffic(500 * MS);
+    assert!(simulation.gateways[0].disk.damage(1));
+    simulation.run_traffic(2_000 * MS);
+    assert_eq!(simulation.count_events(is_accepted_damage), 1);
+    let reads = simulation.state_reads.iter();
+    assert_eq!(reads.filter(|(_, shard)| *shard == 1).count(), 1);
+}
+
+/// A primary whose first read fails has its state read after the damage was accepted.
+#[test]
+fn damaged_shard_is_read_after_accepted_damage() {
+    let mut simulation = Simulation::new(1, 1, 28, DisabledGuards::default());
+    simulation.run(2_000 * MS);
+    simulation.run_traffic(500 * MS);
+    simulation.kill(0);
+    assert!(simulation.gateways[0].disk.damage(1));
+    simulation.state_reads.clear();
+    simulation.start(0);
+    simulation.run(2_000 * MS);
+    assert_eq!(simulation.count_events(is_accepted_damage), 1);
+    let reads = simulation.state_reads.iter();
+    assert_eq!(reads.filter(|(_, shard)| *shard == 1).count(), 1);
+}
+
 /// The other member has all that was committed, so the damaged primary accepts nothing meanwhile.
 #[test]
 fn damaged_primary_waits_for_intact_member() {
--- a/src/replication/tests/simulation.rs
+++ b/src/replication/tests/simulation.rs
@@ -86,6 +86,8 @@
     pub(super) rejections: Vec<ReplicationError>,
     /// Events of the histories, by gateway.
     pub(super) history: Vec<(usize, HistoryEvent)>,
+    /// States that were read for a promotion, by gateway.
+    pub(super) state_reads: Vec<(usize, ShardId)>,
     pub(super) responses: Vec<Response>,
     pub(super) requests: Vec<HandledRequest>,
 }
@@ -125,6 +127,7 @@
             committed: BTreeSet::new(),
             rejections: Vec::new(),
             history: Vec::new(),
+            state_reads: Vec::new(),
             responses: Vec::new(),
             requests: Vec::new(),
         };
--- a/src/replication/tests/simulation/gateway.rs
+++ b/src/replication/tests/simulation/gateway.rs
@@ -55,6 +55,8 @@
     pub(in crate::replication::tests) disk_full: bool,
     /// Records that the disk reports as written and loses when the process ends.
     pub(in crate::replication::tests) lost_records: usize,
+    /// Reads for a promotion or a replica that report damage of an intact shard.
+    pub(in crate::replication::tests) false_alarms: usize,
     /// Whether changes of the replica sets do not arrive.
     pub(in crate::replication::tests) ignores_changes: bool,
     /// The index of the last state of the replica sets that has arrived.
@@ -70,6 +72,7 @@
             stopped: false,
             disk_full: false,
             lost_records: 0,
+            false_alarms: 0,
             ignores_changes: false,
             seen_state: 0,
         }
--- a/src/replication/tests/simulation/outputs.rs
+++ b/src/replication/tests/simulation/outputs.rs
@@ -55,6 +55,9 @@
             Output::BecomePrimary(shard, _) => {
                 if self.detects_damage(index, shard) {
                     self.handle(index, Input::Corrupt(shard, vec![0]));
+                } else {
+                    self.state_reads.push((index, shard));
+                    self.handle(index, Input::StateLoaded(shard));
                 }
             }
             Output::StepDown(_) => {}
@@ -95,9 +98,13 @@
         self.gateways[index].writes.push_back((self.now + 1, write));
     }
 
-    fn detects_damage(&self, index: usize, shard: ShardId) -> bool {
-        let is_damaged = self.gateways[index].disk.damaged.contains(&shard);
-        is_damaged && !self.disabled_guards.integrity_check
+    fn detects_damage(&mut self, index: usize, shard: ShardId) -> bool {
+        let gateway = &mut self.gateways[index];
+        if gateway.false_alarms > 0 {
+            gateway.false_alarms -= 1;
+            return true;
+        }
+        gateway.disk.damaged.contains(&shard) && !self.disabled_guards.integrity_check
     }
 
     /// Reads a snapshot after all pending writes, as the thread of the store does.
