Give up damaged data only after a second read has found the damage, too

Cause: a primary alone accepted damage by itself 0.4 s after one read had found it; an operator was told afterwards, by a log line. Whatever makes one read wrong (an error here, a bit of memory) gave data up for good.

Change: the first finding is a suspicion: the replica does not count, and the shard is refused or handed over as before. The disk is verified once more, beside all writes and as of a commit; only if that finds the damage again is it accepted or waited for. Otherwise the finding is recorded as refuted, logged, and the shard's state is read. A verification that was already under way does not count as the second read, and a late result of one cannot undo a repair any more.

Evidence: damage_read_only_once_is_not_accepted (a promotion whose first read is wrong) failed before: one accepted damage where none may be; it passes now, with the record 'refuted'. only_disk_accepts_damage_and_reports_it and damaged_primary_waits_for_intact_member, unchanged, show that real damage is still accepted or waited for. The simulated disk now reports all of its shards, as the real one does. The histories' checker counts refuted findings.

--- a/src/gateway/replication/outputs.rs
+++ b/src/gateway/replication/outputs.rs
@@ -124,6 +124,11 @@
             "the disk here is damaged, and no other that holds the shard can be heard: bring one of them back; or, if \
              their disks are lost, start them with empty ones, and what is left here counts"
         ),
+        HistoryEvent::DamageRefuted { shard } => tracing::warn!(
+            shard,
+            "one read of a shard found damage and a second one did not: the shard goes on; look at this machine's memory \
+             if that comes again"
+        ),
         HistoryEvent::Repaired { shard, accepted } => log_repair(*shard, *accepted),
         _ => {}
     }
--- a/src/replication/history.rs
+++ b/src/replication/history.rs
@@ -89,6 +89,12 @@
         /// Whether committed data may be lost.
         accepted: bool,
     },
+    /// One read has found damage of a shard, and a second one has not.
+    #[serde(rename = "refuted")]
+    DamageRefuted {
+        /// The shard.
+        shard: ShardId,
+    },
     /// A message of a former primary was declined.
     Declined {
         /// The shard.
--- a/src/replication/mod.rs
+++ b/src/replication/mod.rs
@@ -9,13 +9,14 @@
 //! snapshot, and is added once it has all. [`placement`] chooses the gateways of a shard.
 //! [`replicator::Replicator`] is one gateway's part in all shards; [`wire`] has the messages
 //! between gateways, [`history`] the events for a checker, and [`identities`] the identities that
-//! were used. A disk that is damaged is repaired from another.
+//! were used. A disk that is damaged ([`damage`]) is repaired from another.
 //!
 //! Bounded: shards (at most [`MAX_SHARDS`]), members (those of the file), records of a tail (by
 //! bytes, the oldest are removed first), pending requests (at most
 //! [`replicator::MAX_FORWARDED_REQUESTS`], each with a deadline).
 
 pub mod config;
+pub mod damage;
 pub mod error;
 pub mod history;
 pub mod identities;
--- a/src/replication/replicator/events.rs
+++ b/src/replication/replicator/events.rs
@@ -54,8 +54,8 @@
     },
     /// A snapshot could not be read for a replica.
     SnapshotReadFailed(ShardId, Name),
-    /// For each shard on the disk the ranges that do not match their checksums; none if the disk
-    /// could not be read.
+    /// For each shard on the disk the ranges that do not match their checksums, as requested by
+    /// [`Output::VerifyDisk`]; none if the disk could not be read.
     Verified(Option<Vec<(ShardId, Vec<u8>)>>),
     /// Ranges of a shard do not match their checksums.
     Corrupt(ShardId, Vec<u8>),
@@ -118,7 +118,8 @@
     },
     /// Read a snapshot of a shard for a replica.
     ReadSnapshot(ShardId, Name),
-    /// Verify the checksums of all shards on the disk.
+    /// Verify the checksums of all shards on the disk, beside the writes, and report that by
+    /// [`Input::Verified`].
     VerifyDisk,
     /// Accept what is readable of a damaged shard that no other disk has.
     AcceptDamage(ShardId),
--- a/src/replication/replicator/integrity.rs
+++ b/src/replication/replicator/integrity.rs
@@ -3,29 +3,32 @@
 //! A disk detects damage by itself, by checksums. A replica reports it to its primary, does not
 //! count, and is sent a snapshot. A primary hands its shard over to a member whose disk is intact,
 //! and is then repaired like any other replica. So damage is never passed on: each disk verifies a
-//! shard before it is read for another. Where no other disk has the shard, what is readable is
-//! accepted, and it is reported that committed data may be lost.
+//! shard before it is read for another. Where no other disk has the shard, the disk is read a second
+//! time; if the damage is found again, what is readable is accepted, and it is reported that
+//! committed data may be lost.
 
 use super::{Output, Replicator};
 use crate::api::Micros;
+use crate::replication::damage::{Damage, DamageEvidence};
 use crate::replication::history::HistoryEvent;
 use crate::replication::shard::WriteKind;
 use crate::replication::wire::Message;
 use crate::replication::{Name, ShardId};
 
 impl Replicator {
-    /// Has the disk verified when that is due, and reports damaged replicas to their primaries.
+    /// Has the disk verified when that is due or damage is suspected, and reports damaged replicas to
+    /// their primaries.
     pub(super) fn check_integrity(&mut self, now: Micros) {
         let is_due = self.verify_at.is_some_and(|at| at <= now);
-        if self.settings.verify_interval > 0 && is_due {
-            self.verify_at = None;
-            self.outputs.push_back(Output::VerifyDisk);
+        let is_periodic = self.settings.verify_interval > 0 && is_due;
+        if self.verify_at.is_some() && (is_periodic || self.is_damage_suspected()) {
+            self.start_verification();
         }
         let me = &self.settings.name;
         let reports: Vec<(Name, Message)> = self
             .shards
             .iter()
-            .filter(|(_, shard)| shard.corrupt_ranges.is_some() && shard.primary.is_none())
+            .filter(|(_, shard)| shard.damage.is_some() && shard.primary.is_none())
             .filter_map(|(id, shard)| {
                 let primary = shard.set.primary.clone().filter(|name| name != me)?;
                 Some((primary, Message::Corrupt(*id, shard.set.epoch)))
@@ -34,15 +37,77 @@
         self.send_all(reports);
     }
 
+    fn is_damage_suspected(&self) -> bool {
+        let is_suspected = |damage: &Damage| damage.evidence == DamageEvidence::Suspected;
+        let mut damages = self
+            .shards
+            .values()
+            .filter_map(|shard| shard.damage.as_ref());
+        damages.any(is_suspected)
+    }
+
+    /// Has all shards on the disk read, those with suspected damage a second time.
+    fn start_verification(&mut self) {
+        self.verify_at = None;
+        self.replace_evidence(DamageEvidence::Suspected, DamageEvidence::BeingVerified);
+        self.outputs.push_back(Output::VerifyDisk);
+    }
+
+    fn replace_evidence(&mut self, from: DamageEvidence, to: DamageEvidence) {
+        let damages = self
+            .shards
+            .values_mut()
+            .filter_map(|shard| shard.damage.as_mut());
+        for damage in damages.filter(|damage| damage.evidence == from) {
+            damage.evidence = to;
+        }
+    }
+
     /// Takes the result of a verification. A disk that could not be read at all does not complete
     /// its writes either, which is detected there.
     pub(super) fn disk_verified(&mut self, now: Micros, verified: Option<Vec<(ShardId, Vec<u8>)>>) {
         self.verify_at = Some(now + self.settings.verify_interval);
-        for (shard, ranges) in verified.into_iter().flatten() {
+        let Some(verified) = verified else {
+            return self.replace_evidence(DamageEvidence::BeingVerified, DamageEvidence::Suspected);
+        };
+        for (shard, ranges) in verified {
             if !ranges.is_empty() {
-                self.set_corrupt(shard, ranges);
+                self.damage_verified(shard, ranges);
+            } else if self.is_being_verified(shard) {
+                self.damage_refuted(shard);
             }
         }
+        // Shards that the disk does not know any more, although it has rows of them.
+        self.replace_evidence(DamageEvidence::BeingVerified, DamageEvidence::Confirmed);
+    }
+
+    fn is_being_verified(&self, shard: ShardId) -> bool {
+        let damage = self
+            .shards
+            .get(&shard)
+            .and_then(|replica| replica.damage.as_ref());
+        damage.is_some_and(|damage| damage.evidence == DamageEvidence::BeingVerified)
+    }
+
+    /// Takes damage that a verification has found, for the first or the second time.
+    fn damage_verified(&mut self, shard: ShardId, ranges: Vec<u8>) {
+        if !self.is_being_verified(shard) {
+            return self.set_corrupt(shard, ranges);
+        }
+        let replica = self.shards.get_mut(&shard);
+        if let Some(damage) = replica.and_then(|replica| replica.damage.as_mut()) {
+            damage.ranges = ranges;
+            damage.evidence = DamageEvidence::Confirmed;
+        }
+    }
+
+    /// Continues with a shard that a second read has found to be intact.
+    fn damage_refuted(&mut self, shard: ShardId) {
+        if let Some(replica) = self.shards.get_mut(&shard) {
+            replica.damage = None;
+        }
+        self.record_event(HistoryEvent::DamageRefuted { shard });
+        self.request_state(shard);
     }
 
     /// Marks a shard as damaged, unless a snapshot on its way to the disk repairs it.
@@ -55,23 +120,23 @@
             .pending
             .iter()
             .any(|write| write.kind == WriteKind::Snapshot);
-        if is_check_disabled || is_repaired_soon || replica.corrupt_ranges.is_some() {
+        if is_check_disabled || is_repaired_soon || replica.damage.is_some() {
             return;
         }
-        replica.corrupt_ranges = Some(ranges.clone());
+        replica.damage = Some(Damage::suspected(ranges.clone()));
         self.record_event(HistoryEvent::Damaged { shard, ranges });
     }
 
     /// Returns whether this process should not be the primary of a shard if another member can.
     pub(super) fn is_unsuitable_primary(&self, now: Micros, shard: ShardId) -> bool {
         let timeout = 2 * self.settings.acknowledgement_timeout;
-        self.shards.get(&shard).is_some_and(|replica| {
-            replica.corrupt_ranges.is_some() || replica.is_stuck(now, timeout)
-        })
+        self.shards
+            .get(&shard)
+            .is_some_and(|replica| replica.damage.is_some() || replica.is_stuck(now, timeout))
     }
 
-    /// Hands a shard over to another member, accepts the damage if there is none, or waits for one.
-    /// Returns whether it did one of these.
+    /// Hands a shard over to another member, accepts confirmed damage if there is none, or waits for
+    /// one. Returns whether it did one of these.
     pub(super) fn relinquish(&mut self, now: Micros, shard: ShardId) -> bool {
         let Some(replica) = self.shards.get(&shard) else {
             return false;
@@ -79,7 +144,7 @@
         let Some(primary) = replica.primary.as_ref() else {
             return false;
         };
-        let is_corrupt = replica.corrupt_ranges.is_some();
+        let is_confirmed = replica.damage.as_ref().map(Damage::is_confirmed);
         let is_only_member = primary.members.len() == 1;
         let can_propose = self.can_propose(now, shard);
         let successor =
@@ -90,8 +155,11 @@
             }
             return true;
         }
-        if !is_corrupt {
+        let Some(is_confirmed) = is_confirmed else {
             return false;
+        };
+        if !is_confirmed {
+            return true;
         }
         if is_only_member {
             if can_propose {
@@ -110,7 +178,10 @@
         let Some(replica) = self.shards.get_mut(&shard) else {
             return;
         };
-        if std::mem::replace(&mut replica.wait_reported, true) {
+        let Some(damage) = replica.damage.as_mut() else {
+            return;
+        };
+        if std::mem::replace(&mut damage.wait_reported, true) {
             return;
         }
         let members = replica.set.members.iter().cloned().collect();
@@ -122,10 +193,9 @@
         let Some(replica) = self.shards.get_mut(&shard) else {
             return;
         };
-        if replica.corrupt_ranges.take().is_none() {
+        if replica.damage.take().is_none() {
             return;
         }
-        replica.wait_reported = false;
         self.record_event(HistoryEvent::Repaired {
             shard,
             accepted: true,
--- a/src/replication/replicator/records.rs
+++ b/src/replication/replicator/records.rs
@@ -90,9 +90,9 @@
         let Some(replica) = self.shards.get_mut(&shard) else {
             return;
         };
-        let was_corrupt = replica.corrupt_ranges.is_some();
+        let was_corrupt = replica.damage.is_some();
         let completed = replica.write_persisted(now, guards);
-        let is_repaired = was_corrupt && replica.corrupt_ranges.is_none();
+        let is_repaired = was_corrupt && replica.damage.is_none();
         let stored = replica.stored();
         if let Some(primary) = &mut replica.primary {
             primary.stored = stored.min(primary.head.number);
--- a/src/replication/shard.rs
+++ b/src/replication/shard.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::config::DisabledGuards;
+use super::damage::Damage;
 use super::error::Declined;
 use super::primary::Primary;
 use super::replica_sets::ReplicaSet;
@@ -87,10 +88,8 @@
     pub pending: VecDeque<PendingWrite>,
     /// Since when the oldest of them is.
     pub pending_since: Option<Micros>,
-    /// The ranges whose rows do not match their checksums, if the disk was found to be damaged.
-    pub corrupt_ranges: Option<Vec<u8>>,
-    /// Whether it was reported that this damaged disk waits for another member.
-    pub wait_reported: bool,
+    /// The damage of this replica, if there is any; while there is, the replica does not count.
+    pub damage: Option<Damage>,
     /// The primary, while it is this process.
     pub primary: Option<Primary>,
     incoming: Option<IncomingSnapshot>,
@@ -175,7 +174,7 @@
             Ok(Sender::Unknown) => return None,
             Ok(Sender::Primary) => {}
         }
-        if self.corrupt_ranges.is_some() {
+        if self.damage.is_some() {
             return Some(ReplicaAction::Reply(Message::Corrupt(self.id, epoch)));
         }
         if !self.pending.is_empty() {
@@ -302,8 +301,7 @@
         self.pending_since = (!self.pending.is_empty()).then_some(now);
         if write.kind == WriteKind::Snapshot {
             // All rows were written anew.
-            self.corrupt_ranges = None;
-            self.wait_reported = false;
+            self.damage = None;
         }
         let mut messages = Vec::new();
         // A write of an older epoch is reported by the position only, which the current primary
@@ -337,6 +335,6 @@
 
     /// Returns whether this replica's acknowledgements count.
     fn counts(&self) -> bool {
-        self.primary.is_none() && self.corrupt_ranges.is_none()
+        self.primary.is_none() && self.damage.is_none()
     }
 }
--- a/src/replication/tests/disks.rs
+++ b/src/replication/tests/disks.rs
@@ -116,6 +116,28 @@
     assert_eq!(reads.filter(|(_, shard)| *shard == 1).count(), 1);
 }
 
+/// Guards against committed data that is given up because one read took an intact disk for a
+/// damaged one.
+#[test]
+fn damage_read_only_once_is_not_accepted() {
+    let mut simulation = Simulation::new(1, 1, 26, DisabledGuards::default());
+    simulation.run(2_000 * MS);
+    simulation.run_traffic(500 * MS);
+    simulation.kill(0);
+    simulation.gateways[0].false_alarms = 1;
+    simulation.start(0);
+    simulation.run(2_000 * MS);
+    assert_eq!(simulation.gateways[0].false_alarms, 0);
+    let is_any_repair = |event: &HistoryEvent| matches!(event, HistoryEvent::Repaired { .. });
+    assert_eq!(simulation.count_events(is_any_repair), 0);
+    let is_refuted = |event: &HistoryEvent| matches!(event, HistoryEvent::DamageRefuted { .. });
+    assert_eq!(simulation.count_events(is_refuted), 1);
+    let before = simulation.committed.len();
+    simulation.run_traffic(500 * MS);
+    assert!(simulation.committed.len() > before);
+    simulation.verify().unwrap();
+}
+
 /// The other member has all that was committed, so the damaged primary accepts nothing meanwhile.
 #[test]
 fn damaged_primary_waits_for_intact_member() {
--- a/src/replication/tests/simulation/outputs.rs
+++ b/src/replication/tests/simulation/outputs.rs
@@ -30,9 +30,14 @@
             } => self.install(index, shard, position, &content),
             Output::ReadSnapshot(shard, peer) => self.read_snapshot(index, shard, peer),
             Output::VerifyDisk => {
-                let damaged = &self.gateways[index].disk.damaged;
-                let ranges = damaged.iter().map(|shard| (*shard, vec![0])).collect();
-                self.handle(index, Input::Verified(Some(ranges)));
+                let disk = &self.gateways[index].disk;
+                let ranges_of = |shard| match disk.damaged.contains(shard) {
+                    true => vec![0],
+                    false => Vec::new(),
+                };
+                let shards = disk.shards.keys().chain(&disk.damaged);
+                let verified = shards.map(|shard| (*shard, ranges_of(shard))).collect();
+                self.handle(index, Input::Verified(Some(verified)));
             }
             Output::AcceptDamage(shard) => {
                 self.gateways[index].disk.damaged.remove(&shard);
--- a/testbed/src/fault_injection/fleet.rs
+++ b/testbed/src/fault_injection/fleet.rs
@@ -335,7 +335,9 @@
         for (who, _, note) in self.notes() {
             match note {
                 CopyNote::Damaged { shard, .. } if who == me => drop(open.insert(shard)),
-                CopyNote::Mended { shard, .. } if who == me => drop(open.remove(&shard)),
+                CopyNote::Mended { shard, .. } | CopyNote::Refuted { shard } if who == me => {
+                    open.remove(&shard);
+                }
                 _ => {}
             }
         }
--- a/testbed/src/history/promises.rs
+++ b/testbed/src/history/promises.rs
@@ -57,6 +57,9 @@
         shard: u16,
         accepted: bool,
     },
+    Refuted {
+        shard: u16,
+    },
     Recalled {
         shard: u16,
     },
@@ -142,6 +145,8 @@
     pub installed: usize,
     /// Shards of damaged disks that were mended from others.
     pub mended: usize,
+    /// Reads that found damage which a second read did not find.
+    pub refuted: usize,
 }
 
 /// Judges.
@@ -195,6 +200,7 @@
             }
             CopyNote::Declined { .. } => held.declined += 1,
             CopyNote::Installed { .. } => held.installed += 1,
+            CopyNote::Refuted { .. } => held.refuted += 1,
             CopyNote::Lost { shard } => wrong.push(Wrong::Lost { shard: *shard }),
             CopyNote::Mended {
                 accepted: false, ..
