Postpone a resumed call while its earlier attempt has not ended here

Callers would see: a call that never ran, or may run again, gets the callback 'refused' although it was given 202 and nothing stood against running it.

Cause: a process that becomes the primary of a shard once more resumes the calls it finds there. One whose attempt of the earlier reign was cancelled and has not ended is still open in the core; resume_call took that for 'its class or tenant was removed' and rejected it. One that is still under way here, because its commit was reported after the shard had gone, was rejected beside its own run.

Change: store::recovery::resume_action decides, by what this process has of the call: one under way is left alone, one whose attempt is ending waits for that and is decided on then, all others as before. Waiting calls leave with their shard.

--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -38,7 +38,7 @@
     RetentionResult,
 };
 use crate::store::records::{AttemptRecord, CallRecord, CallState, IdentityDigest, MessageRecord};
-use crate::store::recovery::RecoveryAction;
+use crate::store::recovery::{RecoveryAction, ResumeAction};
 use crate::store::replicated_op::ReplicatedOp;
 use crate::store::tables::{RecoveredState, Tables};
 use crate::store::writer::Writer;
@@ -218,6 +218,9 @@
     stopping: Option<Micros>,
     /// What is to be copied before it counts: the question's number, the shard, the record and how many disks it asks for.
     pub(super) shared: VecDeque<(u64, ShardId, Vec<u8>, usize)>,
+    /// Calls of shards led here whose earlier attempt here has not ended; at most as many as were
+    /// under way. Removed when it ends, or with the shard.
+    postponed: Vec<CallRecord>,
     /// The epoch and the last number given in each shard that is led here.
     numbers: HashMap<ShardId, (Epoch, u32)>,
 }
--- a/src/gateway/webhooks/replies.rs
+++ b/src/gateway/webhooks/replies.rs
@@ -23,6 +23,12 @@
             self.deliver(now, output);
             return true;
         }
+        if !hooks.postponed.is_empty() && self.resume_postponed(now) {
+            return true;
+        }
+        let Some(hooks) = &mut self.secondary.hooks else {
+            return false;
+        };
         let next = hooks.delivery.next_deadline();
         if next != hooks.hung {
             if let Some(old) = hooks.hung {
--- a/src/gateway/webhooks/shards.rs
+++ b/src/gateway/webhooks/shards.rs
@@ -19,7 +19,9 @@
     AcceptCall, ApplyToShard, FinishAttempt, InstallShard, Op, RegisterDisk,
 };
 use crate::store::records::{CallRecord, IdentityDigest};
-use crate::store::recovery::{recovery_action, settle_remote_attempt, RecoveryAction};
+use crate::store::recovery::{
+    resume_action, settle_remote_attempt, LocalRun, RecoveryAction, ResumeAction,
+};
 use crate::store::replicated_op::ReplicatedOp;
 
 /// A call that the primary of its shard is to accept.
@@ -135,6 +137,7 @@
             }
             !is_of_shard
         });
+        self.postponed.retain(|call| call.seq.shard() != shard);
         for seq in self.delivery.of_shard(shard) {
             self.out.remove(&seq);
             self.delivery.handle(now, Input::MessageRemoved(seq));
@@ -204,25 +207,66 @@
 }
 
 impl Gateway {
-    /// Continues with a call that another process has accepted, and returns what is done with it.
+    /// Continues with a call that another process has accepted, or this one before it lost the
+    /// shard for a while, and returns what is done with it.
     pub(in crate::gateway) fn resume_call(
         &mut self,
         now: Micros,
         call: CallRecord,
         clock_regressed: bool,
-    ) -> RecoveryAction {
-        let action = recovery_action(&call, now, clock_regressed);
-        let runnable = self
-            .call_of(&call)
-            .filter(|_| !self.core.is_open(&call.worker_id));
+    ) -> ResumeAction {
+        let action = resume_action(&call, now, clock_regressed, self.local_run(&call));
+        match action {
+            ResumeAction::Keep => {}
+            ResumeAction::Postpone => {
+                if let Some(webhooks) = &mut self.secondary.hooks {
+                    webhooks.postponed.push(call);
+                }
+            }
+            ResumeAction::Recover(action) => self.recover_call(now, &call, action),
+        }
+        action
+    }
+
+    /// Returns what this process has of a call.
+    fn local_run(&self, call: &CallRecord) -> LocalRun {
+        let webhooks = self.secondary.hooks.as_ref();
+        let is_held = |webhooks: &WebhookDriver| {
+            let mut jobs = webhooks.jobs.values();
+            jobs.any(|held| held.seq == call.seq)
+        };
+        if webhooks.is_some_and(is_held) {
+            LocalRun::UnderWay
+        } else if self.core.is_open(&call.worker_id) {
+            LocalRun::Ending
+        } else {
+            LocalRun::None
+        }
+    }
+
+    /// Resumes a postponed call whose last attempt has ended; returns whether there was one.
+    pub(super) fn resume_postponed(&mut self, now: Micros) -> bool {
+        let Some(webhooks) = &mut self.secondary.hooks else {
+            return false;
+        };
+        let mut postponed = webhooks.postponed.iter();
+        let Some(index) = postponed.position(|call| !self.core.is_open(&call.worker_id)) else {
+            return false;
+        };
+        let call = webhooks.postponed.swap_remove(index);
+        self.resume_call(now, call, true);
+        true
+    }
+
+    fn recover_call(&mut self, now: Micros, call: &CallRecord, action: RecoveryAction) {
+        let runnable = self.call_of(call);
         let Some(webhooks) = &mut self.secondary.hooks else {
-            return RecoveryAction::Reject;
+            return;
         };
-        let job = job_of(&call);
         let id: Rc<str> = call.worker_id.as_str().into();
         let key = webhooks.jobs.insert(Held {
             seq: call.seq,
-            job,
+            job: job_of(call),
             id: id.clone(),
             request: None,
         });
@@ -236,17 +280,12 @@
                     .core
                     .submit(now, runnable.with_origin(Origin::Webhook(key)));
                 self.set_call_request(key, request);
-                RecoveryAction::Run
-            }
-            (RecoveryAction::ReportUnknown, _) => {
-                self.call_back(now, key, &Outcome::Unknown);
-                RecoveryAction::ReportUnknown
             }
+            (RecoveryAction::ReportUnknown, _) => self.call_back(now, key, &Outcome::Unknown),
             // The call's class or tenant was removed; it never ran, or may run again.
-            _ => {
+            (RecoveryAction::Run, None) | (RecoveryAction::Reject, _) => {
                 let rejected = Outcome::Answered(Answer::Rejected { retry_after: 0 });
                 self.call_back(now, key, &rejected);
-                RecoveryAction::Reject
             }
         }
     }
--- a/src/gateway/webhooks/start.rs
+++ b/src/gateway/webhooks/start.rs
@@ -4,8 +4,8 @@
     channel, store_error, Ask, Backend, CloseReason, ConfigError, Delivery, Disk, EgressPolicy,
     EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Inbound, Input, Limits,
     ListenerKind, MemoryKeyspace, Micros, Op, PathBuf, RecoveredState, RecoveryAction, Replays,
-    Schedule, SecondaryMap, SlotMap, StoreError, Tables, VecDeque, WebhookDriver, Webhooks, Writer,
-    RETAINED, RETAIN_SOON,
+    ResumeAction, Schedule, SecondaryMap, SlotMap, StoreError, Tables, VecDeque, WebhookDriver,
+    Webhooks, Writer, RETAINED, RETAIN_SOON,
 };
 
 impl Gateway {
@@ -110,6 +110,7 @@
             retention: (w.retention_days * 86_400_000_000, w.retention_mb << 20),
             stopping: None,
             shared: VecDeque::new(),
+            postponed: Vec::new(),
             numbers: HashMap::new(),
         });
         let names: Vec<String> = self
@@ -144,9 +145,10 @@
         let (mut run, mut refused, mut unknown) = (0, 0, 0);
         for call in found.calls {
             match self.resume_call(now, call, found.clock_regressed) {
-                RecoveryAction::Run => run += 1,
-                RecoveryAction::ReportUnknown => unknown += 1,
-                RecoveryAction::Reject => refused += 1,
+                ResumeAction::Keep | ResumeAction::Postpone => {}
+                ResumeAction::Recover(RecoveryAction::Run) => run += 1,
+                ResumeAction::Recover(RecoveryAction::ReportUnknown) => unknown += 1,
+                ResumeAction::Recover(RecoveryAction::Reject) => refused += 1,
             }
         }
         if run + refused + unknown + found.unknown_deliveries > 0 {
--- a/src/store/recovery.rs
+++ b/src/store/recovery.rs
@@ -40,6 +40,46 @@
     }
 }
 
+/// What this process itself has of a call that it is to continue with, as the primary of its shard
+/// once more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LocalRun {
+    /// Nothing.
+    None,
+    /// The call is under way here, and its outcome is still recorded.
+    UnderWay,
+    /// The call was cancelled here, and its last attempt has not ended.
+    Ending,
+}
+
+/// What is done with a call that a primary finds in its shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResumeAction {
+    /// The call is recovered.
+    Recover(RecoveryAction),
+    /// Nothing: the call goes on.
+    Keep,
+    /// The decision is made once the last attempt has ended here. A call that may run must not be
+    /// rejected because it is not closed here yet.
+    Postpone,
+}
+
+/// Chooses the action for a call that a primary finds in its shard.
+pub fn resume_action(
+    call: &CallRecord,
+    now: Micros,
+    clock_regressed: bool,
+    local_run: LocalRun,
+) -> ResumeAction {
+    let action = recovery_action(call, now, clock_regressed);
+    match (local_run, action) {
+        (LocalRun::UnderWay, _) => ResumeAction::Keep,
+        (LocalRun::Ending, RecoveryAction::Run) => ResumeAction::Postpone,
+        (LocalRun::Ending, RecoveryAction::Reject | RecoveryAction::ReportUnknown)
+        | (LocalRun::None, _) => ResumeAction::Recover(action),
+    }
+}
+
 /// Settles an attempt that was in flight when its gateway was lost. By its effect the message waits
 /// again, or it is unknown whether it arrived. A message with an idempotency key is not sent again
 /// if the clock went back.
--- a/src/store/tests/recovery.rs
+++ b/src/store/tests/recovery.rs
@@ -4,7 +4,9 @@
 use crate::api::{Effect, IdempotencyScope};
 use crate::store::keyspace::MemoryKeyspace;
 use crate::store::records::CallRecord;
-use crate::store::recovery::{recovery_action, RecoveryAction};
+use crate::store::recovery::{
+    recovery_action, resume_action, LocalRun, RecoveryAction, ResumeAction,
+};
 use crate::store::tables::Tables;
 
 fn keyed(scope: IdempotencyScope) -> Effect {
@@ -64,6 +66,32 @@
     );
 }
 
+/// Guards against calls that may run and are answered as rejected, or run beside themselves,
+/// because the same process still has them open.
+#[test]
+fn resumed_call_waits_for_own_last_attempt() {
+    let never_sent = *call(1, Effect::NonIdempotent);
+    let sent = CallRecord {
+        sent: Some(5 * SECOND_US),
+        ..never_sent.clone()
+    };
+    let safe = CallRecord {
+        sent: Some(5 * SECOND_US),
+        ..*call(2, Effect::Idempotent)
+    };
+    let (run, unknown) = (RecoveryAction::Run, RecoveryAction::ReportUnknown);
+    for (call, action) in [(&never_sent, run), (&safe, run), (&sent, unknown)] {
+        let resumed = |local_run| resume_action(call, 10 * SECOND_US, true, local_run);
+        assert_eq!(resumed(LocalRun::None), ResumeAction::Recover(action));
+        assert_eq!(resumed(LocalRun::UnderWay), ResumeAction::Keep);
+        let while_ending = match action {
+            RecoveryAction::Run => ResumeAction::Postpone,
+            other => ResumeAction::Recover(other),
+        };
+        assert_eq!(resumed(LocalRun::Ending), while_ending);
+    }
+}
+
 /// Identities that retention removed are reported too, because the clock makes their stamps valid
 /// again.
 #[test]
