Name the webhook driver's store operations, and split their replies by step

Ask is PendingStoreOp with a documented variant for each operation, the reply of each has a function of its own, and calls of shards have a file (shard_calls.rs). Behaviour, wires and stored bytes are as before.

--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -47,10 +47,11 @@
 mod calls;
 mod portals;
 mod replies;
+mod shard_calls;
 mod shards;
 mod start;
 
-pub(super) use shards::IncomingCall;
+pub(super) use shard_calls::IncomingCall;
 
 new_key_type! {
     /// The slot of a call that came as a webhook.
@@ -133,48 +134,50 @@
     since: Micros,
 }
 
-/// What a question to the store was for.
+/// What a pending operation of the store is for.
 #[derive(Debug)]
-enum Ask {
-    Take {
+enum PendingStoreOp {
+    /// An accepted call is persisted.
+    AcceptCall {
         caller: Caller,
         call: Box<Call<Job>>,
         seq: Seq,
         mark: IdentityDigest,
     },
-    Go(AttemptKey),
-    /// Messages that may wait now.
-    Publish,
-    Begin(Seq),
-    Fetch(EndpointId),
-    Purge(EndpointId),
-    Retain,
-    Call {
+    /// It is recorded that an attempt of an unsafe call is sent.
+    RecordAttempt(AttemptKey),
+    /// Messages are persisted that may wait now.
+    EnqueueMessages,
+    /// An attempt to deliver a message begins.
+    BeginDelivery(Seq),
+    FetchDue(EndpointId),
+    PurgeEndpoint(EndpointId),
+    ApplyRetention,
+    /// A caller here asks for the state of a call.
+    ReadCallState {
         conn: ConnKey,
         id: String,
     },
-    Admin {
+    AdminRequest {
         conn: ConnKey,
         limit: Option<usize>,
         key: Option<(String, String)>,
     },
-    Quiet,
-    /// The disk's own number.
-    Disk,
-    /// A record or a snapshot of a shard.
-    Record(ShardId, Option<u64>),
-    /// A shard's content, for a copy.
-    Shard(ShardId, Name),
-    /// What stands of a shard.
-    Lead(ShardId, Epoch),
-    /// Whether the disk holds what was written.
-    Verify,
-    /// What is left of a damaged shard.
-    Accept(ShardId),
-    /// A callback whose attempt had begun, once that is settled.
-    Settled(Waiting, State),
-    /// How a call stands, for another gateway.
-    State(Name, u64),
+    /// Something is recorded that nobody waits for.
+    RecordOnly,
+    RegisterDisk,
+    /// A record or a snapshot of a shard is stored, for a commit if there is a waiter.
+    StoreRecord(ShardId, Option<u64>),
+    /// A snapshot of a shard is read for a replica.
+    ReadSnapshot(ShardId, Name),
+    /// The state of a shard is read.
+    BecomePrimary(ShardId, Epoch),
+    VerifyDisk,
+    AcceptDamage(ShardId),
+    /// A delivery is settled whose attempt another process had begun.
+    SettleAttempt(Waiting, State),
+    /// Another gateway asks for the state of a call.
+    ForwardCallState(Name, u64),
 }
 
 enum Backend {
@@ -200,8 +203,8 @@
     jobs: SlotMap<JobKey, Held>,
     backend: Backend,
     replies: VecDeque<(u64, Result<Reply, StoreError>)>,
-    asked: HashMap<u64, Ask>,
-    last_ask: u64,
+    pending_store_ops: HashMap<u64, PendingStoreOp>,
+    last_store_op: u64,
     last_seq: u64,
     /// Messages whose attempt is being made, and their endpoint.
     out: HashMap<Seq, Box<MessageRecord>>,
@@ -238,15 +241,15 @@
         matches!(self.backend, Backend::Disk(_))
     }
 
-    fn ask(&mut self, ask: Ask, op: Op) {
+    fn ask(&mut self, ask: PendingStoreOp, op: Op) {
         self.ask_for(ask, op, 0);
     }
 
     /// Asks for something that is to stand on so many disks, if it is a shard's.
-    fn ask_for(&mut self, ask: Ask, op: Op, want: usize) {
-        self.last_ask += 1;
-        let number = self.last_ask;
-        self.asked.insert(number, ask);
+    fn ask_for(&mut self, ask: PendingStoreOp, op: Op, want: usize) {
+        self.last_store_op += 1;
+        let number = self.last_store_op;
+        self.pending_store_ops.insert(number, ask);
         if let (Some(shard), Some(shared)) = (op.shard(), ReplicatedOp::from_op(&op)) {
             match shared.encode() {
                 Ok(bytes) => self.shared.push_back((number, shard, bytes, want)),
@@ -278,9 +281,9 @@
     pub(super) fn is_idle(&self, now: Micros) -> bool {
         let late = self.is_late(now);
         let kept = if self.durable() {
-            self.delivery.out() == 0 && (self.asked.is_empty() || late)
+            self.delivery.out() == 0 && (self.pending_store_ops.is_empty() || late)
         } else {
-            self.waiting() == 0 && self.asked.is_empty()
+            self.waiting() == 0 && self.pending_store_ops.is_empty()
         };
         self.jobs.is_empty() && kept
     }
--- a/src/gateway/webhooks/calls.rs
+++ b/src/gateway/webhooks/calls.rs
@@ -2,9 +2,9 @@
 
 use super::{
     fault_injection_point, http, message, new_message, order, plain, refuse, replay, AcceptCall,
-    Ask, AttemptDispatch, AttemptKey, Call, CallRecord, Caller, CloseReason, CompleteCall,
-    Completed, ConnKey, Effect, Exchange, Gateway, Guard, Held, IdentityDigest, Job, JobKey,
-    Micros, Op, Origin, Outcome, PrimaryRequest, ReplicationError, Reply, RequestOrigin,
+    AttemptDispatch, AttemptKey, Call, CallRecord, Caller, CloseReason, CompleteCall, Completed,
+    ConnKey, Effect, Exchange, Gateway, Guard, Held, IdentityDigest, Job, JobKey, Micros, Op,
+    Origin, Outcome, PendingStoreOp, PrimaryRequest, ReplicationError, Reply, RequestOrigin,
     RequestOutcome, SendProgress, Seq, StoreError, UnrecordedAttempt, COMPLETED,
     MAX_PENDING_STORE_OPS, STALE,
 };
@@ -52,7 +52,7 @@
                     None
                 }
                 Ok((serial, id)) => {
-                    let ask = Ask::Call {
+                    let ask = PendingStoreOp::ReadCallState {
                         conn: key,
                         id: id.to_owned(),
                     };
@@ -65,9 +65,12 @@
         // Taken only with room for what follows: what got a 202 is owed a callback.
         let full = hooks.jobs.len()
             + hooks.waiting()
-            + hooks.asked.len().saturating_sub(MAX_PENDING_STORE_OPS)
+            + hooks
+                .pending_store_ops
+                .len()
+                .saturating_sub(MAX_PENDING_STORE_OPS)
             >= hooks.pending;
-        let taken = if full || hooks.asked.len() >= MAX_PENDING_STORE_OPS {
+        let taken = if full || hooks.pending_store_ops.len() >= MAX_PENDING_STORE_OPS {
             Err(plain(503, "too many calls under way"))
         } else {
             hooks.inbound.take(r, tenants, &self.config.names, now)
@@ -110,7 +113,7 @@
                     self.send_to_primary(shard, &request, RequestOrigin::AcceptCall(key, mark));
                     return None;
                 }
-                let ask = Ask::Take {
+                let ask = PendingStoreOp::AcceptCall {
                     caller: Caller::Here(key),
                     call: Box::new(call),
                     seq,
@@ -219,7 +222,10 @@
             since: now,
         };
         hooks.unrecorded.insert(attempt, waiting);
-        hooks.ask(Ask::Go(attempt), Op::SetSent(seq, now));
+        hooks.ask(
+            PendingStoreOp::RecordAttempt(attempt),
+            Op::SetSent(seq, now),
+        );
         None
     }
 
@@ -264,7 +270,7 @@
         guard.ran |= !never_ran;
         let (seq, ran) = (guard.seq, guard.ran);
         if !ran {
-            hooks.ask(Ask::Quiet, Op::ClearSent(seq));
+            hooks.ask(PendingStoreOp::RecordOnly, Op::ClearSent(seq));
         }
     }
 
@@ -307,7 +313,7 @@
             self.core.counters.callbacks_undelivered += 1;
         }
         hooks.ask(
-            Ask::Publish,
+            PendingStoreOp::EnqueueMessages,
             Op::CompleteCall(CompleteCall {
                 call: held.seq,
                 outcome: outcome.name().into(),
@@ -341,7 +347,7 @@
             }
         }
         if !messages.is_empty() {
-            hooks.ask(Ask::Publish, Op::Publish(messages));
+            hooks.ask(PendingStoreOp::EnqueueMessages, Op::Publish(messages));
         }
     }
 }
--- a/src/gateway/webhooks/portals.rs
+++ b/src/gateway/webhooks/portals.rs
@@ -1,8 +1,8 @@
 //! Connections to portals, and what administrators ask of the store.
 
 use super::{
-    answer, answered, fault_injection_point, io, message, net, plain, Ask, Bad, CloseReason,
-    ConnKey, DeliveryReport, Effect, Endpoint, Gateway, Input, MessageRecord, Micros, Op,
+    answer, answered, fault_injection_point, io, message, net, plain, Bad, CloseReason, ConnKey,
+    DeliveryReport, Effect, Endpoint, Gateway, Input, MessageRecord, Micros, Op, PendingStoreOp,
     PortalLink, Progress, Role, SendProgress, Seq, MOST_IDLE, PORTAL_IDLE,
 };
 
@@ -210,7 +210,7 @@
             Op::ListMessages(filter) => Some(filter.limit),
             _ => None,
         };
-        hooks.ask(Ask::Admin { conn, limit, key }, op);
+        hooks.ask(PendingStoreOp::AdminRequest { conn, limit, key }, op);
         Ok(())
     }
 }
--- a/src/gateway/webhooks/replies.rs
+++ b/src/gateway/webhooks/replies.rs
@@ -1,11 +1,17 @@
 //! The store's replies, and what delivery asks for.
 
 use super::{
-    fault_injection_point, http, plain, refuse, ApplyRetention, Ask, AttemptRecord, Bad,
-    BeginAttempt, CallState, ConnKey, DeadLetterReason, DeliveryReport, FinishAttempt, Gateway,
-    GatewayDeadline, Input, Micros, Op, Output, ReplicationError, Reply, RequestOutcome,
+    fault_injection_point, http, plain, refuse, ApplyRetention, AttemptRecord, Bad, BeginAttempt,
+    CallState, ConnKey, DeadLetterReason, DeliveryReport, FinishAttempt, Gateway, GatewayDeadline,
+    Input, Micros, Op, Output, PendingStoreOp, ReplicationError, Reply, RequestOutcome,
     RetentionResult, State, StoreError, Waiting, COMPLETED, RETAINED, RETAIN_LATER, RETAIN_SOON,
 };
+use crate::delivery::{EndpointId, Seq};
+use crate::replication::replicator::Input as ReplicatorInput;
+use crate::replication::Name;
+
+/// The pause before messages are read again from a store that has failed.
+const FETCH_RETRY_INTERVAL: Micros = 1_000_000;
 
 impl Gateway {
     /// Does one thing that the store or delivery asks for; whether there was one.
@@ -14,8 +20,8 @@
             return false;
         };
         if let Some((number, reply)) = hooks.replies.pop_front() {
-            if let Some(ask) = hooks.asked.remove(&number) {
-                self.replied(now, ask, reply);
+            if let Some(ask) = hooks.pending_store_ops.remove(&number) {
+                self.handle_store_reply(now, ask, reply);
             }
             return true;
         }
@@ -50,115 +56,157 @@
         }
     }
 
-    pub(super) fn replied(&mut self, now: Micros, ask: Ask, reply: Result<Reply, StoreError>) {
-        let Some(hooks) = &mut self.secondary.hooks else {
-            return;
-        };
-        match ask {
-            Ask::Take {
+    /// Handles the reply to an operation of the store.
+    pub(super) fn handle_store_reply(
+        &mut self,
+        now: Micros,
+        op: PendingStoreOp,
+        reply: Result<Reply, StoreError>,
+    ) {
+        match op {
+            PendingStoreOp::AcceptCall {
                 caller,
                 call,
                 seq,
                 mark,
             } => self.taken(now, caller, *call, seq, mark, reply),
-            Ask::Disk => self.disk_registered(reply),
-            Ask::Record(shard, ticket) => self.record_stored(shard, ticket, reply),
-            Ask::Shard(shard, to) => self.shard_read(shard, to, reply),
-            Ask::Lead(shard, epoch) => self.shard_state_loaded(now, shard, epoch, reply),
-            Ask::Verify => {
-                let found = match reply {
-                    Ok(Reply::Verified(found)) => Some(found),
-                    _ => None,
-                };
-                self.notify_replicator(crate::replication::replicator::Input::Verified(found));
+            PendingStoreOp::RegisterDisk => self.disk_registered(reply),
+            PendingStoreOp::StoreRecord(shard, waiter) => self.record_stored(shard, waiter, reply),
+            PendingStoreOp::ReadSnapshot(shard, peer) => self.shard_read(shard, peer, reply),
+            PendingStoreOp::BecomePrimary(shard, epoch) => {
+                self.shard_state_loaded(now, shard, epoch, reply);
             }
-            Ask::Accept(shard) => {
-                self.notify_replicator(crate::replication::replicator::Input::DamageAccepted(
-                    shard,
-                ));
+            PendingStoreOp::VerifyDisk => self.disk_verified(reply),
+            PendingStoreOp::AcceptDamage(shard) => {
+                self.notify_replicator(ReplicatorInput::DamageAccepted(shard));
             }
-            Ask::Settled(w, state) => {
-                if reply.is_ok() && state == State::Waiting {
-                    hooks.delivery.handle(now, Input::MessagePending(w));
-                }
-                self.now_wait(now, reply);
+            PendingStoreOp::SettleAttempt(message, state) => {
+                self.attempt_settled(now, message, state, reply);
             }
-            Ask::State(to, number) => {
-                let told = match reply {
-                    Ok(Reply::Call(state)) => {
-                        RequestOutcome::Content(postcard::to_stdvec(&state).unwrap_or_default())
-                    }
-                    _ => RequestOutcome::Rejected(ReplicationError::Unknown {
-                        subject: "call".into(),
-                    }),
-                };
-                self.respond_to_request(to, number, told);
-            }
-            Ask::Go(attempt) => self.recorded(now, attempt, reply.is_ok()),
-            Ask::Publish | Ask::Quiet => self.now_wait(now, reply),
-            Ask::Begin(seq) => match reply {
-                Ok(Reply::Attempt(Some(both))) => {
-                    fault_injection_point("callback's intent promised");
-                    self.attempt(now, both.0, &both.1)
-                }
-                Ok(_) => hooks.delivery.handle(now, Input::MessageRemoved(seq)),
-                Err(_) => hooks
-                    .delivery
-                    .handle(now, Input::AttemptEnded(seq, DeliveryReport::VOID)),
-            },
-            Ask::Fetch(id) => match reply {
-                Ok(Reply::Due(all, next)) => {
-                    hooks.delivery.handle(now, Input::Fetched(id, all, next))
-                }
-                // The disk is sick: asked again after a while, and nothing known is lost by it.
-                _ => hooks
-                    .delivery
-                    .handle(now, Input::Fetched(id, Vec::new(), Some(now + 1_000_000))),
-            },
-            Ask::Purge(id) => {
-                if matches!(reply, Ok(Reply::More(true))) {
-                    hooks.ask(Ask::Purge(id), Op::PurgeEndpoint(id, RETAINED));
-                }
+            PendingStoreOp::ForwardCallState(peer, number) => {
+                self.forward_call_state(peer, number, reply);
             }
-            Ask::Retain => {
-                let RetentionResult {
-                    expired,
-                    released,
-                    more,
-                } = match reply {
-                    Ok(Reply::Retained(result)) => result,
-                    _ => RetentionResult::default(),
-                };
-                released
-                    .into_iter()
-                    .for_each(|w| hooks.delivery.handle(now, Input::MessagePending(w)));
-                for seq in expired {
-                    hooks.delivery.handle(now, Input::MessageRemoved(seq));
-                    self.core.counters.callbacks_undelivered += 1;
-                }
-                self.core.schedule(
-                    now + if more { RETAIN_SOON } else { RETAIN_LATER },
-                    GatewayDeadline::Retention.into(),
-                );
+            PendingStoreOp::RecordAttempt(attempt) => self.recorded(now, attempt, reply.is_ok()),
+            PendingStoreOp::EnqueueMessages | PendingStoreOp::RecordOnly => {
+                self.enqueue_released(now, reply);
             }
-            Ask::Call { conn, id } => {
-                let body = match reply {
+            PendingStoreOp::BeginDelivery(seq) => self.delivery_begun(now, seq, reply),
+            PendingStoreOp::FetchDue(endpoint) => self.due_fetched(now, endpoint, reply),
+            PendingStoreOp::PurgeEndpoint(endpoint) => self.endpoint_purged(endpoint, &reply),
+            PendingStoreOp::ApplyRetention => self.retention_applied(now, reply),
+            PendingStoreOp::ReadCallState { conn, id } => {
+                let state = match reply {
                     Ok(Reply::Call(state)) => Ok(state),
                     _ => Err(plain(503, "the store cannot be read")),
                 };
-                self.answer_state(now, conn, &id, body);
+                self.answer_state(now, conn, &id, state);
             }
-            Ask::Admin { conn, limit, key } => {
-                let waits = match &reply {
-                    Ok(Reply::Queued(all)) => all.clone(),
-                    _ => Vec::new(),
-                };
-                self.now_wait(now, Ok(Reply::Queued(waits)));
+            PendingStoreOp::AdminRequest { conn, limit, key } => {
+                if let Ok(Reply::Queued(messages)) = &reply {
+                    self.enqueue_released(now, Ok(Reply::Queued(messages.clone())));
+                }
                 self.answer_stored(now, conn, limit, key, reply);
             }
         }
     }
 
+    /// The checksums of all shards were compared with their rows.
+    fn disk_verified(&mut self, reply: Result<Reply, StoreError>) {
+        let verified = match reply {
+            Ok(Reply::Verified(verified)) => Some(verified),
+            _ => None,
+        };
+        self.notify_replicator(ReplicatorInput::Verified(verified));
+    }
+
+    /// A delivery was settled whose attempt another process had begun.
+    fn attempt_settled(
+        &mut self,
+        now: Micros,
+        message: Waiting,
+        state: State,
+        reply: Result<Reply, StoreError>,
+    ) {
+        let is_pending = reply.is_ok() && state == State::Waiting;
+        if let Some(hooks) = self.secondary.hooks.as_mut().filter(|_| is_pending) {
+            hooks.delivery.handle(now, Input::MessagePending(message));
+        }
+        self.enqueue_released(now, reply);
+    }
+
+    /// The state of a call was read for another gateway.
+    fn forward_call_state(&mut self, peer: Name, number: u64, reply: Result<Reply, StoreError>) {
+        let outcome = match reply {
+            Ok(Reply::Call(state)) => {
+                RequestOutcome::Content(postcard::to_stdvec(&state).unwrap_or_default())
+            }
+            _ => RequestOutcome::Rejected(ReplicationError::Unknown {
+                subject: "call".into(),
+            }),
+        };
+        self.respond_to_request(peer, number, outcome);
+    }
+
+    /// The beginning of a delivery was recorded.
+    fn delivery_begun(&mut self, now: Micros, seq: Seq, reply: Result<Reply, StoreError>) {
+        if let Ok(Reply::Attempt(Some(message))) = reply {
+            fault_injection_point("callback's intent promised");
+            return self.attempt(now, message.0, &message.1);
+        }
+        let input = match reply {
+            Ok(_) => Input::MessageRemoved(seq),
+            Err(_) => Input::AttemptEnded(seq, DeliveryReport::VOID),
+        };
+        if let Some(hooks) = &mut self.secondary.hooks {
+            hooks.delivery.handle(now, input);
+        }
+    }
+
+    /// The first messages that wait at an endpoint were read.
+    fn due_fetched(&mut self, now: Micros, endpoint: EndpointId, reply: Result<Reply, StoreError>) {
+        let input = match reply {
+            Ok(Reply::Due(messages, next)) => Input::Fetched(endpoint, messages, next),
+            // The store has failed and keeps what it has; it is read again later.
+            _ => Input::Fetched(endpoint, Vec::new(), Some(now + FETCH_RETRY_INTERVAL)),
+        };
+        if let Some(hooks) = &mut self.secondary.hooks {
+            hooks.delivery.handle(now, input);
+        }
+    }
+
+    /// Some messages of a removed endpoint were ended.
+    fn endpoint_purged(&mut self, endpoint: EndpointId, reply: &Result<Reply, StoreError>) {
+        let has_more = matches!(reply, Ok(Reply::More(true)));
+        if let Some(hooks) = self.secondary.hooks.as_mut().filter(|_| has_more) {
+            let purge = Op::PurgeEndpoint(endpoint, RETAINED);
+            hooks.ask(PendingStoreOp::PurgeEndpoint(endpoint), purge);
+        }
+    }
+
+    /// A pass of retention has ended.
+    fn retention_applied(&mut self, now: Micros, reply: Result<Reply, StoreError>) {
+        let RetentionResult {
+            expired,
+            released,
+            more,
+        } = match reply {
+            Ok(Reply::Retained(result)) => result,
+            _ => RetentionResult::default(),
+        };
+        if let Some(hooks) = &mut self.secondary.hooks {
+            for message in released {
+                hooks.delivery.handle(now, Input::MessagePending(message));
+            }
+            for seq in expired {
+                hooks.delivery.handle(now, Input::MessageRemoved(seq));
+                self.core.counters.callbacks_undelivered += 1;
+            }
+        }
+        let pause = if more { RETAIN_SOON } else { RETAIN_LATER };
+        self.core
+            .schedule(now + pause, GatewayDeadline::Retention.into());
+    }
+
     /// Tells a caller how its call stands.
     pub(in crate::gateway) fn answer_state(
         &mut self,
@@ -183,7 +231,7 @@
         });
     }
 
-    pub(super) fn now_wait(&mut self, now: Micros, reply: Result<Reply, StoreError>) {
+    pub(super) fn enqueue_released(&mut self, now: Micros, reply: Result<Reply, StoreError>) {
         let (Some(hooks), Ok(Reply::Queued(all))) = (&mut self.secondary.hooks, reply) else {
             return;
         };
@@ -203,7 +251,10 @@
             max_bytes,
             limit: RETAINED,
         };
-        hooks.ask(Ask::Retain, Op::ApplyRetention(retention));
+        hooks.ask(
+            PendingStoreOp::ApplyRetention,
+            Op::ApplyRetention(retention),
+        );
     }
 
     pub(super) fn deliver(&mut self, now: Micros, output: Output) {
@@ -217,10 +268,15 @@
                     durable: recorded,
                     at: now,
                 };
-                hooks.ask(Ask::Begin(seq), Op::BeginAttempt(begin))
+                hooks.ask(PendingStoreOp::BeginDelivery(seq), Op::BeginAttempt(begin))
+            }
+            Output::Fetch(id, limit) => {
+                hooks.ask(PendingStoreOp::FetchDue(id), Op::FetchDue(id, limit))
             }
-            Output::Fetch(id, limit) => hooks.ask(Ask::Fetch(id), Op::FetchDue(id, limit)),
-            Output::Purge(id) => hooks.ask(Ask::Purge(id), Op::PurgeEndpoint(id, RETAINED)),
+            Output::Purge(id) => hooks.ask(
+                PendingStoreOp::PurgeEndpoint(id),
+                Op::PurgeEndpoint(id, RETAINED),
+            ),
             Output::Persist {
                 message,
                 state,
@@ -249,7 +305,7 @@
                     );
                 }
                 hooks.ask(
-                    Ask::Publish,
+                    PendingStoreOp::EnqueueMessages,
                     Op::FinishAttempt(FinishAttempt {
                         waiting: Box::new(message),
                         state,
--- a/src/gateway/webhooks/start.rs
+++ b/src/gateway/webhooks/start.rs
@@ -1,11 +1,11 @@
 //! The start of webhooks, and what the process before has left.
 
 use super::{
-    channel, store_error, Ask, Backend, CloseReason, ConfigError, Delivery, Disk, EgressPolicy,
+    channel, store_error, Backend, CloseReason, ConfigError, Delivery, Disk, EgressPolicy,
     EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Inbound, Input, Limits,
-    ListenerKind, MemoryKeyspace, Micros, Op, PathBuf, RecoveredState, RecoveryAction, Replays,
-    ResumeAction, Schedule, SecondaryMap, SlotMap, StoreError, Tables, VecDeque, WebhookDriver,
-    Webhooks, Writer, RETAINED, RETAIN_SOON,
+    ListenerKind, MemoryKeyspace, Micros, Op, PathBuf, PendingStoreOp, RecoveredState,
+    RecoveryAction, Replays, ResumeAction, Schedule, SecondaryMap, SlotMap, StoreError, Tables,
+    VecDeque, WebhookDriver, Webhooks, Writer, RETAINED, RETAIN_SOON,
 };
 
 impl Gateway {
@@ -94,8 +94,8 @@
             jobs: SlotMap::with_key(),
             backend,
             replies: VecDeque::new(),
-            asked: HashMap::new(),
-            last_ask: 0,
+            pending_store_ops: HashMap::new(),
+            last_store_op: 0,
             last_seq: found.last_sequence_number,
             out: HashMap::new(),
             idle: HashMap::new(),
@@ -138,7 +138,10 @@
             if hooks.delivery.health(*id).is_some() {
                 hooks.delivery.handle(now, Input::Stored(*id, *due));
             } else {
-                hooks.ask(Ask::Purge(*id), Op::PurgeEndpoint(*id, RETAINED));
+                hooks.ask(
+                    PendingStoreOp::PurgeEndpoint(*id),
+                    Op::PurgeEndpoint(*id, RETAINED),
+                );
             }
         }
         self.core.counters.callbacks_unknown += found.unknown_deliveries;
