--- a/testbed/tests/disks.rs
+++ b/testbed/tests/disks.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 
 use molelug_testbed::fakes::gateway::PROGRAM;
+use molelug_testbed::fault_injection::copies::play;
 use molelug_testbed::fault_injection::fleet::{Fleet, Shape};
 use molelug_testbed::history::promises::Wrong;
 use molelug_testbed::lease_trials::name;
@@ -96,6 +97,14 @@
     assert_eq!(wrong, []);
 }
 
+/// Guards against a full disk that stays in one set while all others have left it out, beside load. The round of `rounds
+/// copies --copies 2 --seed 49004 --faults 2`.
+#[test]
+fn full_disk_leaves_every_set_also_beside_load() {
+    let _place = alone();
+    play(&Shape::default(), 49_004, 2, None).unwrap_or_else(|error| panic!("{error}"));
+}
+
 /// Three copies. The disks of the primary's two copies lose what they told kept, each in turn, as the primary's machine is lost:
 /// the one that has all is to lead, whoever takes over first.
 #[test]
