Reproduce late answers with thousands of workers and with a held event loop

Callers got no answer in their time when half of 3,200 workers were replaced, most of them at a gateway that had just started.

The test bed gets fleets of thousands of workers in groups, gateways with a share of a core, and a judge of clients' and workers' records.

--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -5,8 +5,8 @@
 use std::process::ExitCode;
 
 use crate::{
-    bench, conformance, crash, demo, emulator, fault_injection, gossip, lease_trials, load, outage,
-    rate,
+    bench, conformance, crash, demo, emulator, fault_injection, gossip, large_fleet, lease_trials,
+    load, outage, rate,
 };
 use bpaf::Bpaf;
 
@@ -161,7 +161,8 @@
         /// How many run at once
         #[bpaf(long, argument("N"), fallback(4))]
         parallel: usize,
-        /// The subject: outage, or held-back (events behind comments, no health checks)
+        /// The subject: outage, held-back (events behind comments, no health checks), large-fleet
+        /// (drawn fleets and disturbances), large-release or held-loop
         #[bpaf(positional("SUBJECT"))]
         subject: String,
     },
@@ -387,8 +388,11 @@
         } => match subject.as_str() {
             "outage" => outage::soak(seeds, seed, parallel, outage::Scenario::draw),
             "held-back" => outage::soak(seeds, seed, parallel, outage::Scenario::held_back),
+            "large-fleet" => large_fleet::soak(seeds, seed, large_fleet::Scenario::draw),
+            "large-release" => large_fleet::soak(seeds, seed, large_fleet::Scenario::reported),
+            "held-loop" => large_fleet::soak(seeds, seed, large_fleet::Scenario::held_loop),
             other => Err(std::io::Error::other(format!(
-                "unknown subject '{other}': expected outage or held-back"
+                "unknown subject '{other}': expected outage, held-back, large-fleet, large-release or held-loop"
             ))),
         },
         Command::Bench(Bench::Wheel) => bench::wheel(),
--- a/testbed/src/fakes/gateway.rs
+++ b/testbed/src/fakes/gateway.rs
@@ -261,7 +261,25 @@
         Ok(command)
     }
 
-    fn spawn(mut command: Command, operator: &str) -> Result<Gateway> {
+    /// Starts a gateway from the files in `folder` without webhooks, and does not wait until it
+    /// listens.
+    pub fn spawn_unready(folder: &Path) -> Result<Gateway> {
+        Gateway::launch(Gateway::command(None, folder, None, None)?)
+    }
+
+    fn spawn(command: Command, operator: &str) -> Result<Gateway> {
+        let mut g = Gateway::launch(command)?;
+        g.platform = g.listener("listens on ")?;
+        if operator.contains("[webhooks]") {
+            g.webhooks = Some(g.listener("takes webhooks on ")?);
+        }
+        if operator.contains("[admin]") {
+            g.admin = Some(g.listener("is administered on ")?);
+        }
+        Ok(g)
+    }
+
+    fn launch(mut command: Command) -> Result<Gateway> {
         let mut child = command
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
@@ -278,22 +296,14 @@
                 .all(|l| sender.send(l).is_ok())
         });
         let platform = ([0, 0, 0, 0], 0).into();
-        let mut g = Gateway {
+        Ok(Gateway {
             child,
             lines,
             log: Vec::new(),
             platform,
             webhooks: None,
             admin: None,
-        };
-        g.platform = g.listener("listens on ")?;
-        if operator.contains("[webhooks]") {
-            g.webhooks = Some(g.listener("takes webhooks on ")?);
-        }
-        if operator.contains("[admin]") {
-            g.admin = Some(g.listener("is administered on ")?);
-        }
-        Ok(g)
+        })
     }
 
     fn listener(&mut self, what: &str) -> Result<SocketAddr> {
--- /dev/null
+++ b/testbed/src/large_fleet/mod.rs
@@ -0,0 +1,33 @@
+//! Runs real gateways with thousands of workers and a small share of a core, through releases of
+//! the workers, restarts, outages of discovery and stopped processes. Clients and workers record
+//! what they send and receive, and the records are judged.
+
+mod clients;
+mod judge;
+mod neighbours;
+mod run;
+mod scenario;
+mod worker_groups;
+
+use std::io::Result;
+
+pub use judge::Verdict;
+pub use run::play;
+pub use scenario::{Kill, NewNames, Release, Scenario, Stop, UpdateKind};
+
+/// Plays the scenarios of consecutive seeds one after the other and prints a line for each. Returns
+/// whether all hold.
+///
+/// # Errors
+///
+/// A process or fake cannot be started, or a gateway has exited by itself.
+pub fn soak(seeds: u64, first_seed: u64, draw: fn(u64) -> Scenario) -> Result<bool> {
+    println!("{}", Verdict::HEADER);
+    let mut all_hold = true;
+    for seed in first_seed..first_seed + seeds {
+        let verdict = play(&draw(seed))?;
+        println!("{verdict}");
+        all_hold &= verdict.holds();
+    }
+    Ok(all_hold)
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fault_proxy;
 pub mod gossip;
 pub mod history;
+pub mod large_fleet;
 pub mod lease_trials;
 pub mod load;
 pub mod outage;
--- a/testbed/src/outage/discovery.rs
+++ b/testbed/src/outage/discovery.rs
@@ -55,12 +55,21 @@
         self.lock().kind = kind;
     }
 
-    /// Publishes an event with these endpoints.
+    /// Publishes an event with these changed endpoints.
     pub fn publish(&self, endpoints: &[Value]) {
+        self.publish_event(endpoints, false);
+    }
+
+    /// Publishes the complete list.
+    pub fn publish_snapshot(&self, endpoints: &[Value]) {
+        self.publish_event(endpoints, true);
+    }
+
+    fn publish_event(&self, endpoints: &[Value], snapshot: bool) {
         let mut shared = self.lock();
         let revision = shared.events.len() as u64 + 2;
         let event = json!({ "rev": revision,
-            "pool": { "index": revision, "snapshot": false, "endpoints": endpoints } });
+            "pool": { "index": revision, "snapshot": snapshot, "endpoints": endpoints } });
         shared
             .events
             .push(format!("id: {revision}\ndata: {event}\n\n"));
--- a/testbed/src/outage/mod.rs
+++ b/testbed/src/outage/mod.rs
@@ -12,9 +12,12 @@
 
 use std::io::Result;
 
+pub(crate) use discovery::Discovery;
 pub use judge::Verdict;
 pub use run::play;
+pub(crate) use run::unix_ms;
 pub use scenario::{OutageKind, Restarts, Scenario};
+pub(crate) use worker::{CommandKind, DrainableWorker, ProcessState, Received};
 
 /// Runs the scenarios that `draw` returns for consecutive seeds, `parallel` at a time, and prints a
 /// line for each. Returns whether all passed.
--- a/testbed/src/outage/run.rs
+++ b/testbed/src/outage/run.rs
@@ -133,7 +133,8 @@
             "group": 0, "status": status, "weight": 4, "since_ms": since_ms })
 }
 
-fn unix_ms() -> u64 {
+/// Returns the Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64)
--- a/testbed/src/outage/worker.rs
+++ b/testbed/src/outage/worker.rs
@@ -54,6 +54,8 @@
     loaded: BTreeMap<String, Instant>,
     received: Vec<Received>,
     streams: Vec<TcpStream>,
+    /// Percentage of calls that are never answered.
+    unanswered_percent: u64,
     over: bool,
 }
 
@@ -78,6 +80,7 @@
                 loaded: BTreeMap::new(),
                 received: Vec::new(),
                 streams: Vec::new(),
+                unanswered_percent: 0,
                 over: false,
             })),
         };
@@ -100,6 +103,11 @@
         }
     }
 
+    /// Never answers this percentage of calls from now on.
+    pub fn leave_unanswered(&self, percent: u64) {
+        self.lock().unanswered_percent = percent;
+    }
+
     /// Returns the commands received, in order.
     pub fn received(&self) -> Vec<Received> {
         self.lock().received.clone()
@@ -172,6 +180,9 @@
             "go" => {
                 let loaded = self.is_loaded(&field("thing"));
                 self.record(CommandKind::Call, serves && loaded);
+                if self.leaves_unanswered() {
+                    return Some(());
+                }
                 match (serves, loaded) {
                     (false, _) => (b"503", b"report=inflight:0;x1:0;x0:0.1"),
                     (true, false) => (b"404", b"-"),
@@ -214,6 +225,13 @@
         (shared.process == process).then_some(shared.state)
     }
 
+    /// Whether the call received last is never answered, spread evenly over all calls.
+    fn leaves_unanswered(&self) -> bool {
+        let shared = self.lock();
+        let number = shared.received.len() as u64;
+        (number * shared.unanswered_percent) % 100 < shared.unanswered_percent
+    }
+
     fn is_loaded(&self, function: &str) -> bool {
         self.lock()
             .loaded
