Measure the event loop's passes, their activities and the lateness of deadlines

operations::loop_timing keeps histograms of passes, of each activity, of waits that ended late and of served deadlines. A pass or a wait-up of more than 50 ms is logged with its cause, at most once a second, with the system's account of the time spent waiting for a core. The figures are printed after the counters, on SIGUSR1 and at exit. On by default.

Measured: one clock reading for each activity of a pass.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -191,6 +191,7 @@
     }
     gateway.run(&mut events)?;
     eprintln!("counters {}", gateway.counters());
+    eprintln!("loop_figures {}", gateway.loop_figures());
     Ok(())
 }
 
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -15,6 +15,7 @@
 use crate::front::http::READ_LIMIT;
 use crate::front::operator_console;
 use crate::net::{Connection, SharedStream};
+use crate::operations::loop_timing::Activity;
 
 /// Returns the idle timeout of a worker's connection, which is shorter than the worker's own limit
 /// so that the gateway closes first.
@@ -205,6 +206,7 @@
             return;
         };
         let mut events = Vec::new();
+        self.timer.end_activity(now, Activity::Connections);
         let had_answered = stream.has_answered();
         let result = stream.read_events(&mut connection.input, &mut events);
         let ended = stream.has_ended();
@@ -216,6 +218,7 @@
                 .handle_discovery_signal(now, DiscoverySignal::Opened);
         }
         self.set_deadline(key, Some(now + DISCOVERY_SILENCE_TIMEOUT));
+        self.end_activity(Activity::Discovery);
         for event in events {
             if !self.read_watch_event(now, &event) {
                 return self.close(key, CloseReason::Malformed);
--- a/src/gateway/endpoint_updates.rs
+++ b/src/gateway/endpoint_updates.rs
@@ -4,6 +4,7 @@
 use crate::api::{DiscoverySignal, ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus};
 use crate::completion::CloseReason;
 use crate::discovery::{reconnect_pause, WatchEvent, WatchStream};
+use crate::operations::loop_timing::Activity;
 use crate::{discovery, net};
 
 /// The gateway reconnects to service discovery after this much silence; a heartbeat comment arrives
@@ -114,7 +115,9 @@
                 return requested_before;
             }
         };
+        self.end_activity(Activity::Discovery);
         let is_complete = self.apply_watch_event(now, &update);
+        self.end_activity(Activity::EndpointList);
         if is_complete {
             self.core
                 .handle_discovery_signal(now, DiscoverySignal::Update);
--- a/src/gateway/event_loop.rs
+++ b/src/gateway/event_loop.rs
@@ -7,6 +7,10 @@
 
 use super::{Gateway, GatewayDeadline, GatewayError};
 use crate::api::Micros;
+use crate::operations::loop_timing::{Activity, HeldLoop};
+
+const MICROS_PER_MILLI: Micros = 1_000;
+const NANOS_PER_MILLI: u64 = 1_000_000;
 
 impl Gateway {
     /// Registers the signal handlers: SIGTERM and SIGINT drain the gateway, SIGHUP reloads the
@@ -41,17 +45,31 @@
     ///
     /// [`GatewayError::Loop`]: the event loop failed.
     pub fn run(&mut self, events: &mut EventLoop<'static, Gateway>) -> Result<(), GatewayError> {
+        let mut due_at = None;
         while !self.stop {
+            let now = self.clock.now();
+            let report = self.timer.begin_pass(now, due_at);
+            log_held_loop(report);
             self.run_once();
+            let now = self.clock.now();
+            let report = self.timer.end_pass(now);
+            log_held_loop(report);
             if self.stop {
                 break;
             }
             let timeout = self.wait_timeout();
+            due_at = timeout.map(|timeout| now + timeout.as_micros() as Micros);
             events.dispatch(timeout, self)?;
         }
         Ok(())
     }
 
+    /// Records the end of an activity of the current pass.
+    pub(super) fn end_activity(&mut self, activity: Activity) {
+        let now = self.clock.now();
+        self.timer.end_activity(now, activity);
+    }
+
     /// Returns how long the event loop may wait for events; `None` if no deadline is scheduled.
     fn wait_timeout(&mut self) -> Option<Duration> {
         let now = self.clock.now();
@@ -70,6 +88,7 @@
     fn run_once(&mut self) {
         self.handle_signals();
         self.serve_console();
+        self.end_activity(Activity::Console);
         for key in std::mem::take(&mut self.ready) {
             self.on_ready(key);
         }
@@ -78,27 +97,40 @@
             let now = self.clock.now();
             self.report_completed(now, completed);
         }
+        self.end_activity(Activity::Connections);
         self.tick();
+        self.end_activity(Activity::Deadlines);
         if self.listeners.accept_pending {
             self.accept_all();
         }
+        self.end_activity(Activity::Accepting);
         self.run_commands();
+        self.end_activity(Activity::Commands);
         let now = self.clock.now();
         self.step_gossip(now);
         self.step_consensus(now);
+        self.end_activity(Activity::Cluster);
         // Advice from peers may have caused further commands.
         self.run_commands();
         self.stop_if_drained(now);
+        self.end_activity(Activity::Commands);
     }
 
     fn handle_signals(&mut self) {
         for signal in std::mem::take(&mut self.signals) {
             match signal {
-                Signal::SIGUSR1 => eprintln!("counters {}", self.core.counters),
-                Signal::SIGHUP => self.reload(),
+                Signal::SIGUSR1 => {
+                    eprintln!("counters {}", self.core.counters);
+                    eprintln!("loop_figures {}", self.timer.figures());
+                }
+                Signal::SIGHUP => {
+                    self.reload();
+                    self.end_activity(Activity::Reload);
+                }
                 _ => self.drain(),
             }
         }
+        self.end_activity(Activity::Signals);
     }
 
     /// Stops a draining gateway that has no listener, client or webhook call left and has handed
@@ -119,10 +151,15 @@
     /// Handles the deadlines that have fallen due.
     fn tick(&mut self) {
         let now = self.clock.now();
+        if let Some(first) = self.core.next_deadline().filter(|at| *at <= now) {
+            self.timer.record_deadline(now - first);
+        }
         let mut due = Vec::new();
         self.core.tick(now, &mut due);
         for deadline in due {
-            self.handle_deadline(now, GatewayDeadline::from(deadline));
+            let deadline = GatewayDeadline::from(deadline);
+            self.handle_deadline(now, deadline);
+            self.end_activity(activity_of(deadline));
         }
     }
 
@@ -151,3 +188,54 @@
         }
     }
 }
+
+/// The activity that a deadline's handling counts as.
+fn activity_of(deadline: GatewayDeadline) -> Activity {
+    match deadline {
+        GatewayDeadline::HotRestart => Activity::HotRestart,
+        GatewayDeadline::Delivery | GatewayDeadline::Retention => Activity::Store,
+        GatewayDeadline::Gossip
+        | GatewayDeadline::Consensus
+        | GatewayDeadline::Replication
+        | GatewayDeadline::Tenants
+        | GatewayDeadline::HealthChecks
+        | GatewayDeadline::LoadCoordination => Activity::Cluster,
+        GatewayDeadline::DiscoveryReconnect
+        | GatewayDeadline::StopAccepting
+        | GatewayDeadline::AcceptRetry
+        | GatewayDeadline::BundleReload
+        | GatewayDeadline::ConsoleAcceptRetry
+        | GatewayDeadline::Connection(_) => Activity::Deadlines,
+    }
+}
+
+/// Logs that the loop was held, with the cause and the processor time that the system granted.
+fn log_held_loop(report: Option<HeldLoop>) {
+    match report {
+        None => {}
+        Some(HeldLoop::SlowPass {
+            duration,
+            longest,
+            longest_time,
+        }) => tracing::warn!(
+            duration_ms = duration / MICROS_PER_MILLI,
+            longest = longest.name(),
+            longest_ms = longest_time / MICROS_PER_MILLI,
+            core_wait_total_ms = ?core_wait_total_ms(),
+            "event loop pass was slow"
+        ),
+        Some(HeldLoop::LateWakeUp { late_by }) => tracing::warn!(
+            late_ms = late_by / MICROS_PER_MILLI,
+            core_wait_total_ms = ?core_wait_total_ms(),
+            "event loop woke up late"
+        ),
+    }
+}
+
+/// The time for which the process was ready to run and had no core, since its start, if the system
+/// tells: the second figure of its scheduler statistics, in nanoseconds.
+fn core_wait_total_ms() -> Option<u64> {
+    let statistics = std::fs::read_to_string("/proc/self/schedstat").ok()?;
+    let nanos: u64 = statistics.split_whitespace().nth(1)?.parse().ok()?;
+    Some(nanos / NANOS_PER_MILLI)
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 use crate::discovery::WatchStream;
 use crate::membership::config::Gossip;
 use crate::net::{self, Connection};
+use crate::operations::loop_timing::{LoopFigures, LoopTimer};
 use crate::worker::{Completed, Exchange, WorkerConnection};
 
 mod accepting;
@@ -163,6 +164,7 @@
     /// Completed exchanges that have not been reported to the core.
     completed: VecDeque<Completed>,
     signals: Vec<Signal>,
+    timer: LoopTimer,
     stop: bool,
 }
 
@@ -171,4 +173,9 @@
     pub fn counters(&self) -> &crate::counters::Counters {
         &self.core.counters
     }
+
+    /// How long the event loop's passes took, and how late deadlines were served.
+    pub fn loop_figures(&self) -> &LoopFigures {
+        self.timer.figures()
+    }
 }
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Operator};
 use crate::core::Core;
+use crate::operations::loop_timing::LoopTimer;
 
 /// Converts between the core's rates, per microsecond, and the rates per second in the processes'
 /// state files.
@@ -57,6 +58,7 @@
             dirty: Vec::new(),
             completed: VecDeque::new(),
             signals: Vec::new(),
+            timer: LoopTimer::new(now),
             stop: false,
         };
         gateway.listen_for_platform(now, inherited)?;
--- a/src/operations/mod.rs
+++ b/src/operations/mod.rs
@@ -5,5 +5,6 @@
 
 pub mod hot_restart;
 pub mod lifecycle;
+pub mod loop_timing;
 pub mod metrics;
 pub mod overrides;
--- a/testbed/src/fakes/gateway.rs
+++ b/testbed/src/fakes/gateway.rs
@@ -396,6 +396,13 @@
         serde_json::from_str(text).map_err(Error::other)
     }
 
+    /// Returns the current figures of the event loop, which the gateway logs after the counters.
+    pub fn loop_figures(&mut self) -> Result<Value> {
+        let line = self.wait_for_log_line("loop_figures ")?;
+        let text = line.split_once("loop_figures ").map_or("", |(_, t)| t);
+        serde_json::from_str(text).map_err(Error::other)
+    }
+
     /// Sends SIGTERM, waits for the exit and returns the counters that the gateway logs.
     pub fn stop(&mut self) -> Result<Value> {
         rustix::process::kill_process(self.pid(), rustix::process::Signal::TERM)?;
--- a/testbed/src/large_fleet/judge.rs
+++ b/testbed/src/large_fleet/judge.rs
@@ -79,6 +79,8 @@
     pub descriptors: usize,
     /// The connections that it made to workers.
     pub connects: u64,
+    /// Its longest pass of the event loop.
+    pub longest_pass: Duration,
     /// Descriptions of the first calls that were late or unanswered.
     pub examples: Vec<String>,
 }
@@ -94,11 +96,13 @@
     pub descriptors: usize,
     /// Connections made to workers.
     pub connects: u64,
+    /// The longest pass of the event loop.
+    pub longest_pass: Duration,
 }
 
 impl Verdict {
     /// Column headings for the printed verdicts.
-    pub const HEADER: &str = " seed gateways workers busy updates   kill         stops silent rate deadline | calls served late unanswered   latest late sends | cpu s  MiB fds connects";
+    pub const HEADER: &str = " seed gateways workers busy updates   kill         stops silent rate deadline | calls served late unanswered   latest late sends | cpu s  MiB fds connects pass";
 
     /// Returns whether every call was answered in time and no draining worker got a late command.
     pub fn holds(&self) -> bool {
@@ -119,6 +123,7 @@
             memory_kib: usage.memory_kib,
             descriptors: usage.descriptors,
             connects: usage.connects,
+            longest_pass: usage.longest_pass,
             examples: Vec::new(),
         };
         for call in &records.calls {
@@ -187,7 +192,7 @@
             .map_or("-".to_owned(), |(_, kind, _)| format!("{kind:?}"));
         write!(
             f,
-            "{:5} {:8} {:7} {:4} {:9} {:12} {:5} {:6} {:4} {:6}ms | {:5} {:6} {:4} {:10} {:+7.3}s {:10} | {:5.2} {:4} {:3} {:8}",
+            "{:5} {:8} {:7} {:4} {:9} {:12} {:5} {:6} {:4} {:6}ms | {:5} {:6} {:4} {:10} {:+7.3}s {:10} | {:5.2} {:4} {:3} {:8} {:3}ms",
             scenario.seed,
             scenario.gateways,
             scenario.workers,
@@ -208,6 +213,7 @@
             self.memory_kib / 1024,
             self.descriptors,
             self.connects,
+            self.longest_pass.as_millis(),
         )?;
         for example in &self.examples {
             write!(f, "\n      {example}")?;
