Keep listed workers out of the queue of names that left the list

Callers got answers up to 3.2 s late, or none, when a list brought new names to a gateway with more than 1,024 workers and a small share of a core, most of all at one that had just started.

Cause: WorkerOverrides remembered listed and departed names in one queue of 1,024. Beyond that many listed names each new name turned the whole queue and compared each name in it: the cost of a list was its entries times the fleet. Listed names were never forgotten, so the turn found nothing. Excluded names had the same effect.

Only names that left the list and are not excluded now wait in a queue, ordered by a number, so that each step costs the same in any fleet. The state for other processes holds 1,024 names at most; with more listed ones it had outgrown the bound that its reader enforces.

--- a/src/operations/overrides.rs
+++ b/src/operations/overrides.rs
@@ -1,12 +1,16 @@
 //! Combines the endpoint list with the operators' exclusions of workers.
 //!
-//! Only known workers can be excluded: those on the list, and up to [`MAX_WORKERS_SEEN`] names that
-//! were on it. Thus memory is bounded.
+//! Only known workers can be excluded: those on the list, those that are excluded, and up to
+//! [`MAX_WORKERS_SEEN`] names that were on the list. Thus memory is bounded.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 
 use crate::api::{Micros, WorkerEntry, WorkerStatus};
 
+mod departed;
+
+use departed::DepartedNames;
+
 /// Number of names remembered after they have left the list. The oldest is forgotten first.
 pub const MAX_WORKERS_SEEN: usize = 1024;
 /// The longest name that is remembered, in bytes.
@@ -31,9 +35,10 @@
     /// The operators' latest change of each worker (true: excluded) and its time. An inclusion is
     /// kept so that sibling processes learn of it.
     exclusions: BTreeMap<String, (bool, Micros)>,
-    known_workers: BTreeSet<String>,
-    /// The known names, in the order in which they were first listed.
-    known_in_order: VecDeque<String>,
+    /// Names that left the list and are not excluded.
+    departed: DepartedNames,
+    /// Increases with each change of the known names and the exclusions.
+    version: u64,
 }
 
 impl WorkerOverrides {
@@ -43,42 +48,39 @@
         is_snapshot: bool,
         entries: impl IntoIterator<Item = (&'a str, WorkerEntry)>,
     ) -> Vec<WorkerEntry> {
-        if is_snapshot {
-            self.listed.clear();
-        }
+        let unlisted = if is_snapshot {
+            std::mem::take(&mut self.listed)
+        } else {
+            BTreeMap::new()
+        };
         let mut effective = Vec::new();
         for (name, entry) in entries {
-            self.remember(name);
             effective.push(self.with_exclusion(name, entry.clone()));
             if entry.status == WorkerStatus::Removed {
                 self.listed.remove(name);
+                self.remember(name);
             } else {
-                self.listed.insert(name.to_owned(), entry);
+                self.departed.remove(name);
+                if self.listed.insert(name.to_owned(), entry).is_none() {
+                    self.version += 1;
+                }
             }
         }
+        for name in unlisted.into_keys() {
+            self.remember(&name);
+        }
         effective
     }
 
     /// Remembers that a worker was listed.
     pub fn remember(&mut self, name: &str) {
-        if name.len() > MAX_NAME_BYTES || !self.known_workers.insert(name.to_owned()) {
+        let is_kept = self.listed.contains_key(name) || self.is_excluded(name);
+        if is_kept || name.len() > MAX_NAME_BYTES || self.departed.contains(name) {
             return;
         }
-        self.known_in_order.push_back(name.to_owned());
-        // An excluded or listed worker is not forgotten and moves to the end of the order.
-        for _ in 0..self.known_in_order.len() {
-            if self.known_in_order.len() <= MAX_WORKERS_SEEN {
-                return;
-            }
-            let Some(oldest) = self.known_in_order.pop_front() else {
-                return;
-            };
-            if self.is_excluded(&oldest) || self.listed.contains_key(&oldest) {
-                self.known_in_order.push_back(oldest);
-            } else {
-                self.known_workers.remove(&oldest);
-                self.exclusions.remove(&oldest);
-            }
+        self.version += 1;
+        if let Some(forgotten) = self.departed.add(name) {
+            self.exclusions.remove(&forgotten);
         }
     }
 
@@ -91,7 +93,10 @@
 
     /// Returns true if this name was listed and is still remembered.
     pub fn is_known(&self, name: &str) -> bool {
-        self.known_workers.contains(name)
+        name.len() <= MAX_NAME_BYTES
+            && (self.listed.contains_key(name)
+                || self.departed.contains(name)
+                || self.is_excluded(name))
     }
 
     /// Excludes a worker; returns the entry that the module is notified of, if it changes.
@@ -162,10 +167,16 @@
             return None;
         }
         let before = self.is_excluded(name);
+        self.version += 1;
         self.exclusions.insert(name.to_owned(), (excluded, at));
         if before == excluded {
             return None;
         }
+        if excluded {
+            self.departed.remove(name);
+        } else {
+            self.remember(name);
+        }
         let entry = self.listed.get_mut(name)?;
         if !excluded {
             // The worker was probably restarted meanwhile, at the latest now: slow start keeps it
@@ -188,9 +199,17 @@
         &self.exclusions
     }
 
-    /// The remembered names, oldest first.
+    /// Up to [`MAX_WORKERS_SEEN`] known names for other processes, which know the listed ones from
+    /// discovery: first those that left the list, oldest first.
     pub fn seen(&self) -> impl Iterator<Item = &str> {
-        self.known_in_order.iter().map(String::as_str)
+        let listed = self.listed.keys().map(String::as_str);
+        let room = MAX_WORKERS_SEEN - self.departed.len();
+        self.departed.iter().chain(listed.take(room))
+    }
+
+    /// A number that changes whenever the known names or the exclusions change.
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// The number of workers on the list.
--- a/src/operations/overrides/tests.rs
+++ b/src/operations/overrides/tests.rs
@@ -100,10 +100,7 @@
         list(&mut u, false, &name, WorkerStatus::Ready);
         list(&mut u, false, &name, WorkerStatus::Removed);
     }
-    assert!(
-        u.known_in_order.len() <= MAX_WORKERS_SEEN
-            && u.known_workers.len() == u.known_in_order.len()
-    );
+    assert!(u.departed.len() <= MAX_WORKERS_SEEN && u.departed.iter().count() == u.departed.len());
     assert!(
         u.is_excluded("banned")
             && u.is_known("listed")
@@ -114,6 +111,40 @@
     assert!(!u.is_known(&"x".repeat(MAX_NAME_BYTES + 1)));
 }
 
+#[test]
+fn listed_workers_beyond_the_bound_cost_nothing_per_new_name() {
+    let mut u = WorkerOverrides::default();
+    let names: Vec<String> = (0..4 * MAX_WORKERS_SEEN)
+        .map(|n| format!("s-{n}"))
+        .collect();
+    let entry = worker_entry(1, WorkerStatus::Ready);
+    u.apply_list(
+        true,
+        names.iter().map(|name| (name.as_str(), entry.clone())),
+    );
+    assert_eq!(u.departed.len(), 0, "listed names wait in no queue");
+    assert!(names.iter().all(|name| u.is_known(name)));
+    u.apply_list(true, [("s-0", entry)]);
+    assert_eq!(u.departed.len(), MAX_WORKERS_SEEN);
+    assert_eq!(u.seen().count(), MAX_WORKERS_SEEN);
+}
+
+#[test]
+fn excluded_workers_that_left_stay_known_and_wait_in_no_queue() {
+    let mut u = WorkerOverrides::default();
+    for n in 0..MAX_WORKERS_SEEN {
+        let name = format!("s-{n}");
+        list(&mut u, false, &name, WorkerStatus::Ready);
+        u.exclude(&name, 5).unwrap();
+        list(&mut u, false, &name, WorkerStatus::Removed);
+    }
+    assert_eq!(u.departed.len(), 0);
+    u.include("s-7", 9).unwrap();
+    assert_eq!(u.departed.iter().collect::<Vec<_>>(), ["s-7"]);
+    list(&mut u, false, "s-7", WorkerStatus::Ready);
+    assert!(u.departed.len() == 0 && u.is_known("s-7") && u.is_excluded("s-8"));
+}
+
 proptest! {
     /// Two processes that merge the same changes in any order, some twice, agree on the exclusions.
     #[test]
--- a/testbed/src/large_fleet/judge.rs
+++ b/testbed/src/large_fleet/judge.rs
@@ -37,8 +37,8 @@
     pub calls: Vec<Call>,
     /// The groups that drained.
     pub drains: Vec<DrainRecord>,
-    /// When the first gateway was killed.
-    pub killed_at: Option<Instant>,
+    /// From when to when the first gateway was killed; its process had ended at the latter.
+    pub killed: Option<(Instant, Instant)>,
     /// The intervals in which the first gateway's process was suspended.
     pub suspended: Vec<(Instant, Instant)>,
 }
@@ -153,9 +153,9 @@
             CallResult::Unanswered => {
                 // A killed gateway owes no answer whose time had not passed.
                 let was_killed = call.gateway == 0
-                    && records
-                        .killed_at
-                        .is_some_and(|at| call.sent_at <= at && deadline + ANSWER_SLACK >= at);
+                    && records.killed.is_some_and(|(from, until)| {
+                        call.sent_at <= until && deadline + ANSWER_SLACK >= from
+                    });
                 if !was_killed {
                     self.unanswered += 1;
                     self.note(records.started_at, call);
--- a/testbed/src/large_fleet/run.rs
+++ b/testbed/src/large_fleet/run.rs
@@ -53,7 +53,7 @@
     clients: Vec<JoinHandle<Vec<Call>>>,
     drained: Vec<(usize, Instant)>,
     ended: Vec<(usize, Instant)>,
-    killed_at: Option<Instant>,
+    killed: Option<(Instant, Instant)>,
     suspended_at: Option<Instant>,
     suspended: Vec<(Instant, Instant)>,
 }
@@ -135,7 +135,7 @@
             clients: Vec::new(),
             drained: Vec::new(),
             ended: Vec::new(),
-            killed_at: None,
+            killed: None,
             suspended_at: None,
             suspended: Vec::new(),
         };
@@ -232,10 +232,11 @@
                 }
             }
             Step::Kill => {
-                self.killed_at = Some(Instant::now());
+                let from = Instant::now();
                 if !self.gateways[0].has_exited()? {
                     self.gateways[0].kill()?;
                 }
+                self.killed = Some((from, Instant::now()));
             }
             Step::Restart => self.gateways[0] = self.start_gateway(0)?,
             // A gateway between its kill and its restart cannot be suspended.
@@ -296,7 +297,7 @@
             started_at: self.started_at,
             calls,
             drains,
-            killed_at: self.killed_at,
+            killed: self.killed,
             suspended: self.suspended,
         };
         Ok(Verdict::of(&self.scenario, &records, usage))
