Encode the state for other processes only after a change

The version of what the state is made from is compared instead. The hot restart tests pass; not measured on its own.

--- a/src/gateway/hot_restart.rs
+++ b/src/gateway/hot_restart.rs
@@ -40,11 +40,22 @@
     last_read: BTreeMap<u32, (SystemTime, u64)>,
     /// The state written last, and when.
     last_written: (String, Micros),
+    /// What the last written state was made from, while it holds no evidence.
+    last_written_from: Option<StateVersion>,
     started_at: Micros,
     /// Whether service discovery has answered since the start.
     discovery_answered: bool,
 }
 
+/// What a process's state is made from, if it holds no evidence: equal versions give equal states.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct StateVersion {
+    state: ProcessState,
+    list_revision: u64,
+    observed_capacity: f64,
+    overrides: u64,
+}
+
 /// The contents of the other processes' files.
 #[derive(Debug, Default)]
 struct SiblingReadings {
@@ -190,6 +201,7 @@
             siblings: SiblingProcesses::default(),
             last_read: BTreeMap::new(),
             last_written: (String::new(), 0),
+            last_written_from: None,
             started_at: now,
             discovery_answered: false,
         };
@@ -322,18 +334,31 @@
             return;
         };
         let overrides = &self.ops.overrides;
+        let observed_capacity =
+            (self.core.observed_capacity() * MICROS_PER_SECOND).min(MAX_REPORTED_CAPACITY_PER_S);
+        let version = evidence.is_empty().then_some(StateVersion {
+            state,
+            list_revision: self.discovery.last_revision,
+            observed_capacity,
+            overrides: overrides.version(),
+        });
+        let is_recent = now < hot_restart.last_written.1 + WRITE_INTERVAL;
+        // Without a change the state is not even encoded: it holds many names.
+        if is_recent && version.is_some() && version == hot_restart.last_written_from {
+            return;
+        }
         let own_state = SiblingState {
             gateway: self.config.name.clone(),
             state,
             list_revision: self.discovery.last_revision,
-            observed_capacity: (self.core.observed_capacity() * MICROS_PER_SECOND)
-                .min(MAX_REPORTED_CAPACITY_PER_S),
+            observed_capacity,
             exclusions: overrides.bans().clone(),
             known_workers: overrides.seen().map(str::to_owned).collect(),
             evidence,
         };
         let text = own_state.encode();
-        if text == hot_restart.last_written.0 && now < hot_restart.last_written.1 + WRITE_INTERVAL {
+        if text == hot_restart.last_written.0 && is_recent {
+            hot_restart.last_written_from = version;
             return;
         }
         let (new_path, path) = (
@@ -341,7 +366,10 @@
             folder.join(format!("{}.word", hot_restart.pid)),
         );
         match fs::write(&new_path, &text).and_then(|()| fs::rename(&new_path, &path)) {
-            Ok(()) => hot_restart.last_written = (text, now),
+            Ok(()) => {
+                hot_restart.last_written = (text, now);
+                hot_restart.last_written_from = version;
+            }
             Err(error) => tracing::error!(%error, "process state cannot be written"),
         }
     }
