Let ticks, decisions and lists cost what changes, not what the fleet is

Cause: each tick walked all workers for stalled ones, ready and healthy counts and limits; each turn walked them for contradictions of the list, and in an outage for evidence and checks; each list entry walked all functions and loads; each function sorted all workers after each list, hashing at each comparison.

policy::worker_table keeps totals and subsets, updated with each change; policy::candidates follows changes of single workers and ranks all only for a function that is first used; policy::evidence examines workers with new evidence, those whose evidence expires, and unavailable ones once the list is confirmed; copies, loads and pauses are found by worker. A new process is used only once its copies are forgotten.

--- a/src/policy/answers.rs
+++ b/src/policy/answers.rs
@@ -62,7 +62,7 @@
             .functions
             .get(&request.function)
             .into_iter()
-            .flat_map(|function| &function.candidates);
+            .flat_map(|function| function.candidates.workers());
         let until_capacity = candidates
             .filter(|worker| self.is_available(now, **worker))
             .filter_map(|worker| self.workers.get(worker))
--- a/src/policy/cancellation.rs
+++ b/src/policy/cancellation.rs
@@ -8,11 +8,7 @@
     /// Cancels attempts at stalled workers if they may be retried. A fixed timeout would amplify an
     /// overload. If most workers stall, the fault is elsewhere and nothing is cancelled.
     pub(super) fn cancel_stalled(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let stalled = self
-            .workers
-            .values()
-            .filter(|worker| worker.stalled)
-            .count();
+        let stalled = self.workers.stalled().len();
         if stalled == 0 || !self.settings.may_cancel || 2 * stalled > self.workers.len() {
             return;
         }
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -62,6 +62,7 @@
     /// Queries a worker for its number of copies without loading one.
     fn query_copies(&mut self, now: Micros, key: CopyKey, actions: &mut Vec<Action>) {
         if let Some(function) = self.functions.get_mut(&key.function) {
+            self.known_copies.insert(key);
             function.copies.entry(key.worker).or_default().queried_at = now;
             function.last_query_at = now;
         }
@@ -135,11 +136,15 @@
         let Some(function) = self.functions.get_mut(&function_id) else {
             return;
         };
+        self.known_copies.insert(CopyKey {
+            worker,
+            function: function_id,
+        });
         let copy = function.copies.entry(worker).or_default();
         copy.own_in_flight += 1;
         copy.last_used_at = now;
         self.remove_from_queue(function_id, id);
-        if let Some(state) = self.workers.get_mut(&worker) {
+        if let Some(mut state) = self.workers.get_mut(&worker) {
             state.record_send(now, self.settings.overload_window);
         }
         self.evidence.on_sent(now, worker);
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -3,15 +3,13 @@
 
 use std::collections::BTreeSet;
 
+use super::loads::CopyKey;
 use super::worker::WorkerState;
 use super::Policy;
 use crate::api::{
     DiscoverySignal, FunctionId, ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus,
 };
 
-/// The maximum number of workers that a function uses, in a fleet of any size.
-const MAX_CANDIDATES: usize = 24;
-
 /// A worker's rank among a function's candidates. It is the same at every instance.
 pub(super) fn rendezvous_hash(function: FunctionId, worker: WorkerId) -> u64 {
     let mixed_worker = u64::from(worker.0).wrapping_mul(0xd6e8_feb8_6659_fd93);
@@ -44,7 +42,7 @@
             self.subscribed_at = 0;
             return;
         }
-        self.list_version += 1;
+        self.visited += entries.len() as u64;
         if update != ListUpdate::Delta {
             self.retire_unlisted(&entries);
         }
@@ -57,17 +55,25 @@
     /// Stops new work to workers that a complete list no longer contains.
     fn retire_unlisted(&mut self, entries: &[WorkerEntry]) {
         let listed: BTreeSet<WorkerId> = entries.iter().map(|entry| entry.worker).collect();
-        for (id, worker) in &mut self.workers {
-            if !listed.contains(id) {
+        let unlisted: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .map(|(id, _)| *id)
+            .filter(|id| !listed.contains(id))
+            .collect();
+        for id in unlisted {
+            if let Some(mut worker) = self.workers.get_mut(&id) {
                 worker.ready = false;
-                self.loads_in_progress.retain(|key, _| key.worker != *id);
             }
+            self.availability_changes.record(id);
+            self.forget_loads_in_progress(id);
         }
         self.evidence.retain_listed(|id| listed.contains(&id));
     }
 
     fn apply_entry(&mut self, now: Micros, entry: &WorkerEntry) {
-        let worker = self.workers.entry(entry.worker).or_default();
+        let mut worker = self.workers.get_or_add(entry.worker);
+        let was_ready = worker.ready;
         let first_listed = worker.concurrency_limit == 0.0;
         let restarted = entry.started_at.is_some() && entry.started_at > worker.started_at;
         if first_listed || restarted {
@@ -78,6 +84,11 @@
         worker.zone = Some(entry.zone);
         worker.cell = Some(entry.cell);
         worker.ready = entry.status == WorkerStatus::Ready;
+        let changed = worker.ready != was_ready || restarted;
+        drop(worker);
+        if changed {
+            self.availability_changes.record(entry.worker);
+        }
         self.evidence
             .on_listed(entry.worker, entry.status, restarted);
         if first_listed || restarted || entry.status == WorkerStatus::Removed {
@@ -89,7 +100,7 @@
     /// now: it is in slow start and has no copies.
     pub(super) fn begin_slow_start(&mut self, now: Micros, id: WorkerId) {
         let limit = self.initial_concurrency_limit;
-        let Some(worker) = self.workers.get_mut(&id) else {
+        let Some(mut worker) = self.workers.get_mut(&id) else {
             return;
         };
         let (zone, cell, ready) = (worker.zone, worker.cell, worker.ready);
@@ -97,20 +108,35 @@
         worker.zone = zone;
         worker.cell = cell;
         worker.ready = ready;
+        drop(worker);
         self.forget_copies(id);
     }
 
     /// Forgets the copies on a worker whose process has ended.
     pub(super) fn forget_copies(&mut self, worker: WorkerId) {
-        for function in self.functions.values_mut() {
-            if let Some(copy) = function.copies.get_mut(&worker) {
+        for key in self.known_copies.range(CopyKey::all_of(worker)) {
+            self.visited += 1;
+            let function = self.functions.get_mut(&key.function);
+            if let Some(copy) = function.and_then(|function| function.copies.get_mut(&worker)) {
                 copy.forget();
             }
         }
-        self.loads_in_progress.retain(|key, _| key.worker != worker);
+        self.forget_loads_in_progress(worker);
         self.load_backoffs.forget_worker(worker);
     }
 
+    fn forget_loads_in_progress(&mut self, worker: WorkerId) {
+        let keys: Vec<CopyKey> = self
+            .loads_in_progress
+            .range(CopyKey::all_of(worker))
+            .map(|(key, _)| *key)
+            .collect();
+        self.visited += keys.len() as u64;
+        for key in keys {
+            self.loads_in_progress.remove(&key);
+        }
+    }
+
     /// Applies peers' observations: they move a worker to the end of every candidate list for a
     /// while, or end its ejection so that a trial request can be sent.
     pub(super) fn on_peer_health(
@@ -119,7 +145,7 @@
         worker: WorkerId,
         unhealthy_until: Option<Micros>,
     ) {
-        let Some(state) = self.workers.get_mut(&worker) else {
+        let Some(mut state) = self.workers.get_mut(&worker) else {
             return;
         };
         if let Some(until) = unhealthy_until {
@@ -129,26 +155,4 @@
             state.ejected_until = state.ejected_until.min(now);
         }
     }
-
-    /// Updates a function's candidates to the current endpoint list.
-    pub(super) fn refresh_candidates(&mut self, now: Micros, id: FunctionId) {
-        let Some(function) = self.functions.get_mut(&id) else {
-            return;
-        };
-        if function.candidates_version == self.list_version {
-            return;
-        }
-        function.candidates_version = self.list_version;
-        let evidence = &self.evidence;
-        function.candidates = self
-            .workers
-            .iter()
-            .filter(|(id, worker)| worker.ready && evidence.may_send(now, **id))
-            .map(|(worker, _)| *worker)
-            .collect();
-        function
-            .candidates
-            .sort_by_key(|worker| rendezvous_hash(id, *worker));
-        function.candidates.truncate(MAX_CANDIDATES);
-    }
 }
--- a/src/policy/evidence/checks.rs
+++ b/src/policy/evidence/checks.rs
@@ -1,5 +1,8 @@
 //! Selection and rate of health checks.
 
+use std::collections::BTreeSet;
+use std::ops::Bound;
+
 use super::tracker::EvidenceTracker;
 use super::worker::{CheckState, WorkerEvidence};
 use crate::api::{FunctionId, Micros, WorkerId};
@@ -10,7 +13,7 @@
 const REFRESH_AGE: Micros = 2_500_000;
 /// The time after the last request or load order sent to a worker during which the worker counts as
 /// in use, in microseconds.
-const USE_WINDOW: Micros = 5_000_000;
+pub(super) const USE_WINDOW: Micros = 5_000_000;
 /// The age of a doubt, in microseconds, from which a worker is checked while discovery is
 /// available. Before that, a late list update may settle the doubt without a check.
 const DOUBT_CHECK_DELAY: Micros = 2_000_000;
@@ -22,6 +25,9 @@
 const MAX_CHECK_INTERVAL: Micros = 2_000_000;
 /// The maximum number of doublings of the interval.
 const MAX_DOUBLINGS: u32 = 3;
+/// The maximum number of workers, besides those doubted or in use, among which one update looks for
+/// workers to check. In a larger fleet the next update continues after them.
+const MAX_CHECK_SEARCH: usize = 256;
 /// The time after which a check without a result counts as ended, in microseconds.
 const CHECK_LOST_AFTER: Micros = 2_000_000;
 
@@ -82,15 +88,19 @@
             .is_some_and(|at| now < at + DEMAND_WINDOW);
         let confirmed_at = self.discovery.confirmed_at(now);
         let seed = FunctionId(self.seed);
-        let mut due: Vec<(CheckPriority, u64, WorkerId)> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.check.may_begin(now))
-            .filter_map(|(id, worker)| {
+        let searched = self.workers_to_search(is_lost);
+        self.examined += searched.len() as u64;
+        let mut due: Vec<(CheckPriority, u64, WorkerId)> = searched
+            .into_iter()
+            .filter_map(|id| {
+                let worker = self.workers.get(&id)?;
+                if !worker.check.may_begin(now) {
+                    return None;
+                }
                 let priority =
                     check_priority(now, worker, confirmed_at, is_lost, has_recent_requests)?;
                 // Each instance has its own order, so that they do not all check the same worker.
-                Some((priority, rendezvous_hash(seed, *id), *id))
+                Some((priority, rendezvous_hash(seed, id), id))
             })
             .collect();
         due.sort_unstable();
@@ -108,6 +118,36 @@
     }
 }
 
+impl EvidenceTracker {
+    /// The workers among which to look for due checks, each once.
+    fn workers_to_search(&mut self, is_lost: bool) -> Vec<WorkerId> {
+        if is_lost && self.workers.len() <= MAX_CHECK_SEARCH {
+            return self.workers.keys().copied().collect();
+        }
+        let mut searched: BTreeSet<WorkerId> = self.flagged.clone();
+        if is_lost {
+            searched.extend(self.recently_used.iter().map(|(_, id)| *id));
+            searched.extend(self.next_in_turn());
+        } else {
+            searched.extend(self.unavailable.iter().take(MAX_CHECK_SEARCH));
+        }
+        searched.into_iter().collect()
+    }
+
+    /// The workers after those of the previous call, beginning anew after the last.
+    fn next_in_turn(&mut self) -> Vec<WorkerId> {
+        let after = self.check_cursor.map_or(Bound::Unbounded, Bound::Excluded);
+        let next: Vec<WorkerId> = self
+            .workers
+            .range((after, Bound::Unbounded))
+            .map(|(id, _)| *id)
+            .take(MAX_CHECK_SEARCH)
+            .collect();
+        self.check_cursor = next.last().copied();
+        next
+    }
+}
+
 /// The priority of a check of a worker; `None` if there is no reason for one.
 fn check_priority(
     now: Micros,
--- a/src/policy/evidence/contradiction.rs
+++ b/src/policy/evidence/contradiction.rs
@@ -15,19 +15,18 @@
     /// unavailable.
     pub(super) fn contradicted_for(&self, now: Micros) -> Option<Micros> {
         let first = self
-            .workers
-            .values()
+            .flagged_workers()
             .filter_map(|worker| worker.reported_unavailable_at);
         first.min().map(|at| now.saturating_sub(at))
     }
 
     /// The longest time that a worker has been doubted, where health checks are not allowed.
     fn doubted_for(&self, now: Micros) -> Option<Micros> {
-        if self.may_check || !self.has_anomalies {
+        if self.may_check {
             return None;
         }
-        let workers = self.workers.values();
-        let first = workers
+        let first = self
+            .flagged_workers()
             .filter_map(|worker| worker.doubt)
             .map(|doubt| doubt.since);
         first.min().map(|at| now.saturating_sub(at))
--- a/src/policy/evidence/mod.rs
+++ b/src/policy/evidence/mod.rs
@@ -15,6 +15,7 @@
 mod checks;
 mod contradiction;
 mod discovery;
+mod reexamination;
 mod tracker;
 mod validity;
 mod view;
--- a/src/policy/evidence/tracker.rs
+++ b/src/policy/evidence/tracker.rs
@@ -1,10 +1,12 @@
 //! The evidence of all workers that are listed as ready.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::change::{DoubtReason, EvidenceChange, SuspendReason};
 use super::check_budget::CheckBudget;
+use super::checks::USE_WINDOW;
 use super::discovery::{DiscoveryChange, DiscoveryFreshness, DiscoveryKind};
+use super::reexamination::Reexamination;
 use super::validity::EvidenceValidity;
 use super::worker::{DoubtPolicy, ReportedCapacity, WorkerEvidence};
 use crate::api::{DiscoverySignal, Micros, Settings, WorkerId, WorkerStatus};
@@ -32,8 +34,18 @@
     pub(super) budget: CheckBudget,
     /// When a request last arrived.
     pub(super) last_request_at: Option<Micros>,
-    /// Whether any worker may be doubted, suspended or reported as ended.
-    pub(super) has_anomalies: bool,
+    /// The workers that could not be sent new work when they were last examined.
+    pub(super) unavailable: BTreeSet<WorkerId>,
+    /// The workers that are doubted, said that they are unavailable, or whose process has ended.
+    pub(super) flagged: BTreeSet<WorkerId>,
+    /// When and which workers have to be examined again.
+    pub(super) reexamination: Reexamination,
+    /// The workers sent work lately, for checks while discovery is lost.
+    pub(super) recently_used: BTreeSet<(Micros, WorkerId)>,
+    /// Where the search for workers to check continues in a large fleet.
+    pub(super) check_cursor: Option<WorkerId>,
+    /// Number of workers examined so far.
+    pub(super) examined: u64,
     /// When the discovery stream was last reopened.
     pub(super) stream_reopened_at: Micros,
     /// The number of reopenings since the last update.
@@ -63,7 +75,13 @@
             workers: BTreeMap::new(),
             budget: CheckBudget::new(settings.instances, now),
             last_request_at: None,
-            has_anomalies: false,
+            unavailable: BTreeSet::new(),
+            flagged: BTreeSet::new(),
+            reexamination: Reexamination::default(),
+            recently_used: BTreeSet::new(),
+            // Instances begin at different places, as their checks would otherwise meet.
+            check_cursor: Some(WorkerId((seed >> 32) as u32)),
+            examined: 0,
             stream_reopened_at: 0,
             reopenings: 0,
             changes: VecDeque::new(),
@@ -78,7 +96,17 @@
         let confirmed_at = self.discovery.confirmed_at(now);
         self.workers
             .get(&id)
-            .is_some_and(|worker| worker.may_send(now, validity, confirmed_at))
+            // A new process is used only once its copies have been forgotten.
+            .is_some_and(|worker| {
+                !worker.is_new_process && worker.may_send(now, validity, confirmed_at)
+            })
+    }
+
+    /// The number of workers that may be sent new work, as of the last update; `None` if the list
+    /// does not expire.
+    pub fn available_count(&self) -> Option<usize> {
+        self.validity?;
+        Some(self.workers.len() - self.unavailable.len())
     }
 
     /// Whether a worker is doubted: it rejected work in an unexpected way, and no evidence since
@@ -91,7 +119,7 @@
     /// Whether any worker may be doubted, suspended or reported as ended. If not, callers need not
     /// look at each worker.
     pub fn has_anomalies(&self) -> bool {
-        self.has_anomalies
+        !self.unavailable.is_empty() || !self.flagged.is_empty()
     }
 
     /// Whether a worker is doubted and a health check will settle the doubt.
@@ -105,8 +133,7 @@
             return;
         }
         let is_contradicted = self
-            .workers
-            .values()
+            .flagged_workers()
             .any(|worker| worker.reported_unavailable_at.is_some());
         self.discovery.handle(now, signal, is_contradicted);
         if signal == DiscoverySignal::Update {
@@ -119,9 +146,31 @@
     }
 
     fn drop_doubts(&mut self) {
-        for worker in self.workers.values_mut() {
-            worker.doubt = None;
+        for id in &self.flagged {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.doubt = None;
+            }
+            self.reexamination.touch(*id);
+        }
+    }
+
+    /// The evidence of the flagged workers.
+    pub(super) fn flagged_workers(&self) -> impl Iterator<Item = &WorkerEvidence> {
+        self.flagged.iter().filter_map(|id| self.workers.get(id))
+    }
+
+    /// Notes that a worker's evidence has changed in a way that restricts its use.
+    fn flag(&mut self, id: WorkerId) {
+        self.flagged.insert(id);
+        self.reexamination.touch(id);
+    }
+
+    fn forget(&mut self, id: WorkerId) {
+        if let Some(worker) = self.workers.remove(&id) {
+            self.recently_used.remove(&(worker.last_used_at, id));
         }
+        self.unavailable.remove(&id);
+        self.flagged.remove(&id);
     }
 
     /// Applies a list entry. `restarted` is true if the entry names a later process start than the
@@ -131,20 +180,33 @@
             return;
         }
         if status != WorkerStatus::Ready {
-            self.workers.remove(&id);
+            self.forget(id);
             return;
         }
         let worker = self.workers.entry(id).or_default();
-        // The next update determines whether it may be used.
-        self.has_anomalies |= !worker.is_available;
         if restarted {
             worker.begin_process();
         }
+        // The next update determines whether it may be used.
+        if !worker.is_available {
+            self.unavailable.insert(id);
+        }
+        if restarted || !worker.is_available {
+            self.reexamination.touch(id);
+        }
     }
 
     /// Removes workers that a complete list does not contain.
     pub fn retain_listed(&mut self, is_listed: impl Fn(WorkerId) -> bool) {
-        self.workers.retain(|id, _| is_listed(*id));
+        let unlisted: Vec<WorkerId> = self
+            .workers
+            .keys()
+            .filter(|id| !is_listed(**id))
+            .copied()
+            .collect();
+        for id in unlisted {
+            self.forget(id);
+        }
     }
 
     /// Records the arrival of a request.
@@ -155,7 +217,17 @@
     /// Records that an attempt or a load order is sent.
     pub fn on_sent(&mut self, now: Micros, id: WorkerId) {
         if let Some(worker) = self.workers.get_mut(&id) {
+            self.recently_used.remove(&(worker.last_used_at, id));
             worker.last_used_at = now;
+            self.recently_used.insert((now, id));
+        }
+        let outdated = now.saturating_sub(USE_WINDOW);
+        while self
+            .recently_used
+            .first()
+            .is_some_and(|(at, _)| *at < outdated)
+        {
+            self.recently_used.pop_first();
         }
     }
 
@@ -170,6 +242,9 @@
             return;
         };
         worker.record_served(now, at, opened_at, validity, confirmed_at);
+        if self.flagged.contains(&id) || self.unavailable.contains(&id) {
+            self.reexamination.touch(id);
+        }
     }
 
     /// Records that a worker rejected a call sent at `sent_at`.
@@ -225,7 +300,7 @@
         let Some(reason) = doubt else {
             return;
         };
-        self.has_anomalies = true;
+        self.flag(id);
         let evidence_age = self.evidence_age(now, id);
         self.report(EvidenceChange::Doubted {
             worker: id,
@@ -242,7 +317,7 @@
         }
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.process_ended_at = Some(now);
-            self.has_anomalies = true;
+            self.flag(id);
         }
     }
 
@@ -269,7 +344,7 @@
         if result == CheckResult::Dead && worker.served_at.is_none_or(|at| at < sent_at) {
             worker.reported_unavailable_at = Some(sent_at);
             worker.doubt = None;
-            self.has_anomalies = true;
+            self.flag(id);
         }
     }
 
@@ -301,64 +376,123 @@
     /// Drops doubts and ended processes when discovery is available again: the list decides from
     /// now on.
     fn on_discovery_restored(&mut self) {
-        for worker in self.workers.values_mut() {
+        for id in &self.flagged {
+            let Some(worker) = self.workers.get_mut(id) else {
+                continue;
+            };
             let had_ended = worker.process_ended_at.take().is_some();
             worker.is_new_process |= had_ended && worker.suspended_since.is_some();
             worker.doubt = None;
+            self.reexamination.touch(*id);
         }
     }
 
     /// Whether the state of each worker has to be examined.
     pub(super) fn must_examine_workers(&self, now: Micros) -> bool {
-        self.validity.is_some() && (self.has_anomalies || self.discovery.is_lost(now))
+        let Some(validity) = &self.validity else {
+            return false;
+        };
+        self.has_anomalies()
+            || self.reexamination.has_touched()
+            || self.is_list_ageing(now, validity)
     }
 
+    /// Whether listed workers may lose their evidence without any further event.
+    fn is_list_ageing(&self, now: Micros, validity: &EvidenceValidity) -> bool {
+        let listed_until = self
+            .discovery
+            .confirmed_at(now)
+            .map_or(0, |at| at + validity.list_evidence);
+        self.discovery.is_lost(now) || now >= listed_until
+    }
+
+    /// Examines the workers whose availability may have changed: those with new evidence, those
+    /// whose evidence expires now, and, once discovery confirms the list, the unavailable ones.
     fn update_availability(
         &mut self,
         now: Micros,
         validity: &EvidenceValidity,
     ) -> Vec<(WorkerId, Availability)> {
         let confirmed_at = self.discovery.confirmed_at(now);
+        if self.is_list_ageing(now, validity) {
+            let workers = self
+                .workers
+                .iter()
+                .filter(|(_, worker)| worker.is_available);
+            self.reexamination.watch_all(
+                workers.map(|(id, worker)| (worker.expires_at(validity, confirmed_at), *id)),
+            );
+        } else {
+            let restricted = self.flagged.union(&self.unavailable);
+            self.reexamination.stop_watching_all(restricted);
+        }
+        let mut due = self.reexamination.take_due(now);
+        if self.reexamination.is_newly_confirmed(confirmed_at) {
+            due.extend(&self.unavailable);
+        }
         let mut changed = Vec::new();
-        let mut changes = Vec::new();
-        let mut has_anomalies = false;
-        for (id, worker) in &mut self.workers {
-            let may_send = worker.may_send(now, validity, confirmed_at);
-            match (may_send, worker.is_available) {
-                (true, false) => {
-                    worker.is_available = true;
-                    let new_process = std::mem::take(&mut worker.is_new_process);
-                    changed.push((*id, Availability::Resumed { new_process }));
-                    // A worker that becomes available for the first time was not suspended, so
-                    // there is nothing to report.
-                    changes.extend(worker.suspended_since.take().map(|since| {
-                        EvidenceChange::Resumed {
-                            worker: *id,
-                            new_process,
-                            suspended_for: now - since,
-                        }
-                    }));
-                }
-                (false, true) => {
-                    worker.is_available = false;
-                    worker.suspended_since = Some(now);
-                    changed.push((*id, Availability::Suspended));
-                    changes.push(EvidenceChange::Suspended {
-                        worker: *id,
-                        reason: suspend_reason(now, worker),
-                        evidence_age: worker.latest(confirmed_at).map(|at| now - at),
+        for id in due {
+            let availability = self.examine(now, id, validity, confirmed_at);
+            changed.extend(availability.map(|availability| (id, availability)));
+        }
+        changed
+    }
+
+    /// Updates whether one worker may be sent new work, and when it is examined again.
+    fn examine(
+        &mut self,
+        now: Micros,
+        id: WorkerId,
+        validity: &EvidenceValidity,
+        confirmed_at: Option<Micros>,
+    ) -> Option<Availability> {
+        self.examined += 1;
+        let worker = self.workers.get_mut(&id)?;
+        let may_send = worker.may_send(now, validity, confirmed_at);
+        let was_available = std::mem::replace(&mut worker.is_available, may_send);
+        if may_send {
+            self.unavailable.remove(&id);
+        } else {
+            self.unavailable.insert(id);
+        }
+        if !worker.is_flagged() {
+            self.flagged.remove(&id);
+        }
+        let next_at = if may_send {
+            let is_watched = self.reexamination.watches_all() || worker.is_flagged();
+            is_watched.then(|| worker.expires_at(validity, confirmed_at))
+        } else {
+            Some(worker.usable_from).filter(|usable_from| now < *usable_from)
+        };
+        if let Some(at) = next_at {
+            self.reexamination.schedule(at, id);
+        }
+        match (was_available, may_send) {
+            (false, true) => {
+                let new_process = std::mem::take(&mut worker.is_new_process);
+                // A worker that becomes available for the first time was not suspended, so there is
+                // nothing to report.
+                if let Some(since) = worker.suspended_since.take() {
+                    self.report(EvidenceChange::Resumed {
+                        worker: id,
+                        new_process,
+                        suspended_for: now - since,
                     });
                 }
-                (true, true) | (false, false) => {}
+                Some(Availability::Resumed { new_process })
             }
-            has_anomalies |=
-                !may_send || worker.doubt.is_some() || worker.process_ended_at.is_some();
-        }
-        self.has_anomalies = has_anomalies;
-        for change in changes {
-            self.report(change);
+            (true, false) => {
+                worker.suspended_since = Some(now);
+                let change = EvidenceChange::Suspended {
+                    worker: id,
+                    reason: suspend_reason(now, worker),
+                    evidence_age: worker.latest(confirmed_at).map(|at| now - at),
+                };
+                self.report(change);
+                Some(Availability::Suspended)
+            }
+            (true, true) | (false, false) => None,
         }
-        changed
     }
 }
 
--- a/src/policy/evidence/view.rs
+++ b/src/policy/evidence/view.rs
@@ -38,6 +38,11 @@
             .map(|at| now.saturating_sub(at))
     }
 
+    /// The number of workers examined so far.
+    pub fn examined(&self) -> u64 {
+        self.examined
+    }
+
     /// Whether discovery has confirmed the list since the start, or the time allowed for that is
     /// over.
     pub fn is_startup_complete(&self, now: Micros) -> bool {
@@ -85,6 +90,7 @@
         if let Some(worker) = self.workers.get_mut(&id) {
             if worker.reported_unavailable_at.is_none() && worker.process_ended_at.is_none() {
                 worker.served_at = worker.served_at.max(Some(at));
+                self.reexamination.touch(id);
             }
         }
     }
--- a/src/policy/evidence/worker.rs
+++ b/src/policy/evidence/worker.rs
@@ -137,6 +137,26 @@
         confirmed_at.map(|at| at.min(listed_until))
     }
 
+    /// Whether it is doubted, said that it is unavailable, or its process has ended.
+    pub(super) fn is_flagged(&self) -> bool {
+        self.doubt.is_some()
+            || self.reported_unavailable_at.is_some()
+            || self.process_ended_at.is_some()
+    }
+
+    /// When the evidence expires without any further event.
+    pub(super) fn expires_at(
+        &self,
+        validity: &EvidenceValidity,
+        confirmed_at: Option<Micros>,
+    ) -> Micros {
+        let own = self.served_at.map_or(0, |at| at + validity.own_evidence);
+        let listed = self
+            .listed_at(confirmed_at)
+            .map_or(0, |at| at + validity.list_evidence);
+        own.max(listed)
+    }
+
     /// Whether it may be sent new work.
     pub(super) fn may_send(
         &self,
@@ -147,11 +167,7 @@
         if self.reported_unavailable_at.is_some() || now < self.usable_from {
             return false;
         }
-        let own = self.served_at.map_or(0, |at| at + validity.own_evidence);
-        let listed = self
-            .listed_at(confirmed_at)
-            .map_or(0, |at| at + validity.list_evidence);
-        now < own.max(listed)
+        now < self.expires_at(validity, confirmed_at)
     }
 
     /// Records that the worker accepted new work at `at`, on a connection opened at `opened_at` if
--- a/src/policy/function.rs
+++ b/src/policy/function.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use super::candidates::Candidates;
 use crate::api::{Micros, RequestId, WorkerId};
 
 /// The maximum number of answers carried over in a function's mean run time from one interval to
@@ -29,9 +30,7 @@
     pub(super) queue: VecDeque<RequestId>,
     pub(super) copies: BTreeMap<WorkerId, CopyState>,
     /// The workers that may hold copies, in rendezvous order.
-    pub(super) candidates: Vec<WorkerId>,
-    /// The version of the endpoint list that the candidates were taken from.
-    pub(super) candidates_version: u64,
+    pub(super) candidates: Candidates,
     /// When a worker was last queried for copies; 0 if never.
     pub(super) last_query_at: Micros,
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -34,7 +34,7 @@
         let usual_run_time = self.mean_run_time_of_all();
         let min_limit = self.min_concurrency_limit();
         self.record_evidence(now, end, latency_objective);
-        let Some(worker) = self.workers.get_mut(&end.worker) else {
+        let Some(mut worker) = self.workers.get_mut(&end.worker) else {
             return;
         };
         worker.add_debt(now, 0.0);
@@ -73,6 +73,7 @@
             | Outcome::NotSent => {}
         }
         worker.eject_after_failures(now);
+        drop(worker);
         if process == Process::Restarted {
             self.forget_copies(end.worker);
         }
--- a/src/policy/latency.rs
+++ b/src/policy/latency.rs
@@ -75,7 +75,7 @@
             } else {
                 min_limit
             };
-        let Some(worker) = self.workers.get_mut(&end.worker) else {
+        let Some(mut worker) = self.workers.get_mut(&end.worker) else {
             return;
         };
         worker.reported_load = ReportedLoad {
--- a/src/policy/load_backoff.rs
+++ b/src/policy/load_backoff.rs
@@ -106,7 +106,14 @@
 
     /// Forgets the pauses of a worker with a new process: the rejections came from the old one.
     pub(super) fn forget_worker(&mut self, worker: WorkerId) {
-        self.copies.retain(|key, _| key.worker != worker);
+        let keys: Vec<CopyKey> = self
+            .copies
+            .range(CopyKey::all_of(worker))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in keys {
+            self.copies.remove(&key);
+        }
         self.workers.remove(&worker);
     }
 
--- a/src/policy/loads.rs
+++ b/src/policy/loads.rs
@@ -1,5 +1,7 @@
 //! Copies of functions: the workers that hold them, and loads in progress.
 
+use std::ops::RangeInclusive;
+
 use super::function::FunctionState;
 use super::worker::{BASE_EJECTION_TIME, MAX_CONSECUTIVE_FAILURES};
 use super::Policy;
@@ -27,6 +29,14 @@
     pub(super) probability: f64,
 }
 
+impl CopyKey {
+    /// The keys of all functions at one worker.
+    pub(super) fn all_of(worker: WorkerId) -> RangeInclusive<CopyKey> {
+        let key = |function| CopyKey { worker, function };
+        key(FunctionId(0))..=key(FunctionId(u64::MAX))
+    }
+}
+
 impl Policy {
     /// The time for which a load without an answer is assumed to be in progress, in microseconds.
     pub(super) fn assumed_load_time(&self, function: &FunctionState) -> Micros {
@@ -46,6 +56,7 @@
             return;
         };
         if probability == LOAD_CERTAIN {
+            self.known_copies.insert(key);
             function.copies.entry(key.worker).or_default().loading_since = Some(now);
         }
         self.loads_in_progress.insert(
@@ -81,6 +92,7 @@
         let Some(function) = self.functions.get_mut(&key.function) else {
             return;
         };
+        self.known_copies.insert(key);
         let copy = function.copies.entry(key.worker).or_default();
         copy.loading_since = None;
         if copies > 0 {
@@ -93,7 +105,7 @@
     /// Ejects a worker after a failed connect, whatever the connect was for. Only many instances
     /// need this: a few send each worker enough requests to detect it.
     fn eject_unreachable(&mut self, now: Micros, worker: WorkerId) {
-        let Some(state) = self.workers.get_mut(&worker) else {
+        let Some(mut state) = self.workers.get_mut(&worker) else {
             return;
         };
         if state.consecutive_failures < MAX_CONSECUTIVE_FAILURES {
@@ -109,6 +121,10 @@
             return;
         };
         let concurrency_per_copy = function.concurrency_per_copy;
+        self.known_copies.insert(CopyKey {
+            worker: end.worker,
+            function: id,
+        });
         let copy = function.copies.entry(end.worker).or_default();
         copy.own_in_flight = copy.own_in_flight.saturating_sub(1);
         match end.outcome {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 
 mod answers;
 mod cancellation;
+mod candidates;
 mod dispatch;
 mod eligibility;
 mod endpoints;
@@ -31,9 +32,11 @@
 mod selection_view;
 mod window;
 mod worker;
+mod worker_table;
 
 pub use idempotency::{never_ran, permitted_after, Permitted};
 
+use candidates::AvailabilityChanges;
 use evidence::{Availability, CheckResult, EvidenceChange, EvidenceTracker, WorkerEvidenceAge};
 use function::FunctionState;
 use limits::TenantBucket;
@@ -41,7 +44,7 @@
 use loads::{CopyKey, LoadInProgress};
 use request::RequestState;
 use window::{DecayingAverage, SlidingWindow};
-use worker::WorkerState;
+use worker_table::WorkerTable;
 
 /// Initial concurrency limit of a worker, for all instances together. Answers raise or cut it. Each
 /// instance starts with its share.
@@ -61,11 +64,15 @@
     /// Decorrelates the turns of instances at workers in slow start.
     seed: u64,
     functions: BTreeMap<FunctionId, FunctionState>,
-    workers: BTreeMap<WorkerId, WorkerState>,
+    workers: WorkerTable,
     /// Evidence that workers accept new work.
     evidence: EvidenceTracker,
-    /// The version of the endpoint list. Candidate lists of an older version are stale.
-    list_version: u64,
+    /// Changes of the workers' availability, which functions' candidates follow.
+    availability_changes: AvailabilityChanges,
+    /// The number of workers and functions looked at so far, apart from evidence.
+    visited: u64,
+    /// The functions with known copies or requests in flight, by worker.
+    known_copies: BTreeSet<CopyKey>,
     requests: BTreeMap<RequestId, RequestState>,
     /// Requests by their clients' deadlines.
     deadlines: BTreeSet<(Micros, RequestId)>,
@@ -191,11 +198,9 @@
     /// Suspends and resumes workers by their evidence, and starts health checks that are due.
     fn apply_evidence(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let changed = self.evidence.tick(now);
-        if !changed.is_empty() {
-            // Suspended workers leave the candidate lists.
-            self.list_version += 1;
-        }
         for (worker, availability) in &changed {
+            // Suspended workers leave the candidate lists.
+            self.availability_changes.record(*worker);
             if *availability == (Availability::Resumed { new_process: true }) {
                 self.begin_slow_start(now, *worker);
             }
@@ -265,6 +270,12 @@
         self.observed_capacity
     }
 
+    /// The number of workers and functions that periodic work, lists and decisions have looked at
+    /// so far, for tests of how the cost grows with the fleet.
+    pub fn visited(&self) -> u64 {
+        self.visited + self.evidence.examined()
+    }
+
     /// The number of workers that are ready and healthy.
     pub(crate) fn healthy_workers(&self) -> usize {
         self.healthy_workers
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -98,12 +98,7 @@
             .iter()
             .map(|id| self.functions[id].queue.len())
             .sum();
-        let in_flight: usize = self
-            .workers
-            .values()
-            .map(|worker| worker.in_flight as usize)
-            .sum();
-        2 * queued > in_flight + INITIAL_CONCURRENCY_LIMIT as usize
+        2 * queued > self.workers.total_in_flight() + INITIAL_CONCURRENCY_LIMIT as usize
     }
 
     /// A function's FCP demand in microseconds: the larger of the last interval's requests times
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -274,7 +274,7 @@
         let Some(function) = self.functions.get(&request.function) else {
             return false;
         };
-        let is_first_candidate = function.candidates.first() == Some(&worker);
+        let is_first_candidate = function.candidates.workers().first() == Some(&worker);
         let copies_saturated = request.attempts == 1
             && function
                 .copies
--- a/src/policy/scan.rs
+++ b/src/policy/scan.rs
@@ -1,10 +1,8 @@
 //! Periodic work: FCP intervals, the scan of all workers, and expired loads.
 
-use std::collections::BTreeSet;
-
 use super::worker::WorkerState;
 use super::{Policy, FCP_INTERVAL, HEALTH_SCAN_INTERVAL};
-use crate::api::{Action, FunctionId, Micros, WorkerId};
+use crate::api::{Action, Micros, WorkerId};
 
 use super::loads::CopyKey;
 
@@ -34,6 +32,7 @@
         self.interval_started_at = now;
         self.load_backoffs.forget_outdated(now);
         // Without this, memory would grow with every function ever called.
+        self.visited += self.functions.len() as u64;
         self.functions.retain(|_, function| function.is_in_use());
         for function in self.functions.values_mut() {
             function.begin_interval();
@@ -41,6 +40,11 @@
                 .copies
                 .retain(|worker, copy| copy.own_in_flight > 0 || self.workers.contains_key(worker));
         }
+        let functions = &self.functions;
+        self.known_copies.retain(|key| {
+            let function = functions.get(&key.function);
+            function.is_some_and(|function| function.copies.contains_key(&key.worker))
+        });
     }
 
     /// Forgets loads past their usual time: no answer reports the end of a load whose requests have
@@ -54,34 +58,47 @@
         self.loads_in_progress = loads;
     }
 
-    /// Updates the stalled workers, the number of healthy workers, and the capacity in use.
+    /// Updates the stalled workers, the number of healthy workers, and the capacity in use. Only
+    /// workers in use or suspected of a fault are looked at.
     pub(super) fn scan_workers(&mut self, now: Micros) {
-        let stalled: BTreeSet<WorkerId> = self
-            .workers
-            .iter()
-            .filter(|(id, worker)| self.is_stalled(now, **id, worker))
-            .map(|(id, _)| *id)
-            .collect();
-        for (id, worker) in &mut self.workers {
-            worker.stalled = stalled.contains(id);
-        }
-        self.workers
-            .retain(|_, worker| worker.ready || worker.in_flight > 0);
-        let evidence = &self.evidence;
-        let available: Vec<&WorkerState> = self
-            .workers
+        self.update_stalled(now);
+        self.workers.remove_unused();
+        self.ready_workers = self
+            .evidence
+            .available_count()
+            .unwrap_or(self.workers.ready_count());
+        let suspects = self.workers.suspects();
+        self.visited += suspects.len() as u64;
+        let unhealthy = suspects
             .iter()
-            .filter(|(id, worker)| worker.ready && evidence.may_send(now, **id))
-            .map(|(_, worker)| worker)
-            .collect();
-        self.ready_workers = available.len();
-        self.healthy_workers = available
-            .iter()
-            .filter(|worker| worker.is_healthy(now))
+            .filter(|id| self.is_available(now, **id))
+            .filter_map(|id| self.workers.get(id))
+            .filter(|worker| !worker.is_healthy(now))
             .count();
+        self.healthy_workers = self.ready_workers.saturating_sub(unhealthy);
         self.measure_capacity(now);
     }
 
+    fn update_stalled(&mut self, now: Micros) {
+        let usual_latency = self.usual_latency();
+        let in_question: Vec<WorkerId> = self
+            .workers
+            .busy()
+            .union(self.workers.stalled())
+            .copied()
+            .collect();
+        self.visited += in_question.len() as u64;
+        for id in in_question {
+            let stalled = self
+                .workers
+                .get(&id)
+                .is_some_and(|worker| self.is_stalled(now, id, worker, usual_latency));
+            if let Some(mut worker) = self.workers.get_mut(&id) {
+                worker.stalled = stalled;
+            }
+        }
+    }
+
     fn measure_capacity(&mut self, now: Micros) {
         let ready = self.ready_workers.max(1) as f64;
         let answers = self.recent_answers.count(now, FCP_INTERVAL);
@@ -90,24 +107,15 @@
         self.observed_capacity = self
             .observed_capacity
             .max(answers / FCP_INTERVAL as f64 / ready);
-        let limits: f64 = self
-            .workers
-            .values()
-            .filter(|worker| worker.ready)
-            .map(|worker| worker.concurrency_limit)
-            .sum();
+        let limits = self.workers.total_limit();
         let in_flight = self.in_flight_average.value(now);
         let initial_limits = self.initial_concurrency_limit * ready;
         self.has_spare_capacity = in_flight < SPREAD_UTILIZATION * limits;
         self.is_overloaded = in_flight > OVERLOAD_UTILIZATION * limits.max(initial_limits);
     }
 
-    /// Whether a worker has been silent for longer than attempts usually take: it hangs, is
-    /// partitioned, or is overloaded.
-    fn is_stalled(&self, now: Micros, id: WorkerId, worker: &WorkerState) -> bool {
-        if worker.in_flight == 0 {
-            return false;
-        }
+    /// The time in microseconds that attempts usually take at most.
+    fn usual_latency(&self) -> f64 {
         let objective = self
             .settings
             .classes
@@ -115,7 +123,21 @@
             .map(|class| class.latency_objective)
             .min()
             .unwrap_or(0);
-        let usual_latency = (4.0 * self.mean_run_time_of_all()).max(objective as f64 * 0.75);
+        (4.0 * self.mean_run_time_of_all()).max(objective as f64 * 0.75)
+    }
+
+    /// Whether a worker has been silent for longer than attempts usually take: it hangs, is
+    /// partitioned, or is overloaded.
+    fn is_stalled(
+        &self,
+        now: Micros,
+        id: WorkerId,
+        worker: &WorkerState,
+        usual_latency: f64,
+    ) -> bool {
+        if worker.in_flight == 0 {
+            return false;
+        }
         // A single long request does not indicate a hang, nor does the wait for a load.
         let stall_timeout = usual_latency * if worker.in_flight > 1 { 1.0 } else { 2.0 };
         now > worker.last_answer_at + stall_timeout as Micros + self.longest_load_at(id)
@@ -123,16 +145,8 @@
 
     /// The longest assumed load time of the functions being loaded at a worker, in microseconds.
     fn longest_load_at(&self, worker: WorkerId) -> Micros {
-        let first = CopyKey {
-            worker,
-            function: FunctionId(0),
-        };
-        let last = CopyKey {
-            worker,
-            function: FunctionId(u64::MAX),
-        };
         self.loads_in_progress
-            .range(first..=last)
+            .range(CopyKey::all_of(worker))
             .filter_map(|(key, _)| self.functions.get(&key.function))
             .map(|function| self.assumed_load_time(function))
             .max()
--- a/src/policy/selection_view.rs
+++ b/src/policy/selection_view.rs
@@ -19,7 +19,7 @@
             let is_faulty = state.is_some_and(|state| self.now < state.peer_unhealthy_until);
             is_faulty || has_doubts && self.policy.evidence.is_doubted(**worker)
         };
-        let candidates = &self.function.candidates;
+        let candidates = self.function.candidates.workers();
         let trusted = candidates.iter().filter(|worker| !is_suspect(worker));
         let suspect = candidates.iter().filter(is_suspect);
         trusted.chain(suspect).copied().collect()
