Count a list's cost by functions without requests that wait

lists_cost_the_same_with_more_functions failed as committed ([70, 274, 274]): the fleet had up to ten requests waiting, each of which is decided on after a list. It now waits until they have expired; the counts are equal for 10, 100 and 1,000 functions.

--- a/tests/fleet_cost.rs
+++ b/tests/fleet_cost.rs
@@ -177,7 +177,10 @@
         for function in 0..functions {
             fleet.request(1_000 + function);
         }
-        fleet.confirm();
+        // Until the last request has expired: those that wait are decided on after each list.
+        for _ in 0..12 {
+            fleet.confirm();
+        }
         fleet.list(1_000_000..1_000_020, WorkerStatus::Ready)
     });
     assert!(counts.iter().all(|count| *count <= counts[0]), "{counts:?}");
