Count a request's time from its arrival, not from its reading

Callers got answers up to 0.9 s after their deadline when their gateway had not read for 0.9 s, also with 60 workers: of a stopped process, of one without a core, of one held by a list.

Cause: a deadline was X-Deadline-Ms from the moment at which the loop read the request. Whatever held the loop was added to it. The same mistake was made with workers' answers (the wait for the reading taught the policy that the worker is slow), load reports, the queue time, heartbeats and updates of discovery (an event read late counted as fresh), and gossip (datagrams were read after the timeouts of those who sent them).

net::arrival dates input: after a pass and a wait that together took more than 10 ms longer than asked, input arrived since the previous pass began; the system's time of reception (SO_TIMESTAMPNS), which also covers clients that were not accepted yet, narrows that down unless the system clock was set meanwhile. What is late on arrival is answered at once and not sent, as the module already did with requests without time left. Not covered: waits that end in time (an error of up to 10 ms), and what waited in an inherited listener before the process started.

--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -74,6 +74,8 @@
     pub function: FunctionId,
     /// The client's deadline for this request.
     pub expires_at: Micros,
+    /// The time from its arrival to its reading, in microseconds.
+    pub unread_for: Micros,
     /// The expected run time in microseconds, if the client states it.
     pub expected_work: Option<Micros>,
     /// The memory of one loaded copy, in megabytes.
@@ -102,8 +104,10 @@
     /// Requests of the function that the worker held when this one arrived, if the answer states
     /// it.
     pub function_in_flight: u32,
-    /// The time since the attempt was sent, in microseconds.
+    /// The time from the sending of the attempt to its end, in microseconds.
     pub latency: Micros,
+    /// The time from the arrival of the answer to its reading, in microseconds.
+    pub unread_for: Micros,
     /// The worker's load report, if one was attached.
     pub load_report: Option<LoadReport>,
 }
@@ -120,6 +124,13 @@
     },
     /// The service discovery stream sent a signal.
     Discovery(DiscoverySignal),
+    /// The service discovery stream sent a signal that was read late.
+    DelayedDiscovery {
+        /// The signal.
+        signal: DiscoverySignal,
+        /// When it arrived.
+        arrived_at: Micros,
+    },
     /// A worker refused a connection while no other connection to it was open: its process has
     /// ended. With another one open, the worker may only have reached its connection limit.
     ConnectionRefused {
--- a/src/bin/molelug-simhost/wire.rs
+++ b/src/bin/molelug-simhost/wire.rs
@@ -233,6 +233,7 @@
             class: ClassId(u8_at(event, 7)?),
             tenant: TenantId(u32_at(event, 8)?),
             function: FunctionId(u64_at(event, 12)?),
+            unread_for: 0,
             expires_at: micros(f64_at(event, 20)?),
             expected_work: (u8_at(event, 48)? & 1 != 0).then_some(micros(f64_at(event, 28)?)),
             memory_mb: f64::from(f32_at(event, 36)?),
@@ -256,6 +257,7 @@
                     _ => None,
                 },
                 function_in_flight: packed >> 3,
+                unread_for: 0,
                 latency: micros(f64_at(event, 19)?),
                 load_report: report(event, 27, fields)?,
             })
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -32,4 +32,13 @@
         self.last_reading = self.last_reading.max(self.started_unix + elapsed);
         self.last_reading
     }
+
+    /// Returns the difference between the system clock and this one in microseconds, which changes
+    /// when the system clock is set.
+    pub fn system_offset(&mut self) -> i64 {
+        let system = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since_epoch| since_epoch.as_micros() as i64);
+        system - self.now() as i64
+    }
 }
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -22,6 +22,28 @@
     start_deadline: Option<Micros>,
 }
 
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptCompletion {
+    /// The reason for its end.
+    pub reason: CloseReason,
+    /// The extent to which it had been sent.
+    pub progress: SendProgress,
+    /// The time from the arrival of its reply to the reading, in microseconds.
+    pub unread_for: Micros,
+}
+
+impl AttemptCompletion {
+    /// An end that is noticed as it happens.
+    pub fn at_once(reason: CloseReason, progress: SendProgress) -> AttemptCompletion {
+        AttemptCompletion {
+            reason,
+            progress,
+            unread_for: 0,
+        }
+    }
+}
+
 impl<O: Clone + std::fmt::Debug> Core<O> {
     /// Returns the worker of an attempt in flight.
     pub fn worker_of(&self, key: AttemptKey) -> Option<WorkerId> {
@@ -125,10 +147,14 @@
         &mut self,
         now: Micros,
         key: AttemptKey,
-        reason: CloseReason,
-        progress: SendProgress,
+        end: AttemptCompletion,
         reply: AttemptReply,
     ) {
+        let AttemptCompletion {
+            reason,
+            progress,
+            unread_for,
+        } = end;
         let Some(attempt) = self.attempts.remove(key) else {
             return;
         };
@@ -150,7 +176,8 @@
             outcome,
             copy_start: reply.copy_start,
             function_in_flight: reply.function_in_flight,
-            latency: now.saturating_sub(attempt.sent_at),
+            latency: now.saturating_sub(attempt.sent_at + unread_for),
+            unread_for,
             load_report: reply.load_report,
         };
         if outcome == Outcome::Ok {
--- a/src/core/evidence.rs
+++ b/src/core/evidence.rs
@@ -19,9 +19,19 @@
 }
 
 impl<O: Clone + std::fmt::Debug> Core<O> {
-    /// Handles a signal from the service discovery stream.
-    pub fn handle_discovery_signal(&mut self, now: Micros, signal: DiscoverySignal) {
-        self.handle_event(now, Event::Discovery(signal));
+    /// Handles a signal from the service discovery stream that arrived at `arrived_at`.
+    pub fn handle_discovery_signal(
+        &mut self,
+        now: Micros,
+        arrived_at: Micros,
+        signal: DiscoverySignal,
+    ) {
+        let event = if arrived_at < now {
+            Event::DelayedDiscovery { signal, arrived_at }
+        } else {
+            Event::Discovery(signal)
+        };
+        self.handle_event(now, event);
     }
 
     /// Returns whether there is valid evidence that a worker accepts new work. The driver checks it immediately before
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -23,6 +23,7 @@
 mod requests;
 
 use attempts::Attempt;
+pub use attempts::AttemptCompletion;
 pub use command::{Answer, AttemptDispatch, AttemptReply, Call, Command};
 pub use deadlines::ExternalDeadline;
 use deadlines::{Deadline, DeadlineQueue};
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -52,6 +52,7 @@
         class: ClassId((origin % 2) as u8),
         tenant: TenantId(0),
         function: FunctionId(u64::from(origin % 5)),
+        unread_for: 0,
         expires_at: now + SECOND_US / 2 + Micros::from(origin % 7) * 100_000,
         expected_work: None,
         memory_mb: 1.0,
@@ -127,8 +128,12 @@
                     self.may_have_run.insert(identity);
                 }
                 let reply = AttemptReply::default();
-                self.core
-                    .attempt_ended(now, attempt, reason, started, reply);
+                self.core.attempt_ended(
+                    now,
+                    attempt,
+                    AttemptCompletion::at_once(reason, started),
+                    reply,
+                );
             }
             Command::Load { order, copies, .. } => {
                 let reason = match self.random_below(3) {
@@ -170,13 +175,16 @@
                 self.may_have_run.insert(identity);
             }
             let reply = AttemptReply::default();
-            self.core
-                .attempt_ended(now, attempt, reason, progress, reply);
             self.core.attempt_ended(
                 now,
                 attempt,
-                CloseReason::Served,
-                SendProgress::Started,
+                AttemptCompletion::at_once(reason, progress),
+                reply,
+            );
+            self.core.attempt_ended(
+                now,
+                attempt,
+                AttemptCompletion::at_once(CloseReason::Served, SendProgress::Started),
                 AttemptReply::default(),
             );
         }
@@ -229,7 +237,7 @@
                 5..=7 if !in_flight.is_empty() => {
                     let attempt = in_flight.swap_remove(index.index(in_flight.len()));
                     let reason = [CloseReason::Served, CloseReason::Failed, CloseReason::NotLoaded][usize::from(step) - 5];
-                    core.attempt_ended(now, attempt, reason, SendProgress::Started, AttemptReply::default());
+                    core.attempt_ended(now, attempt, AttemptCompletion::at_once(reason, SendProgress::Started), AttemptReply::default());
                 }
                 _ => {}
             }
@@ -239,7 +247,7 @@
                     Command::Dispatch(AttemptDispatch { attempt, .. }) => in_flight.push(attempt),
                     Command::Cancel { attempt, reason } => {
                         in_flight.retain(|other| *other != attempt);
-                        core.attempt_ended(now, attempt, reason, SendProgress::Started, AttemptReply::default());
+                        core.attempt_ended(now, attempt, AttemptCompletion::at_once(reason, SendProgress::Started), AttemptReply::default());
                     }
                     Command::Load { order, copies, .. } => {
                         core.load_ended(now, order, CloseReason::Served, SendProgress::Started, u32::from(copies));
@@ -282,8 +290,7 @@
         core.attempt_ended(
             20_000,
             attempt,
-            CloseReason::Served,
-            SendProgress::Started,
+            AttemptCompletion::at_once(CloseReason::Served, SendProgress::Started),
             AttemptReply::default(),
         );
     }
@@ -306,8 +313,7 @@
     core.attempt_ended(
         20,
         attempt,
-        CloseReason::Reset,
-        SendProgress::Started,
+        AttemptCompletion::at_once(CloseReason::Reset, SendProgress::Started),
         AttemptReply::default(),
     );
     let answer =
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -46,11 +46,30 @@
         .filter(|n| n.is_finite() && *n >= 0.0)
 }
 
+/// When a request is read, and when it arrived: its deadline counts from the latter.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadTime {
+    /// When it is read.
+    pub now: Micros,
+    /// When it arrived.
+    pub arrived_at: Micros,
+}
+
+impl ReadTime {
+    /// A request that is read as it arrives.
+    pub fn on_arrival(now: Micros) -> ReadTime {
+        ReadTime {
+            now,
+            arrived_at: now,
+        }
+    }
+}
+
 /// Parses the next request; `None` while the request is incomplete.
 pub fn parse_request(
     bytes: &[u8],
     names: &Names,
-    now: Micros,
+    read: ReadTime,
 ) -> Result<Option<ParsedRequest>, RequestError> {
     let Some(r) = http::request(bytes)? else {
         return Ok(None);
@@ -58,11 +77,11 @@
     Ok(Some(ParsedRequest {
         size: r.size,
         keep_alive: r.keep_alive,
-        request: parse(&r, names, now),
+        request: parse(&r, names, read),
     }))
 }
 
-fn parse(r: &Request<'_>, names: &Names, now: Micros) -> Result<ClientRequest, RequestError> {
+fn parse(r: &Request<'_>, names: &Names, read: ReadTime) -> Result<ClientRequest, RequestError> {
     if r.path == "/ping" {
         return if r.method == "GET" {
             Ok(ClientRequest::Ping)
@@ -110,7 +129,8 @@
         class: ClassId(class.ok_or(request_error(400, "unknown class"))? as u8),
         tenant: TenantId(tenant.ok_or(request_error(400, "unknown tenant"))? as u32),
         function,
-        expires_at: now
+        unread_for: read.now.saturating_sub(read.arrived_at),
+        expires_at: read.arrived_at
             + (deadline_ms.ok_or(request_error(400, "bad X-Deadline-Ms"))? * 1e3) as Micros,
         expected_work: estimate_ms.transpose()?.map(|ms| (ms * 1e3) as Micros),
         memory_mb: 0.0,
--- a/src/front/platform/tests.rs
+++ b/src/front/platform/tests.rs
@@ -17,7 +17,7 @@
 
 #[test]
 fn call_is_parsed_with_an_absolute_deadline() {
-    let taken = parse_request(GOOD.as_bytes(), &names(), 1_000)
+    let taken = parse_request(GOOD.as_bytes(), &names(), ReadTime::on_arrival(1_000))
         .unwrap()
         .unwrap();
     let Ok(ClientRequest::Call(call)) = taken.request else {
@@ -48,7 +48,7 @@
     for cut in 0..GOOD.len() {
         assert!(
             matches!(
-                parse_request(&GOOD.as_bytes()[..cut], &names(), 0),
+                parse_request(&GOOD.as_bytes()[..cut], &names(), ReadTime::on_arrival(0)),
                 Ok(None)
             ),
             "cut at {cut}"
@@ -58,7 +58,7 @@
         for byte in [0, b'\r', b'\n', b' ', b':', b'-', b'9', 0xff] {
             let mut bad = GOOD.as_bytes().to_vec();
             bad[at] = byte;
-            if let Err(bad) = parse_request(&bad, &names(), 0) {
+            if let Err(bad) = parse_request(&bad, &names(), ReadTime::on_arrival(0)) {
                 assert!((400..500).contains(&bad.status));
             }
         }
@@ -66,7 +66,7 @@
     for value in ["nan", "inf", "-1", "1e308", "", "0"] {
         let bad = GOOD.replace("1500.5", value);
         assert!(
-            parse_request(bad.as_bytes(), &names(), 0)
+            parse_request(bad.as_bytes(), &names(), ReadTime::on_arrival(0))
                 .unwrap()
                 .unwrap()
                 .request
@@ -83,7 +83,7 @@
         ..names()
     };
     let taken = |text: &str| {
-        parse_request(text.as_bytes(), &names, 0)
+        parse_request(text.as_bytes(), &names, ReadTime::on_arrival(0))
             .unwrap()
             .unwrap()
             .request
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -237,6 +237,7 @@
             class: ClassId(class_index as u8),
             tenant: tenant.id,
             function,
+            unread_for: 0,
             expires_at: now + deadline,
             expected_work: d.estimate_ms.map(micros),
             memory_mb: d.memory_mb,
--- a/src/gateway/accepting.rs
+++ b/src/gateway/accepting.rs
@@ -38,7 +38,11 @@
         for place in 0..self.listeners.sockets.len() {
             // The remaining connections wait for the next turn, so that a flood does not delay
             // others.
-            self.listeners.accept_pending |= self.accept_from(place) == AcceptOutcome::More;
+            let outcome = self.accept_from(place);
+            self.listeners.accept_pending |= outcome == AcceptOutcome::More;
+            let now = self.clock.now();
+            self.arrivals
+                .note_queue(now, outcome == AcceptOutcome::Empty);
         }
     }
 
@@ -94,7 +98,7 @@
             .first_request_deadline(now)
             .unwrap_or(now + CLIENT_REQUEST_TIMEOUT);
         self.set_deadline(key, Some(request_deadline));
-        self.on_ready(key);
+        self.read_accepted(key);
     }
 
     /// Closes the connection that has been idle for longest, to free a slot; returns whether one
--- a/src/gateway/clients.rs
+++ b/src/gateway/clients.rs
@@ -1,12 +1,13 @@
 //! The platform's clients: requests, answers, and idle connections.
 
+use super::connections::read_dated;
 use super::{ConnKey, Gateway, Origin, PendingResponse, Role};
 use crate::api::Micros;
 use crate::completion::CloseReason;
 use crate::core::{Answer, Call};
 use crate::front::http::{self, READ_LIMIT};
 use crate::front::platform::{self, ClientRequest};
-use crate::net::UNTAGGED_FRAME;
+use crate::net::{ArrivalDating, UNTAGGED_FRAME};
 
 /// A client's connection without a pending request is closed after this time. The platform's
 /// clients close theirs after 4 s, except for those that send one request and stay connected.
@@ -66,8 +67,13 @@
         if pending.is_some() || connection.closing || connection.pause_if_backlogged() {
             return ReadProgress::Stop;
         }
-        let taken = match platform::parse_request(connection.input.bytes(), &self.config.names, now)
-        {
+        let arrived_at = connection.input_arrived_at.min(now);
+        let parsed = platform::parse_request(
+            connection.input.bytes(),
+            &self.config.names,
+            platform::ReadTime { now, arrived_at },
+        );
+        let taken = match parsed {
             Ok(Some(taken)) => taken,
             Ok(None) => return self.await_rest_of_request(key, now),
             Err(bad) => {
@@ -176,6 +182,9 @@
 
     fn submit_client_call(&mut self, key: ConnKey, now: Micros, call: Call<()>) {
         self.set_deadline(key, None);
+        if call.arrival.unread_for > 0 {
+            self.timer.record_unread(call.arrival.unread_for);
+        }
         let call = call.with_origin(Origin::Client(key));
         let request = self.core.submit(now, call);
         if let Some((_, Role::Client { pending, .. })) = self.connections.get_mut(key) {
@@ -293,7 +302,9 @@
         if connection.closing || !connection.input.bytes().is_empty() {
             return false;
         }
-        if connection.read(READ_LIMIT).is_err() || connection.input.bytes().is_empty() {
+        let date = ArrivalDating::of_input;
+        let read = read_dated(connection, READ_LIMIT, now, &self.arrivals, date);
+        if read.is_err() || connection.input.bytes().is_empty() {
             return false;
         }
         self.on_input(key, now);
--- a/src/gateway/commands.rs
+++ b/src/gateway/commands.rs
@@ -4,7 +4,9 @@
 use super::{ConnKey, Gateway, Origin, Role};
 use crate::api::{ClassId, Effect, FunctionId, Micros, WorkerId};
 use crate::completion::{CloseReason, SendProgress};
-use crate::core::{AttemptDispatch, AttemptKey, Command, HealthCheckKey, LoadOrderKey};
+use crate::core::{
+    AttemptCompletion, AttemptDispatch, AttemptKey, Command, HealthCheckKey, LoadOrderKey,
+};
 use crate::front::webhook::message::Outcome;
 use crate::policy::never_ran;
 use crate::worker::{AttemptCommand, Completed, Exchange};
@@ -67,8 +69,13 @@
                 self.at_most_once_attempt_ended(key, never_ran(reason.outcome(progress)));
                 let worker = self.core.worker_of(key);
                 self.observe_outcome(now, worker, reason, progress);
-                self.core
-                    .attempt_ended(now, key, reason, progress, completed.reply);
+                let arrived_at = completed.reply_arrived_at.unwrap_or(now);
+                let end = AttemptCompletion {
+                    reason,
+                    progress,
+                    unread_for: now.saturating_sub(arrived_at),
+                };
+                self.core.attempt_ended(now, key, end, completed.reply);
             }
             Exchange::LoadOrder(key) => {
                 self.routes.load_orders.remove(key);
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -14,7 +14,7 @@
 use crate::discovery;
 use crate::front::http::READ_LIMIT;
 use crate::front::operator_console;
-use crate::net::{Connection, SharedStream};
+use crate::net::{ArrivalDating, Connection, ReceptionTime, SharedStream};
 use crate::operations::loop_timing::Activity;
 
 /// Returns the idle timeout of a worker's connection, which is shorter than the worker's own limit
@@ -23,6 +23,29 @@
     limit * 4 / 5
 }
 
+/// Dates the input of a connection that is read at the given time.
+type DateInput = fn(&ArrivalDating, Micros, Option<ReceptionTime>) -> Micros;
+
+/// Reads from a connection, and dates what was read.
+pub(super) fn read_dated(
+    connection: &mut Connection,
+    limit: usize,
+    now: Micros,
+    arrivals: &ArrivalDating,
+    date: DateInput,
+) -> Result<(), CloseReason> {
+    let before = connection.input.bytes().len();
+    let (result, received) = if arrivals.needs_reception_times() {
+        connection.read_timestamped(limit)
+    } else {
+        (connection.read(limit), None)
+    };
+    if connection.input.bytes().len() > before {
+        connection.input_arrived_at = date(arrivals, now, received);
+    }
+    result
+}
+
 impl Gateway {
     /// Registers a stream with the event loop.
     pub(super) fn add_connection(
@@ -106,6 +129,15 @@
 
     /// Reads from a connection whose socket is ready, and handles the input.
     pub(super) fn on_ready(&mut self, key: ConnKey) {
+        self.read_connection(key, ArrivalDating::of_input);
+    }
+
+    /// Reads from a client's connection that was just accepted, and handles the input.
+    pub(super) fn read_accepted(&mut self, key: ConnKey) {
+        self.read_connection(key, ArrivalDating::of_accepted);
+    }
+
+    fn read_connection(&mut self, key: ConnKey, date: DateInput) {
         let now = self.clock.now();
         let Some((connection, role)) = self.connections.get_mut(key) else {
             return;
@@ -124,7 +156,7 @@
             Role::Console => operator_console::READ_LIMIT,
             Role::Peer(_) => consensus::READ_LIMIT_BYTES,
         };
-        let read = connection.read(limit);
+        let read = read_dated(connection, limit, now, &self.arrivals, date);
         if !was_connected {
             let next = match role {
                 Role::Worker(_) => now + worker_idle_timeout(self.config.connection_idle_timeout),
@@ -177,7 +209,8 @@
             return;
         };
         let mut completed = Vec::new();
-        let unmatched = worker.read_replies(now, &mut connection.input, &mut completed);
+        let arrived_at = connection.input_arrived_at;
+        let unmatched = worker.read_replies(now, arrived_at, &mut connection.input, &mut completed);
         self.completed.extend(completed);
         match unmatched {
             Ok(unmatched) => {
@@ -213,24 +246,26 @@
         let answered = stream.has_answered();
         let has_heartbeat = stream.take_heartbeat();
         let is_incomplete = stream.is_incomplete() || !connection.input.bytes().is_empty();
+        // What discovery said is as old as its arrival, however late it is read.
+        let arrived_at = connection.input_arrived_at;
         if answered && !had_answered {
             self.core
-                .handle_discovery_signal(now, DiscoverySignal::Opened);
+                .handle_discovery_signal(now, arrived_at, DiscoverySignal::Opened);
         }
         self.set_deadline(key, Some(now + DISCOVERY_SILENCE_TIMEOUT));
         self.end_activity(Activity::Discovery);
         for event in events {
-            if !self.read_watch_event(now, &event) {
+            if !self.read_watch_event(now, arrived_at, &event) {
                 return self.close(key, CloseReason::Malformed);
             }
         }
         if has_heartbeat {
             self.core
-                .handle_discovery_signal(now, DiscoverySignal::Heartbeat);
+                .handle_discovery_signal(now, arrived_at, DiscoverySignal::Heartbeat);
         }
         if is_incomplete {
             self.core
-                .handle_discovery_signal(now, DiscoverySignal::Incomplete);
+                .handle_discovery_signal(now, arrived_at, DiscoverySignal::Incomplete);
         }
         if answered {
             self.note_discovery_answer(now);
--- a/src/gateway/endpoint_updates.rs
+++ b/src/gateway/endpoint_updates.rs
@@ -70,7 +70,7 @@
         };
         if answered {
             self.core
-                .handle_discovery_signal(now, DiscoverySignal::Closed);
+                .handle_discovery_signal(now, now, DiscoverySignal::Closed);
         }
         self.schedule_discovery_reconnect(now);
     }
@@ -100,6 +100,7 @@
     pub(super) fn read_watch_event(
         &mut self,
         now: Micros,
+        arrived_at: Micros,
         event: &discovery::ServerSentEvent,
     ) -> bool {
         let update = match WatchEvent::parse(&event.data, &self.config.names) {
@@ -120,7 +121,7 @@
         self.end_activity(Activity::EndpointList);
         if is_complete {
             self.core
-                .handle_discovery_signal(now, DiscoverySignal::Update);
+                .handle_discovery_signal(now, arrived_at, DiscoverySignal::Update);
         }
         is_complete
     }
--- a/src/gateway/event_loop.rs
+++ b/src/gateway/event_loop.rs
@@ -49,9 +49,12 @@
         while !self.stop {
             let now = self.clock.now();
             let report = self.timer.begin_pass(now, due_at);
+            let clock_offset = self.clock.system_offset();
+            self.arrivals.begin_pass(now, due_at, clock_offset);
             log_held_loop(report);
             self.run_once();
             let now = self.clock.now();
+            self.arrivals.end_pass(now);
             let report = self.timer.end_pass(now);
             log_held_loop(report);
             if self.stop {
@@ -98,6 +101,10 @@
             self.report_completed(now, completed);
         }
         self.end_activity(Activity::Connections);
+        // Datagrams that have arrived count before the timeouts of those who sent them.
+        let now = self.clock.now();
+        self.step_gossip(now);
+        self.end_activity(Activity::Cluster);
         self.tick();
         self.end_activity(Activity::Deadlines);
         if self.listeners.accept_pending {
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -8,6 +8,7 @@
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 
 use super::{Gateway, GatewayError};
+use crate::net::enable_reception_times;
 
 /// Maximum number of connections that wait to be accepted.
 pub(super) const LISTEN_BACKLOG: i32 = 1024;
@@ -123,6 +124,7 @@
         socket
             .set_nonblocking(true)
             .map_err(|error| GatewayError::Loop(error.into()))?;
+        enable_reception_times(&socket);
         let socket = Rc::new(socket);
         let source = Generic::new(ListenerFd(socket.clone()), Interest::READ, Mode::Edge);
         let callback = move |_, _: &mut _, gateway: &mut Gateway| {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,7 +20,7 @@
 use crate::core::{AttemptKey, Core, RequestKey};
 use crate::discovery::WatchStream;
 use crate::membership::config::Gossip;
-use crate::net::{self, Connection};
+use crate::net::{self, ArrivalDating, Connection};
 use crate::operations::loop_timing::{LoopFigures, LoopTimer};
 use crate::worker::{Completed, Exchange, WorkerConnection};
 
@@ -165,6 +165,8 @@
     completed: VecDeque<Completed>,
     signals: Vec<Signal>,
     timer: LoopTimer,
+    /// When input that was read late had arrived.
+    arrivals: ArrivalDating,
     stop: bool,
 }
 
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Operator};
 use crate::core::Core;
+use crate::net::ArrivalDating;
 use crate::operations::loop_timing::LoopTimer;
 
 /// Converts between the core's rates, per microsecond, and the rates per second in the processes'
@@ -37,6 +38,7 @@
         mut clock: Clock,
     ) -> Result<Gateway, GatewayError> {
         let now = clock.now();
+        let arrivals = ArrivalDating::new(now, clock.system_offset());
         let has_secondary = operator.webhooks.is_some() || operator.admin.is_some();
         let mut gateway = Gateway {
             handle,
@@ -59,6 +61,7 @@
             completed: VecDeque::new(),
             signals: Vec::new(),
             timer: LoopTimer::new(now),
+            arrivals,
             stop: false,
         };
         gateway.listen_for_platform(now, inherited)?;
--- a/src/gateway/webhooks/shard_calls.rs
+++ b/src/gateway/webhooks/shard_calls.rs
@@ -136,6 +136,7 @@
             class: ClassId(class as u8),
             tenant,
             function: FunctionId(call.function),
+            unread_for: 0,
             expires_at: call.expires,
             expected_work: call.work,
             memory_mb: call.memory_mb,
--- a/src/net/connect.rs
+++ b/src/net/connect.rs
@@ -6,6 +6,8 @@
 use rustix::io::Errno;
 use rustix::net::{socket_with, AddressFamily, SocketFlags, SocketType};
 
+use super::timestamped::enable_reception_times;
+
 /// Returns whether an error is due to limits of this machine or process rather than to the peer.
 pub fn is_local_limit(error: &io::Error) -> bool {
     let local = [
@@ -39,5 +41,6 @@
     }
     let stream = TcpStream::from(socket);
     stream.set_nodelay(true)?;
+    enable_reception_times(&stream);
     Ok(stream)
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,13 +1,16 @@
 //! A connection of the event loop.
 
+use std::io::Read;
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::rc::Rc;
 
 use calloop::RegistrationToken;
 
+use super::arrival::ReceptionTime;
 use super::buffer::{Buffer, FillOutcome, MAX_EMPTY_BUFFER_BYTES};
 use super::outbox::Outbox;
+use super::timestamped::TimestampedReader;
 use crate::api::Micros;
 use crate::completion::CloseReason;
 
@@ -51,6 +54,8 @@
     pub deadline: Option<Micros>,
     /// The time since which nothing has been in flight.
     pub idle_since: Micros,
+    /// When the input arrived that was read last.
+    pub input_arrived_at: Micros,
 }
 
 impl Connection {
@@ -74,6 +79,7 @@
             linger: false,
             deadline: None,
             idle_since: now,
+            input_arrived_at: now,
         }
     }
 
@@ -104,9 +110,30 @@
     ///
     /// [`CloseReason::Reset`] if the socket fails.
     pub fn read(&mut self, limit: usize) -> Result<(), CloseReason> {
+        let stream = self.stream.clone();
+        self.read_from(&mut &*stream.0, limit)
+    }
+
+    /// Reads like [`Connection::read`]. Returns the time at which the system received the last
+    /// bytes read, if it told.
+    ///
+    /// # Errors
+    ///
+    /// [`CloseReason::Reset`] if the socket fails.
+    pub fn read_timestamped(
+        &mut self,
+        limit: usize,
+    ) -> (Result<(), CloseReason>, Option<ReceptionTime>) {
+        let stream = self.stream.clone();
+        let mut reader = TimestampedReader::new(&stream.0);
+        let result = self.read_from(&mut reader, limit);
+        (result, reader.received)
+    }
+
+    fn read_from(&mut self, stream: &mut impl Read, limit: usize) -> Result<(), CloseReason> {
         self.has_more_input = true;
         loop {
-            match self.input.fill(&mut &*self.stream.0, limit) {
+            match self.input.fill(stream, limit) {
                 Ok(FillOutcome::Received) => {}
                 Ok(FillOutcome::WouldBlock) => {
                     self.has_more_input = false;
--- a/src/policy/candidates.rs
+++ b/src/policy/candidates.rs
@@ -12,7 +12,9 @@
 const MAX_CANDIDATES: usize = 24;
 /// The number of workers that are ranked, so that some may leave before all are ranked again.
 const MAX_RANKED: usize = 2 * MAX_CANDIDATES;
-/// The number of remembered changes. Functions that were not used for longer are ranked anew.
+/// The minimum and maximum number of remembered changes. Functions that were not used for longer
+/// are ranked anew; so are those for which more has changed than there are workers.
+const MIN_REMEMBERED_CHANGES: usize = 64;
 const MAX_REMEMBERED_CHANGES: usize = 8_192;
 
 /// The workers whose availability has changed, in order.
@@ -24,10 +26,11 @@
 }
 
 impl AvailabilityChanges {
-    /// Records that a worker may have become available or unavailable.
-    pub(super) fn record(&mut self, worker: WorkerId) {
+    /// Records that a worker, one of `fleet_size`, may have become available or unavailable.
+    pub(super) fn record(&mut self, worker: WorkerId, fleet_size: usize) {
         self.changed.push_back(worker);
-        if self.changed.len() > MAX_REMEMBERED_CHANGES {
+        let bound = fleet_size.clamp(MIN_REMEMBERED_CHANGES, MAX_REMEMBERED_CHANGES);
+        while self.changed.len() > bound {
             self.changed.pop_front();
             self.forgotten += 1;
         }
@@ -105,6 +108,12 @@
 }
 
 impl Policy {
+    /// Notes that a worker may have become available or unavailable.
+    pub(super) fn note_availability_change(&mut self, worker: WorkerId) {
+        let fleet_size = self.workers.len();
+        self.availability_changes.record(worker, fleet_size);
+    }
+
     /// Updates a function's candidates to the current endpoint list and evidence.
     pub(super) fn refresh_candidates(&mut self, now: Micros, id: FunctionId) {
         let changes = self.availability_changes.count();
@@ -147,4 +156,5 @@
 }
 
 #[cfg(test)]
+#[path = "../../tests/policy/candidates.rs"]
 mod tests;
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -65,7 +65,7 @@
             if let Some(mut worker) = self.workers.get_mut(&id) {
                 worker.ready = false;
             }
-            self.availability_changes.record(id);
+            self.note_availability_change(id);
             self.forget_loads_in_progress(id);
         }
         self.evidence.retain_listed(|id| listed.contains(&id));
@@ -87,7 +87,7 @@
         let changed = worker.ready != was_ready || restarted;
         drop(worker);
         if changed {
-            self.availability_changes.record(entry.worker);
+            self.note_availability_change(entry.worker);
         }
         self.evidence
             .on_listed(entry.worker, entry.status, restarted);
--- a/src/policy/evidence/discovery.rs
+++ b/src/policy/evidence/discovery.rs
@@ -53,6 +53,7 @@
     updates_withheld: bool,
     /// The start of the loss, if discovery is reported as lost.
     lost_since: Option<Micros>,
+    last_signal_at: Micros,
 }
 
 /// A change to be reported.
@@ -73,12 +74,16 @@
             was_reopened: false,
             updates_withheld: false,
             lost_since: None,
+            last_signal_at: now,
         }
     }
 
     /// Handles a signal of the stream. A heartbeat confirms nothing while a worker's answer
     /// contradicts the list: updates may be withheld.
-    pub(super) fn handle(&mut self, now: Micros, signal: DiscoverySignal, is_contradicted: bool) {
+    pub(super) fn handle(&mut self, at: Micros, signal: DiscoverySignal, is_contradicted: bool) {
+        // A signal that was read late counts from its arrival, in the order of the signals.
+        let now = at.max(self.last_signal_at);
+        self.last_signal_at = now;
         self.settle(now);
         if signal == DiscoverySignal::Update {
             self.updates_withheld = false;
--- a/src/policy/evidence/mod.rs
+++ b/src/policy/evidence/mod.rs
@@ -10,6 +10,7 @@
 //! whose evidence has expired, requests health checks where they are allowed, and resumes workers.
 //! It keeps state only for workers that are listed as ready, and drops it when they leave the list.
 
+mod availability;
 mod change;
 mod check_budget;
 mod checks;
@@ -21,7 +22,8 @@
 mod view;
 mod worker;
 
+pub use availability::Availability;
 pub use change::{DoubtReason, EvidenceChange, SuspendReason};
-pub use tracker::{Availability, CheckResult, EvidenceTracker};
+pub use tracker::{CheckResult, EvidenceTracker};
 pub use view::WorkerEvidenceAge;
 pub use worker::ReportedCapacity;
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -81,7 +81,7 @@
 
     /// Updates the evidence that the worker accepts new work from an attempt's outcome.
     fn record_evidence(&mut self, now: Micros, end: &AttemptEnd, latency_objective: f64) {
-        let sent_at = now.saturating_sub(end.latency);
+        let sent_at = now.saturating_sub(end.unread_for + end.latency);
         match end.outcome {
             Outcome::Ok => {
                 let capacity = ReportedCapacity::from_report(end.load_report);
--- a/src/policy/latency.rs
+++ b/src/policy/latency.rs
@@ -80,7 +80,7 @@
         };
         worker.reported_load = ReportedLoad {
             in_flight: sample.load,
-            at: now,
+            at: now.saturating_sub(end.unread_for),
         };
         worker.record_latency_ratio(now, &sample);
         worker.adjust_limit(now, &sample, min_limit, min_limit_when_slow);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -137,6 +137,9 @@
         match event {
             Event::WorkerList { update, workers } => self.on_worker_list(now, update, workers),
             Event::Discovery(signal) => self.evidence.on_discovery(now, signal),
+            Event::DelayedDiscovery { signal, arrived_at } => {
+                self.evidence.on_discovery(arrived_at.min(now), signal)
+            }
             Event::ConnectionRefused { worker } => self.evidence.on_process_ended(now, worker),
             Event::Request(arrival) => self.on_request(now, &arrival),
             Event::AttemptEnded(end) => self.on_attempt_ended(now, &end, actions),
@@ -200,7 +203,7 @@
         let changed = self.evidence.tick(now);
         for (worker, availability) in &changed {
             // Suspended workers leave the candidate lists.
-            self.availability_changes.record(*worker);
+            self.note_availability_change(*worker);
             if *availability == (Availability::Resumed { new_process: true }) {
                 self.begin_slow_start(now, *worker);
             }
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -134,8 +134,8 @@
         let mut request = RequestState {
             function: arrival.function,
             class,
-            arrived_at: now,
-            first_sent_at: now,
+            arrived_at: now.saturating_sub(arrival.unread_for),
+            first_sent_at: now.saturating_sub(arrival.unread_for),
             expires_at: arrival.expires_at,
             over_quota,
             tenant: arrival.tenant.0 as usize,
@@ -148,7 +148,9 @@
             client_deadline = settings.deadline;
         }
         if is_client_retry {
-            request.first_sent_at = now.min(arrival.expires_at.saturating_sub(client_deadline));
+            request.first_sent_at = request
+                .arrived_at
+                .min(arrival.expires_at.saturating_sub(client_deadline));
         }
         request
     }
--- a/src/worker/connection.rs
+++ b/src/worker/connection.rs
@@ -282,7 +282,7 @@
         }
     }
 
-    /// Handles all complete replies in `input`; returns the number of those that matched no exchange in flight.
+    /// Handles all complete replies in `input`, which arrived at `arrived_at`; returns the number of those that matched no exchange in flight.
     ///
     /// # Errors
     ///
@@ -290,6 +290,7 @@
     pub fn read_replies(
         &mut self,
         now: Micros,
+        arrived_at: Micros,
         input: &mut Buffer,
         done: &mut Vec<Completed>,
     ) -> Result<u64, RespError> {
@@ -298,7 +299,7 @@
             self.last_received_at = now;
             self.partial_reply_since = None;
             let reply = Reply::from_strings(&array.strings)?;
-            if !self.handle_reply(now, &reply, done)? {
+            if !self.handle_reply(now, arrived_at, &reply, done)? {
                 unmatched += 1;
             }
             input.consume(array.size_bytes);
@@ -313,6 +314,7 @@
     fn handle_reply(
         &mut self,
         now: Micros,
+        arrived_at: Micros,
         reply: &Reply<'_>,
         done: &mut Vec<Completed>,
     ) -> Result<bool, RespError> {
@@ -338,6 +340,7 @@
         done.push(Completed {
             exchange: open.exchange,
             reason,
+            reply_arrived_at: Some(arrived_at),
             progress: SendProgress::Started,
             reply: AttemptReply {
                 body: reply.body.to_vec(),
--- a/src/worker/exchange.rs
+++ b/src/worker/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use crate::api::FunctionId;
+use crate::api::{FunctionId, Micros};
 use crate::completion::{CloseReason, SendProgress};
 use crate::core::{AttemptKey, AttemptReply, HealthCheckKey, LoadOrderKey};
 
@@ -24,6 +24,8 @@
     pub exchange: Exchange,
     /// The reason for its end.
     pub reason: CloseReason,
+    /// When its reply arrived; `None` if none did.
+    pub reply_arrived_at: Option<Micros>,
     /// The extent to which it had been sent.
     pub progress: SendProgress,
     /// The content of the reply.
@@ -42,6 +44,7 @@
         Completed {
             exchange,
             reason,
+            reply_arrived_at: None,
             progress,
             reply: AttemptReply::default(),
             copies: 0,
--- a/src/worker/tests.rs
+++ b/src/worker/tests.rs
@@ -50,7 +50,7 @@
     fn receive(&mut self, bytes: &[u8]) -> Result<u64, RespError> {
         self.input.append(bytes);
         self.connection
-            .read_replies(1, &mut self.input, &mut self.done)
+            .read_replies(1, 1, &mut self.input, &mut self.done)
     }
 
     fn completions(&self) -> Vec<(CloseReason, SendProgress)> {
@@ -237,6 +237,7 @@
     later.input.append(&not_loaded);
     assert_eq!(
         later.connection.read_replies(
+            1 + DUPLICATE_REPLY_WINDOW,
             1 + DUPLICATE_REPLY_WINDOW,
             &mut later.input,
             &mut later.done
--- a/testbed/src/emulator/mod.rs
+++ b/testbed/src/emulator/mod.rs
@@ -26,8 +26,8 @@
 use molelug::consensus::voter;
 use molelug::consensus::wire::{self, Body};
 use molelug::core::{
-    Answer, AttemptDispatch, AttemptKey, AttemptReply, Call, Command, Core, HealthCheckKey,
-    LoadOrderKey,
+    Answer, AttemptCompletion, AttemptDispatch, AttemptKey, AttemptReply, Call, Command, Core,
+    HealthCheckKey, LoadOrderKey,
 };
 use molelug::health_checks::{self, HealthChecker, ProbeResult, Verdict};
 use molelug::lease::LeaseName;
@@ -765,6 +765,7 @@
             class: ClassId(0),
             tenant: TenantId(0),
             function,
+            unread_for: 0,
             expires_at: self.now + 900 * MS,
             expected_work: None,
             memory_mb: 1.0,
@@ -795,8 +796,12 @@
                     .handle(now, health_checks::Input::Outcome(w, seen));
             }
         }
-        i.core
-            .attempt_ended(now, attempt, reason, progress, AttemptReply::default());
+        i.core.attempt_ended(
+            now,
+            attempt,
+            AttemptCompletion::at_once(reason, progress),
+            AttemptReply::default(),
+        );
     }
 
     /// Performs all pending outputs of an instance's state machines and schedules its next
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -224,6 +224,7 @@
                         class: ClassId(0),
                         tenant: TenantId(0),
                         function,
+                        unread_for: 0,
                         expires_at: self.now + 3 * SECOND,
                         expected_work: None,
                         memory_mb: 100.0,
@@ -243,6 +244,7 @@
                     outcome,
                     copy_start: (outcome == Outcome::Ok).then_some(CopyStart::Warm),
                     function_in_flight: 0,
+                    unread_for: 0,
                     latency: if outcome == Outcome::Ok {
                         RUN_TIME
                     } else {
--- a/tests/decisions/driver.rs
+++ b/tests/decisions/driver.rs
@@ -351,6 +351,7 @@
             class: ClassId(class),
             tenant: TenantId(random.below(3) as u32),
             function,
+            unread_for: 0,
             expires_at,
             expected_work: random.percent(50).then_some(20 * MILLISECOND),
             memory_mb: 100.0,
@@ -407,6 +408,7 @@
             outcome: ended.outcome,
             copy_start: ended.copy_start,
             function_in_flight: ended.function_in_flight,
+            unread_for: 0,
             latency: self.now - ended.sent_at,
             load_report,
         }))
--- a/tests/discovery_outage.rs
+++ b/tests/discovery_outage.rs
@@ -55,6 +55,11 @@
     until("the attempt waits for its connection", || {
         dials.waiting() == 1
     });
+    assert_eq!(
+        evidence(&g, "workers_suspended"),
+        "0",
+        "the attempt was decided on while there was evidence"
+    );
     // Discovery sends nothing from here on.
     until("the evidence has expired", || {
         evidence(&g, "workers_suspended") == "1"
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -123,6 +123,22 @@
     assert!(rig.tracker.due_checks(rig.now).is_empty());
 }
 
+/// A heartbeat that the loop reads late is as old as its arrival: the worker may have begun to
+/// drain since.
+#[test]
+fn heartbeat_read_late_confirms_the_list_from_its_arrival() {
+    let mut rig = Rig::confirmed(&settings(false));
+    let arrived_at = rig.now + 500 * MS;
+    rig.now += 4 * SECOND;
+    rig.tracker
+        .on_discovery(arrived_at, DiscoverySignal::Heartbeat);
+    rig.tracker.tick(rig.now);
+    assert_eq!(rig.tracker.list_age(rig.now), Some(rig.now - arrived_at));
+    assert!(rig.tracker.is_discovery_lost(rig.now));
+    rig.signal(DiscoverySignal::Heartbeat);
+    assert_eq!(rig.tracker.list_age(rig.now), Some(0));
+}
+
 #[test]
 fn served_call_is_evidence_from_its_send_time() {
     let mut rig = Rig::confirmed(&settings(false));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -106,6 +106,7 @@
             class: ClassId(class),
             tenant: TenantId(0),
             function: FunctionId(function),
+            unread_for: 0,
             expires_at: self.now + time_left,
             expected_work: None,
             memory_mb: 100.0,
@@ -130,6 +131,7 @@
             outcome,
             copy_start: None,
             function_in_flight: 0,
+            unread_for: 0,
             latency,
             load_report: None,
         }))
@@ -746,6 +748,7 @@
         outcome: Outcome::Ok,
         copy_start: None,
         function_in_flight: 0,
+        unread_for: 0,
         latency: 20_000,
         load_report,
     }));
@@ -1252,6 +1255,7 @@
             outcome,
             copy_start: None,
             function_in_flight: 0,
+            unread_for: 0,
             latency,
             load_report: Some(LoadReport {
                 in_flight: Some(in_flight),
@@ -1713,6 +1717,7 @@
             outcome,
             copy_start,
             function_in_flight,
+            unread_for: 0,
             latency,
             load_report,
         };
