Apply long endpoint lists in pieces, restrictions first

Callers of a gateway with a small share of a core waited while a list of thousands of workers was applied in one piece, and a new process accepted clients before it had applied its list.

Entries beyond 256 are staged: what is draining, removed or unlisted binds at once, ready workers follow in pieces of 256, with connections and deadlines in between. A later update replaces or withdraws what is staged, so that nothing is sent on the word of an older list.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -199,10 +199,9 @@
 
     /// Answers a request with a worker's response body, unless it has been answered.
     fn answer_served(&mut self, key: RequestKey, body: Vec<u8>) {
-        let Some(request) = self.unanswered(key) else {
+        let Some(request) = self.end_unanswered(key) else {
             return;
         };
-        request.answered = true;
         let class = request.class();
         let origin = request.call.origin.clone();
         self.counters.count_answer(class, FinalAnswer::Served);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -61,6 +61,8 @@
     /// The effect of repeating a request, indexed by class.
     effects: Vec<Effect>,
     requests: SlotMap<RequestKey, Request<O>>,
+    /// The number of `requests` without a final answer.
+    unanswered_requests: usize,
     keys_by_id: HashMap<RequestId, RequestKey>,
     /// The identities of all requests in `requests`.
     open_identities: HashSet<Rc<str>>,
@@ -98,6 +100,7 @@
             load_order_timeout,
             effects,
             requests: SlotMap::with_key(),
+            unanswered_requests: 0,
             keys_by_id: HashMap::new(),
             open_identities: HashSet::new(),
             attempts: SlotMap::with_key(),
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -44,10 +44,7 @@
 impl<O: Clone + std::fmt::Debug> Core<O> {
     /// Returns the number of requests without a final answer.
     pub fn pending_requests(&self) -> usize {
-        self.requests
-            .values()
-            .filter(|request| !request.answered)
-            .count()
+        self.unanswered_requests
     }
 
     /// Counts a call that was rejected before it reached the decision module.
@@ -69,6 +66,7 @@
         let arrival = call.arrival.clone();
         self.open_identities.insert(call.identity.clone());
         let key = self.requests.insert(Request::new(request_id, call));
+        self.unanswered_requests += 1;
         self.keys_by_id.insert(request_id, key);
         // The module answers by the request's deadline; this later deadline guarantees an answer if it does not.
         let overdue_at = arrival.expires_at + self.answer_grace;
@@ -98,10 +96,9 @@
 
     /// Handles the disconnection of a request's client: the request gets no answer.
     pub fn client_disconnected(&mut self, now: Micros, key: RequestKey) {
-        let Some(request) = self.unanswered(key) else {
+        let Some(request) = self.end_unanswered(key) else {
             return;
         };
-        request.answered = true;
         let request = request.request_id;
         self.counters.client_disconnects += 1;
         self.withdraw_in_flight(key);
@@ -116,6 +113,17 @@
             .filter(|request| !request.answered)
     }
 
+    /// Marks a request as answered and returns it, unless it was before.
+    pub(super) fn end_unanswered(&mut self, key: RequestKey) -> Option<&mut Request<O>> {
+        let request = self
+            .requests
+            .get_mut(key)
+            .filter(|request| !request.answered)?;
+        request.answered = true;
+        self.unanswered_requests -= 1;
+        Some(request)
+    }
+
     /// Gives a request the answer that the module has decided on.
     pub(super) fn answer_request(&mut self, request_id: RequestId, answer: Answer) {
         let Some(&key) = self.keys_by_id.get(&request_id) else {
@@ -151,10 +159,9 @@
 
     /// Answers a request without a response body and withdraws its attempt if that has not started.
     fn answer_without_reply(&mut self, key: RequestKey, answer: Answer) {
-        let Some(request) = self.unanswered(key) else {
+        let Some(request) = self.end_unanswered(key) else {
             return;
         };
-        request.answered = true;
         let class = request.class();
         let origin = request.call.origin.clone();
         let counted = match answer {
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -123,3 +123,33 @@
         assert!(distinct.len() > 900);
     }
 }
+
+fn endpoint(name: &str, port: u16) -> Endpoint {
+    Endpoint {
+        name: name.to_owned(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: ZoneId(0),
+        cell: crate::api::CellId(0),
+        status: crate::api::WorkerStatus::Ready,
+        capacity: 1.0,
+        started_at: None,
+    }
+}
+
+#[test]
+fn staged_entries_keep_their_order_and_the_latest_of_each_name() {
+    let mut staged = StagedEndpoints::default();
+    for (name, port) in [("a", 1), ("b", 2), ("c", 3), ("a", 4)] {
+        staged.stage(endpoint(name, port));
+    }
+    staged.withdraw("c");
+    staged.withdraw("unknown");
+    let names = |entries: Vec<Endpoint>| -> Vec<(String, u16)> {
+        let pairs = entries.into_iter().map(|e| (e.name, e.address.port()));
+        pairs.collect()
+    };
+    assert_eq!(names(staged.take(1)), [("b".to_owned(), 2)]);
+    assert!(!staged.is_empty());
+    assert_eq!(names(staged.take(9)), [("a".to_owned(), 4)]);
+    assert!(staged.is_empty() && staged.take(1).is_empty());
+}
--- a/src/gateway/endpoint_updates.rs
+++ b/src/gateway/endpoint_updates.rs
@@ -1,15 +1,20 @@
 //! The connection to service discovery, and the application of its updates.
 
+use std::collections::BTreeSet;
+
 use super::{ConnKey, Gateway, GatewayDeadline, Role};
 use crate::api::{DiscoverySignal, ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus};
 use crate::completion::CloseReason;
-use crate::discovery::{reconnect_pause, WatchEvent, WatchStream};
+use crate::discovery::{reconnect_pause, Endpoint, StagedEndpoints, WatchEvent, WatchStream};
 use crate::operations::loop_timing::Activity;
 use crate::{discovery, net};
 
 /// The gateway reconnects to service discovery after this much silence; a heartbeat comment arrives
 /// every second.
 pub(super) const DISCOVERY_SILENCE_TIMEOUT: Micros = 2_200_000;
+/// Maximum number of entries applied in one turn. Longer updates are applied in pieces, with
+/// connections and deadlines in between.
+const MAX_ENTRIES_PER_TURN: usize = 256;
 /// Time for a connection to service discovery to be established.
 const DISCOVERY_CONNECT_TIMEOUT: Micros = 1_000_000;
 
@@ -144,6 +149,80 @@
         }
         self.discovery.last_revision = update.revision;
         self.discovery.revision_gap = None;
+        let is_short = update.endpoints.len() <= MAX_ENTRIES_PER_TURN;
+        if is_short && self.discovery.staged.is_empty() {
+            self.apply_update(now, update);
+        } else {
+            self.stage_update(now, update);
+        }
+        true
+    }
+
+    /// Applies what an update restricts (draining, removed and unlisted workers), and stages the
+    /// entries of ready workers.
+    fn stage_update(&mut self, now: Micros, update: &WatchEvent) {
+        let mut restricted = Vec::new();
+        if update.snapshot {
+            restricted = self.unlisted_in(update);
+            self.discovery.staged = StagedEndpoints::default();
+        }
+        for endpoint in &update.endpoints {
+            if endpoint.status == WorkerStatus::Ready {
+                self.discovery.staged.stage(endpoint.clone());
+            } else {
+                self.discovery.staged.withdraw(&endpoint.name);
+                restricted.push(endpoint.clone());
+            }
+        }
+        self.apply_delta(now, restricted);
+    }
+
+    /// Returns the removal of each listed worker that a snapshot does not contain.
+    fn unlisted_in(&self, snapshot: &WatchEvent) -> Vec<Endpoint> {
+        let names: BTreeSet<&str> = snapshot
+            .endpoints
+            .iter()
+            .map(|endpoint| endpoint.name.as_str())
+            .collect();
+        let unlisted = self
+            .ops
+            .overrides
+            .listed()
+            .filter(|(name, _)| !names.contains(name));
+        unlisted
+            .filter_map(|(name, entry)| {
+                Some(Endpoint {
+                    name: name.to_owned(),
+                    address: *self.discovery.endpoints.addresses.get(&entry.worker)?,
+                    zone: entry.zone,
+                    cell: entry.cell,
+                    status: WorkerStatus::Removed,
+                    capacity: entry.capacity,
+                    started_at: None,
+                })
+            })
+            .collect()
+    }
+
+    /// Applies the next piece of a long update, if one waits.
+    pub(super) fn apply_staged(&mut self, now: Micros) {
+        if self.discovery.staged.is_empty() {
+            return;
+        }
+        let endpoints = self.discovery.staged.take(MAX_ENTRIES_PER_TURN);
+        self.apply_delta(now, endpoints);
+    }
+
+    fn apply_delta(&mut self, now: Micros, endpoints: Vec<Endpoint>) {
+        let delta = WatchEvent {
+            revision: self.discovery.last_revision,
+            snapshot: false,
+            endpoints,
+        };
+        self.apply_update(now, &delta);
+    }
+
+    fn apply_update(&mut self, now: Micros, update: &WatchEvent) {
         let applied = self.discovery.endpoints.apply(update);
         let names = update
             .endpoints
@@ -168,17 +247,16 @@
         self.discovery
             .endpoints
             .forget_removed(|worker| connections.contains_key(worker));
-        true
     }
 
     /// Retires the connections to workers that a snapshot does not list.
     fn retire_unlisted(&mut self, listed: &[WorkerEntry]) {
-        let is_listed = |worker: &WorkerId| listed.iter().any(|entry| entry.worker == *worker);
+        let listed: BTreeSet<WorkerId> = listed.iter().map(|entry| entry.worker).collect();
         let unlisted: Vec<WorkerId> = self
             .routes
             .connections
             .keys()
-            .filter(|worker| !is_listed(worker))
+            .filter(|worker| !listed.contains(worker))
             .copied()
             .collect();
         for worker in unlisted {
--- a/src/gateway/event_loop.rs
+++ b/src/gateway/event_loop.rs
@@ -79,6 +79,7 @@
         let has_work = !self.ready.is_empty()
             || self.listeners.accept_pending
             || self.ops.is_busy()
+            || !self.discovery.staged.is_empty()
             || self.cluster.busy();
         if has_work {
             return Some(Duration::ZERO);
@@ -101,6 +102,9 @@
             self.report_completed(now, completed);
         }
         self.end_activity(Activity::Connections);
+        let now = self.clock.now();
+        self.apply_staged(now);
+        self.end_activity(Activity::EndpointList);
         // Datagrams that have arrived count before the timeouts of those who sent them.
         let now = self.clock.now();
         self.step_gossip(now);
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -64,8 +64,13 @@
             arrivals,
             stop: false,
         };
-        gateway.listen_for_platform(now, inherited)?;
+        // Another process's exclusions apply from the start.
+        if inherited.is_some() {
+            gateway.start_hot_restart(now);
+        }
         let ready = gateway.apply_known_events(now);
+        // Clients connect only once the list is applied, however long it is.
+        gateway.listen_for_platform(inherited)?;
         gateway.update_client_limits(now);
         gateway
             .core
@@ -77,18 +82,14 @@
     }
 
     /// Listens for the platform's clients, on the inherited socket if there is one.
-    fn listen_for_platform(
-        &mut self,
-        now: Micros,
-        inherited: Option<TcpListener>,
-    ) -> Result<(), GatewayError> {
+    fn listen_for_platform(&mut self, inherited: Option<TcpListener>) -> Result<(), GatewayError> {
         let Some(socket) = inherited else {
             self.listen(ListenerKind::Platform, self.config.listen)?;
             self.ops.lifecycle.start();
             return Ok(());
         };
         self.listen_on_inherited(socket)?;
-        self.start_hot_restart(now);
+        let now = self.clock.now();
         self.core.schedule(now, GatewayDeadline::HotRestart.into());
         Ok(())
     }
--- a/src/operations/overrides.rs
+++ b/src/operations/overrides.rs
@@ -212,6 +212,13 @@
         self.version
     }
 
+    /// The workers on the list, by name.
+    pub fn listed(&self) -> impl Iterator<Item = (&str, &WorkerEntry)> {
+        self.listed
+            .iter()
+            .map(|(name, entry)| (name.as_str(), entry))
+    }
+
     /// The number of workers on the list.
     pub fn listed_count(&self) -> usize {
         self.listed.len()
--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -162,7 +162,7 @@
         #[bpaf(long, argument("N"), fallback(4))]
         parallel: usize,
         /// The subject: outage, held-back (events behind comments, no health checks), large-fleet
-        /// (drawn fleets and disturbances), large-release or held-loop
+        /// (drawn fleets and disturbances), large-release, held-loop, or fleet-cost (a table)
         #[bpaf(positional("SUBJECT"))]
         subject: String,
     },
@@ -390,9 +390,10 @@
             "held-back" => outage::soak(seeds, seed, parallel, outage::Scenario::held_back),
             "large-fleet" => large_fleet::soak(seeds, seed, large_fleet::Scenario::draw),
             "large-release" => large_fleet::soak(seeds, seed, large_fleet::Scenario::reported),
+            "fleet-cost" => large_fleet::measure_costs().map(|()| true),
             "held-loop" => large_fleet::soak(seeds, seed, large_fleet::Scenario::held_loop),
             other => Err(std::io::Error::other(format!(
-                "unknown subject '{other}': expected outage, held-back, large-fleet, large-release or held-loop"
+                "unknown subject '{other}': expected outage, held-back, large-fleet, large-release, held-loop or fleet-cost"
             ))),
         },
         Command::Bench(Bench::Wheel) => bench::wheel(),
--- a/testbed/src/large_fleet/judge.rs
+++ b/testbed/src/large_fleet/judge.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
+
 use super::clients::{Call, CallResult};
 use super::scenario::Scenario;
 use crate::outage::{CommandKind, Received};
@@ -83,12 +85,14 @@
     pub connects: u64,
     /// Its longest pass of the event loop.
     pub longest_pass: Duration,
+    /// Its figures of the event loop.
+    pub loop_figures: Value,
     /// Descriptions of the first calls that were late or unanswered.
     pub examples: Vec<String>,
 }
 
 /// What was measured at a gateway when the run ended.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Usage {
     /// Processor time.
     pub cpu: Duration,
@@ -100,12 +104,28 @@
     pub connects: u64,
     /// The longest pass of the event loop.
     pub longest_pass: Duration,
+    /// All figures of the event loop.
+    pub loop_figures: Value,
 }
 
 impl Verdict {
     /// Column headings for the printed verdicts.
     pub const HEADER: &str = " seed gateways workers busy updates   kill         stops silent rate deadline | calls served late unanswered   latest late sends | cpu s  MiB fds connects pass";
 
+    /// What the event loop spent on each activity: the passes in which it occurred, their total,
+    /// and the longest time.
+    pub fn activities(&self) -> Vec<(String, String)> {
+        let activities = self.loop_figures["activities"].as_object();
+        let millis = |micros: &Value| micros.as_f64().unwrap_or(0.0) / 1_000.0;
+        let row = |(name, figures): (&String, &Value)| {
+            let count = figures["count"].as_u64().unwrap_or(0);
+            let total = millis(&figures["total_us"]);
+            let longest = millis(&figures["max_us"]);
+            (name.clone(), format!("{count:7} {total:9.1} {longest:8.2}"))
+        };
+        activities.into_iter().flatten().map(row).collect()
+    }
+
     /// Returns whether every call was answered in time and no draining worker got a late command.
     pub fn holds(&self) -> bool {
         self.late == 0 && self.unanswered == 0 && self.late_sends == 0
@@ -126,6 +146,7 @@
             descriptors: usage.descriptors,
             connects: usage.connects,
             longest_pass: usage.longest_pass,
+            loop_figures: usage.loop_figures,
             examples: Vec::new(),
         };
         for call in &records.calls {
--- a/testbed/src/large_fleet/mod.rs
+++ b/testbed/src/large_fleet/mod.rs
@@ -15,6 +15,24 @@
 pub use run::play;
 pub use scenario::{Kill, NewNames, Release, Scenario, Stop, UpdateKind};
 
+/// Plays a release with whole snapshots in fleets of growing size, with a whole core, and prints
+/// what a gateway's event loop spent on each activity.
+///
+/// # Errors
+///
+/// A process or fake cannot be started, or a gateway has exited by itself.
+pub fn measure_costs() -> Result<()> {
+    println!("workers activity: passes, total ms, longest ms");
+    for workers in [200, 800, 3_200, 12_800] {
+        let verdict = play(&Scenario::cost(workers))?;
+        for (activity, figures) in verdict.activities() {
+            println!("{workers:7} {activity:14} {figures}");
+        }
+        println!("{verdict}");
+    }
+    Ok(())
+}
+
 /// Plays the scenarios of consecutive seeds one after the other and prints a line for each. Returns
 /// whether all hold.
 ///
--- a/testbed/src/large_fleet/run.rs
+++ b/testbed/src/large_fleet/run.rs
@@ -314,14 +314,16 @@
             return Ok(Usage::default());
         };
         let counters = gateway.counters()?;
-        let passes = &gateway.loop_figures()?["passes"];
+        let loop_figures = gateway.loop_figures()?;
+        let longest_us = loop_figures["passes"]["max_us"].as_u64();
         let files = format!("/proc/{}/fd", gateway.pid().as_raw_nonzero());
         Ok(Usage {
             cpu: gateway.cpu_time()?,
             memory_kib: gateway.memory_kib(),
             descriptors: std::fs::read_dir(files)?.count(),
             connects: counters["connects"].as_u64().unwrap_or(0),
-            longest_pass: Duration::from_micros(passes["max_us"].as_u64().unwrap_or(0)),
+            longest_pass: Duration::from_micros(longest_us.unwrap_or(0)),
+            loop_figures,
         })
     }
 }
--- a/testbed/src/large_fleet/scenario.rs
+++ b/testbed/src/large_fleet/scenario.rs
@@ -124,6 +124,21 @@
         }
     }
 
+    /// A release of a fleet of this size, each list a whole snapshot, and two outages of discovery
+    /// in which all evidence expires or not.
+    pub fn cost(workers: usize) -> Scenario {
+        Scenario {
+            gateways: 1,
+            workers,
+            busy_neighbours: 0,
+            updates: UpdateKind::Snapshots,
+            kill: None,
+            outage: Some((ms(11_000), ms(21_000))),
+            ends_at: ms(26_000),
+            ..Scenario::reported(1)
+        }
+    }
+
     /// Few workers, most calls never answered, and a gateway whose process is suspended several
     /// times while requests arrive on open and on new connections.
     pub fn held_loop(seed: u64) -> Scenario {
