--- a/src/discovery/staged.rs
+++ b/src/discovery/staged.rs
@@ -24,6 +24,11 @@
         self.by_number.insert(self.last_number, endpoint);
     }
 
+    /// Whether an entry of this name waits.
+    pub fn contains(&self, name: &str) -> bool {
+        self.numbers.contains_key(name)
+    }
+
     /// Removes the entry of a name, if there is one.
     pub fn withdraw(&mut self, name: &str) {
         if let Some(number) = self.numbers.remove(name) {
--- a/src/gateway/endpoint_updates.rs
+++ b/src/gateway/endpoint_updates.rs
@@ -168,7 +168,9 @@
         }
         for endpoint in &update.endpoints {
             if endpoint.status == WorkerStatus::Ready {
-                self.discovery.staged.stage(endpoint.clone());
+                if self.is_changed(endpoint) {
+                    self.discovery.staged.stage(endpoint.clone());
+                }
             } else {
                 self.discovery.staged.withdraw(&endpoint.name);
                 restricted.push(endpoint.clone());
@@ -177,6 +179,24 @@
         self.apply_delta(now, restricted);
     }
 
+    /// Whether the entry of a ready worker says more than what is applied. An entry that waits for
+    /// its turn is replaced in any case.
+    fn is_changed(&self, endpoint: &Endpoint) -> bool {
+        let Some(entry) = self.ops.overrides.listed_entry(&endpoint.name) else {
+            return true;
+        };
+        let address = self.discovery.endpoints.addresses.get(&entry.worker);
+        let is_known = entry.status == endpoint.status
+            && entry.zone == endpoint.zone
+            && entry.cell == endpoint.cell
+            && entry.capacity == endpoint.capacity
+            && endpoint
+                .started_at
+                .is_none_or(|at| entry.started_at >= Some(at))
+            && address == Some(&endpoint.address);
+        !is_known || self.discovery.staged.contains(&endpoint.name)
+    }
+
     /// Returns the removal of each listed worker that a snapshot does not contain.
     fn unlisted_in(&self, snapshot: &WatchEvent) -> Vec<Endpoint> {
         let names: BTreeSet<&str> = snapshot
--- a/src/operations/overrides.rs
+++ b/src/operations/overrides.rs
@@ -212,6 +212,11 @@
         self.version
     }
 
+    /// The latest entry of a worker on the list.
+    pub fn listed_entry(&self, name: &str) -> Option<&WorkerEntry> {
+        self.listed.get(name)
+    }
+
     /// The workers on the list, by name.
     pub fn listed(&self) -> impl Iterator<Item = (&str, &WorkerEntry)> {
         self.listed
--- a/src/policy/candidates.rs
+++ b/src/policy/candidates.rs
@@ -81,17 +81,25 @@
     }
 
     /// Adds or removes one worker. Returns whether the ranking still has enough workers.
-    fn apply(&mut self, function: FunctionId, worker: WorkerId, is_available: bool) -> bool {
+    fn apply(
+        &mut self,
+        function: FunctionId,
+        worker: WorkerId,
+        is_available: impl FnOnce() -> bool,
+    ) -> bool {
         let entry = (rendezvous_hash(function, worker), worker);
-        match (self.ranked.binary_search(&entry), is_available) {
-            (Ok(_), true) | (Err(_), false) => {}
-            (Ok(place), false) => {
-                self.ranked.remove(place);
-            }
+        match self.ranked.binary_search(&entry) {
             // Workers that are not ranked may stand between the last ranked one and this one.
-            (Err(place), true) if place == self.ranked.len() && !self.is_complete => {}
-            (Err(place), true) => {
-                self.ranked.insert(place, entry);
+            Err(place) if place == self.ranked.len() && !self.is_complete => {}
+            Ok(place) => {
+                if !is_available() {
+                    self.ranked.remove(place);
+                }
+            }
+            Err(place) => {
+                if is_available() {
+                    self.ranked.insert(place, entry);
+                }
                 if self.ranked.len() > MAX_RANKED {
                     self.ranked.pop();
                     self.is_complete = false;
@@ -126,8 +134,12 @@
         let mut candidates = std::mem::take(&mut function.candidates);
         if !self.apply_changes(now, id, &mut candidates) {
             self.visited += self.workers.len() as u64;
-            let all = self.workers.iter().map(|(worker, _)| *worker);
-            candidates.rank_all(id, all.filter(|worker| self.is_available(now, *worker)));
+            let are_all_available = self.evidence.are_all_available();
+            let ready = self.workers.iter().filter(|(_, state)| state.ready);
+            let available = ready
+                .map(|(worker, _)| *worker)
+                .filter(|worker| are_all_available || self.evidence.may_send(now, *worker));
+            candidates.rank_all(id, available);
         }
         candidates.take_first();
         candidates.changes_seen = Some(changes);
@@ -151,7 +163,7 @@
         self.visited += changed.len() as u64;
         changed
             .into_iter()
-            .all(|worker| candidates.apply(id, worker, self.is_available(now, worker)))
+            .all(|worker| candidates.apply(id, worker, || self.is_available(now, worker)))
     }
 }
 
--- a/src/policy/evidence/tracker.rs
+++ b/src/policy/evidence/tracker.rs
@@ -109,6 +109,11 @@
         Some(self.workers.len() - self.unavailable.len())
     }
 
+    /// Whether every listed worker may be sent new work, as of the last update.
+    pub fn are_all_available(&self) -> bool {
+        self.unavailable.is_empty() && !self.reexamination.has_touched()
+    }
+
     /// Whether a worker is doubted: it rejected work in an unexpected way, and no evidence since
     /// has shown whether it drains.
     pub fn is_doubted(&self, id: WorkerId) -> bool {
--- a/testbed/src/large_fleet/judge.rs
+++ b/testbed/src/large_fleet/judge.rs
@@ -238,6 +238,11 @@
             self.connects,
             self.longest_pass.as_millis(),
         )?;
+        if self.longest_pass > ANSWER_SLACK / 2 {
+            for (activity, figures) in self.activities() {
+                write!(f, "\n      {activity:14} {figures}")?;
+            }
+        }
         for example in &self.examples {
             write!(f, "\n      {example}")?;
         }
--- a/tests/policy/candidates.rs
+++ b/tests/policy/candidates.rs
@@ -32,7 +32,7 @@
             } else {
                 available.remove(&worker);
             }
-            if !candidates.apply(FUNCTION, worker, is_available) {
+            if !candidates.apply(FUNCTION, worker, || is_available) {
                 candidates.rank_all(FUNCTION, available.iter().copied());
             }
             candidates.take_first();
