--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -162,7 +162,8 @@
         #[bpaf(long, argument("N"), fallback(4))]
         parallel: usize,
         /// The subject: outage, held-back (events behind comments, no health checks), large-fleet
-        /// (drawn fleets and disturbances), large-release, held-loop, or fleet-cost (a table)
+        /// (drawn fleets and disturbances), large-release, held-loop, fleet-cost (a table) or
+        /// fleet-growth (200 workers beside 3,200)
         #[bpaf(positional("SUBJECT"))]
         subject: String,
     },
@@ -391,9 +392,10 @@
             "large-fleet" => large_fleet::soak(seeds, seed, large_fleet::Scenario::draw),
             "large-release" => large_fleet::soak(seeds, seed, large_fleet::Scenario::reported),
             "fleet-cost" => large_fleet::measure_costs().map(|()| true),
+            "fleet-growth" => large_fleet::compare_growth().map(|()| true),
             "held-loop" => large_fleet::soak(seeds, seed, large_fleet::Scenario::held_loop),
             other => Err(std::io::Error::other(format!(
-                "unknown subject '{other}': expected outage, held-back, large-fleet, large-release, held-loop or fleet-cost"
+                "unknown subject '{other}': expected outage, held-back, large-fleet, large-release, held-loop, fleet-cost or fleet-growth"
             ))),
         },
         Command::Bench(Bench::Wheel) => bench::wheel(),
--- a/testbed/src/large_fleet/mod.rs
+++ b/testbed/src/large_fleet/mod.rs
@@ -33,6 +33,26 @@
     Ok(())
 }
 
+/// Plays the reported release in a fleet of 200 workers and in one of 3,200, and prints what a
+/// gateway needed in each.
+///
+/// # Errors
+///
+/// A process or fake cannot be started, or a gateway has exited by itself.
+pub fn compare_growth() -> Result<()> {
+    println!("{}", Verdict::HEADER);
+    for workers in [200, 3_200] {
+        let scenario = Scenario {
+            workers,
+            busy_neighbours: 0,
+            kill: None,
+            ..Scenario::reported(1)
+        };
+        println!("{}", play(&scenario)?);
+    }
+    Ok(())
+}
+
 /// Plays the scenarios of consecutive seeds one after the other and prints a line for each. Returns
 /// whether all hold.
 ///
