--- a/testbed/tests/large_fleet.rs
+++ b/testbed/tests/large_fleet.rs
@@ -9,7 +9,16 @@
 
 /// A gateway built without optimisation does about a tenth as much with a whole core as an
 /// optimised one does, so it shares its core with nobody.
-const BUSY_NEIGHBOURS: usize = if cfg!(debug_assertions) { 0 } else { 9 };
+fn with_fitting_share(scenario: Scenario) -> Scenario {
+    Scenario {
+        busy_neighbours: if cfg!(debug_assertions) {
+            0
+        } else {
+            scenario.busy_neighbours
+        },
+        ..scenario
+    }
+}
 
 /// One fleet at a time: two would share cores.
 fn one_at_a_time() -> MutexGuard<'static, ()> {
@@ -25,10 +34,7 @@
 #[test]
 fn release_of_thousands_of_workers_loses_no_answer() {
     let _guard = one_at_a_time();
-    let scenario = Scenario {
-        busy_neighbours: BUSY_NEIGHBOURS,
-        ..Scenario::reported(1)
-    };
+    let scenario = with_fitting_share(Scenario::reported(1));
     assert_holds(&play(&scenario).expect("the run ends"));
 }
 
@@ -44,11 +50,7 @@
 fn drawn_fleets_answer_in_time_and_respect_drains() {
     let _guard = one_at_a_time();
     for seed in [9_004, 9_009, 9_016] {
-        let drawn = Scenario::draw(seed);
-        let scenario = Scenario {
-            busy_neighbours: drawn.busy_neighbours.min(BUSY_NEIGHBOURS),
-            ..drawn
-        };
+        let scenario = with_fitting_share(Scenario::draw(seed));
         assert_holds(&play(&scenario).expect("the run ends"));
     }
 }
