--- a/testbed/src/large_fleet/judge.rs
+++ b/testbed/src/large_fleet/judge.rs
@@ -67,7 +67,7 @@
     pub calls: usize,
     /// Calls served.
     pub served: usize,
-    /// Calls answered more than [`ANSWER_SLACK`] after their deadline.
+    /// Calls answered more than half a second after their deadline.
     pub late: usize,
     /// Calls without any answer.
     pub unanswered: usize,
