Keep the closed portal's port from other processes in its test

The test closes a port of 127.0.0.1 and binds it again later; meanwhile an outgoing connection of any process may be given that port. It now uses another loopback address, which outgoing connections do not take. The test's checks are the same; it passes.

--- a/tests/webhooks.rs
+++ b/tests/webhooks.rs
@@ -171,8 +171,9 @@
 #[test]
 fn recovered_portal_gets_one_delayed_callback() {
     let workers = [Worker::start()];
-    // A port that has just been closed and refuses connections.
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap();
+    // A port that has just been closed and refuses connections, at a loopback address on which no
+    // outgoing connection of another process can take it.
+    let closed = TcpListener::bind("127.0.7.1:0").unwrap();
     let address = closed.local_addr().unwrap();
     drop(closed);
     let g = start(&workers, address);
