Keep a test gateway's ports from other processes

Its standard error is not kept, so the reason is inferred: as in tests/webhooks.rs the port is closed and bound again later, and two runs at once take each other's. The address is one that outgoing connections do not take. Checks unchanged; the four tests pass.

--- a/tests/operator_answers.rs
+++ b/tests/operator_answers.rs
@@ -52,7 +52,8 @@
 
 /// An address that no process listens on at the moment.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    // On this loopback address no outgoing connection of another process can take the port.
+    let listener = TcpListener::bind("127.0.7.1:0").expect("a port");
     listener.local_addr().expect("an address")
 }
 
