--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+set -u
+folder=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$folder/../.." && pwd)
+case=$root/target/review/moved_portal
+[ -x "$case" ] && [ -x "$root/target/release/molelug" ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
+export TROUBLE=${TROUBLE:-1}
+exec timeout --kill-after=5 110 "$case" "$root" "$folder"
