--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
-case=$root/target/review/moved_portal
+case=$root/target/review/keyed_repeat
 [ -x "$case" ] && [ -x "$root/target/release/molelug" ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
 export TROUBLE=${TROUBLE:-1}
 exec timeout --kill-after=5 110 "$case" "$root" "$folder"
