--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,7 @@
 case=$root/target/review/replay
 [ -x "$case" ] && [ -x "$root/target/release/molelug" ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
 export TROUBLE=${TROUBLE:-1}
-exec timeout --kill-after=5 110 "$case" "$root" "$folder"
+timeout --kill-after=5 110 "$case" "$root" "$folder"
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
