Pass the idempotency key on, and repeat no keyed call without one

Cause: no part of the gateway read X-Operation-Key, and attempts carried no replay field, while the decision module permits a repeat of a keyed call within its window and group because workers drop repeats by their key.

Change: platform front, core and worker connection carry the key with every attempt; a key that cannot be passed on unchanged gets 400. The effect is decided for each request: without a key a keyed call counts as non-idempotent. Signed calls derive their key from tenant and webhook-id, so it is the same at every gateway, after a restart and for records of earlier versions; no stored or replicated format changes.

Why it works: a repeat reaches a worker only where that worker can recognise it.

--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -84,6 +84,8 @@
     pub concurrency_per_copy: u32,
     /// The usual load time in microseconds, if known.
     pub load_duration: Option<Micros>,
+    /// Whether its attempts carry an idempotency key.
+    pub has_idempotency_key: bool,
 }
 
 /// The result of an attempt, with the data from its answer.
--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -32,6 +32,17 @@
     NonIdempotent,
 }
 
+impl Effect {
+    /// The effect of one request of a class with this effect. Workers recognize a repeat by its
+    /// idempotency key alone, so without a key a request of a keyed class must never run twice.
+    pub fn of_request(self, has_idempotency_key: bool) -> Effect {
+        match self {
+            Effect::Keyed { .. } if !has_idempotency_key => Effect::NonIdempotent,
+            effect => effect,
+        }
+    }
+}
+
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
--- a/src/bin/molelug-simhost/wire.rs
+++ b/src/bin/molelug-simhost/wire.rs
@@ -239,6 +239,8 @@
             memory_mb: f64::from(f32_at(event, 36)?),
             concurrency_per_copy: f32_at(event, 40)? as u32,
             load_duration: Some(micros(f64::from(f32_at(event, 44)?))).filter(|t| *t > 0),
+            // The simulator's requests of keyed classes carry their key implicitly.
+            has_idempotency_key: true,
         }),
         7 => {
             let outcome = outcome(u16_at(event, 13)?)?;
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -61,10 +61,6 @@
         let Some(&request_key) = self.keys_by_id.get(&request_id) else {
             return;
         };
-        let Some(request) = self.requests.get(request_key) else {
-            return;
-        };
-        let effect = self.effect_of(request.class());
         let Some(request) = self
             .unanswered(request_key)
             .filter(|request| request.in_flight.is_none())
@@ -73,7 +69,7 @@
         };
         // Workers deduplicate repeats only within this window, so a repeat that waits for a connection to be
         // established must not be sent after it.
-        let start_deadline = match effect {
+        let start_deadline = match request.effect {
             Effect::Keyed { window, .. } => request.may_have_run_at.map(|sent_at| sent_at + window),
             Effect::Idempotent | Effect::NonIdempotent => None,
         };
@@ -115,7 +111,9 @@
             attempt: key,
             worker,
             identity: request.call.identity.clone(),
+            idempotency_key: request.call.idempotency_key.clone(),
             class: request.class(),
+            effect: request.effect,
             function: request.call.arrival.function,
             expires_at,
             body: request.call.body.clone(),
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
-use super::{AttemptKey, HealthCheckKey, LoadOrderKey};
-use crate::api::{Arrival, ClassId, CopyStart, FunctionId, LoadReport, Micros, WorkerId};
+use super::{AttemptKey, HealthCheckKey, IdempotencyKey, LoadOrderKey};
+use crate::api::{Arrival, ClassId, CopyStart, Effect, FunctionId, LoadReport, Micros, WorkerId};
 use crate::completion::CloseReason;
 
 /// A call that a front submits.
@@ -13,9 +13,11 @@
     pub origin: O,
     /// The identity under which workers receive the call.
     pub identity: Rc<str>,
+    /// The key by which workers recognize repeats, if the caller has given one.
+    pub idempotency_key: Option<IdempotencyKey>,
     /// The payload for the worker.
     pub body: Rc<[u8]>,
-    /// The description for the decision module; the core assigns its request id.
+    /// The description for the decision module; the core assigns its request id and notes whether it has a key.
     pub arrival: Arrival,
 }
 
@@ -25,6 +27,7 @@
         Call {
             origin,
             identity: self.identity,
+            idempotency_key: self.idempotency_key,
             body: self.body,
             arrival: self.arrival,
         }
@@ -54,8 +57,12 @@
     pub worker: WorkerId,
     /// The identity under which the worker receives the call.
     pub identity: Rc<str>,
+    /// The key by which workers recognize repeats.
+    pub idempotency_key: Option<IdempotencyKey>,
     /// The class of the request.
     pub class: ClassId,
+    /// The effect of running the request more than once.
+    pub effect: Effect,
     /// The function to run.
     pub function: FunctionId,
     /// The time at which the gateway stops waiting for the reply.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,6 +19,7 @@
 mod deadlines;
 mod evidence;
 mod health_checks;
+mod idempotency_key;
 mod load_orders;
 mod requests;
 
@@ -29,6 +30,7 @@
 use deadlines::{Deadline, DeadlineQueue};
 pub use evidence::EvidenceView;
 use health_checks::HealthCheck;
+pub use idempotency_key::{IdempotencyKey, InvalidIdempotencyKey, MAX_IDEMPOTENCY_KEY_BYTES};
 use load_orders::{LoadOrder, DEFAULT_LOAD_ORDER_TIMEOUT};
 use requests::Request;
 
@@ -126,8 +128,8 @@
         self.policy.observed_capacity()
     }
 
-    /// Returns the effect of repeating a request of a class.
-    fn effect_of(&self, class: ClassId) -> Effect {
+    /// Returns the effect of repeating a request of a class that has an idempotency key where its class requires one.
+    fn class_effect(&self, class: ClassId) -> Effect {
         self.effects
             .get(usize::from(class.0))
             .copied()
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -13,6 +13,8 @@
 pub(super) struct Request<O> {
     pub(super) request_id: RequestId,
     pub(super) call: Call<O>,
+    /// The effect of running it more than once.
+    pub(super) effect: Effect,
     pub(super) attempts_sent: u8,
     pub(super) in_flight: Option<AttemptKey>,
     pub(super) answered: bool,
@@ -21,10 +23,11 @@
 }
 
 impl<O> Request<O> {
-    fn new(request_id: RequestId, call: Call<O>) -> Request<O> {
+    fn new(request_id: RequestId, call: Call<O>, effect: Effect) -> Request<O> {
         Request {
             request_id,
             call,
+            effect,
             attempts_sent: 0,
             in_flight: None,
             answered: false,
@@ -63,9 +66,13 @@
     pub fn submit(&mut self, now: Micros, mut call: Call<O>) -> RequestKey {
         let request_id = self.next_request_id();
         call.arrival.request = request_id;
+        call.arrival.has_idempotency_key = call.idempotency_key.is_some();
+        let effect = self
+            .class_effect(call.arrival.class)
+            .of_request(call.arrival.has_idempotency_key);
         let arrival = call.arrival.clone();
         self.open_identities.insert(call.identity.clone());
-        let key = self.requests.insert(Request::new(request_id, call));
+        let key = self.requests.insert(Request::new(request_id, call, effect));
         self.unanswered_requests += 1;
         self.keys_by_id.insert(request_id, key);
         // The module answers by the request's deadline; this later deadline guarantees an answer if it does not.
@@ -146,7 +153,7 @@
         let Some(request) = self.requests.get(key).filter(|request| !request.answered) else {
             return;
         };
-        let idempotent = self.effect_of(request.class()) == Effect::Idempotent;
+        let idempotent = request.effect == Effect::Idempotent;
         let may_retry = idempotent || request.may_have_run_at.is_none();
         let answer = if may_retry && request.in_flight.is_none() {
             Answer::Rejected { retry_after: 0 }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -58,10 +58,12 @@
         memory_mb: 1.0,
         concurrency_per_copy: 2,
         load_duration: None,
+        has_idempotency_key: false,
     };
     Call {
         origin,
         identity: format!("{origin:016x}").into(),
+        idempotency_key: None,
         body: Rc::from(&b""[..]),
         arrival,
     }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -4,7 +4,7 @@
 
 use super::http::{self, fatal, request_error, Request, RequestError};
 use crate::api::{Arrival, ClassId, FunctionId, Micros, RequestId, TenantId};
-use crate::core::{Answer, Call};
+use crate::core::{Answer, Call, IdempotencyKey};
 use crate::names::Names;
 
 /// The longest deadline for a class that states none, and the largest estimate or load duration,
@@ -124,6 +124,10 @@
     };
     let estimate_ms = r.header("X-Estimate-Ms").map(parse_estimate);
     let id = id.ok_or(request_error(400, "bad X-Correlation-Id"))?;
+    let idempotency_key = r
+        .header("X-Operation-Key")
+        .map(|key| IdempotencyKey::new(key).map_err(|_| request_error(400, "bad X-Operation-Key")))
+        .transpose()?;
     let mut arrival = Arrival {
         request: RequestId(0),
         class: ClassId(class.ok_or(request_error(400, "unknown class"))? as u8),
@@ -136,11 +140,13 @@
         memory_mb: 0.0,
         concurrency_per_copy: 1,
         load_duration: None,
+        has_idempotency_key: idempotency_key.is_some(),
     };
     extras(r.header("X-Extras").unwrap_or_default(), &mut arrival)?;
     Ok(ClientRequest::Call(Call {
         origin: (),
         identity: id.into(),
+        idempotency_key,
         body: Rc::from(r.body),
         arrival,
     }))
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -7,7 +7,7 @@
 use super::replay::{identity_digest, RecordResult, ReplayStore};
 use super::signature;
 use crate::api::{Arrival, Class, ClassId, Effect, FunctionId, Micros, RequestId};
-use crate::core::Call;
+use crate::core::{Call, IdempotencyKey};
 use crate::front::http::{request_error, Request, RequestError};
 use crate::front::platform::hex16;
 use crate::names::Names;
@@ -16,6 +16,8 @@
 
 /// Maximum length of a `webhook-id` and of an order key, in bytes.
 const MAX_ID_BYTES: usize = 128;
+/// Bytes of the identity's digest in an idempotency key; the platform's keys are as long.
+const IDEMPOTENCY_KEY_DIGEST_BYTES: usize = 16;
 
 /// The body of a call. Other fields are ignored; in particular, no callback address is read.
 #[derive(Debug, Deserialize)]
@@ -65,6 +67,24 @@
     pub order_key: Option<String>,
 }
 
+impl CallContext {
+    /// Derives the idempotency key of a call of a keyed class from the tenant and the `webhook-id`.
+    /// It is the same at every gateway and after every restart, so that workers recognize each
+    /// repeat of the call wherever it was resumed.
+    pub fn idempotency_key(&self) -> Option<IdempotencyKey> {
+        if !matches!(self.effect, Effect::Keyed { .. }) {
+            return None;
+        }
+        let digest = identity_digest(&self.tenant, &self.webhook_id);
+        let hex: String = digest
+            .iter()
+            .take(IDEMPOTENCY_KEY_DIGEST_BYTES)
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
+        IdempotencyKey::new(&hex).ok()
+    }
+}
+
 /// Checks incoming webhooks.
 #[derive(Debug)]
 pub struct WebhookVerifier {
@@ -232,6 +252,7 @@
                 .order_key
                 .filter(|k| !k.is_empty() && k.len() <= MAX_ID_BYTES),
         };
+        let idempotency_key = job.idempotency_key();
         let arrival = Arrival {
             request: RequestId(0),
             class: ClassId(class_index as u8),
@@ -243,11 +264,13 @@
             memory_mb: d.memory_mb,
             concurrency_per_copy: d.lanes.max(1),
             load_duration: d.load_ms.map(micros),
+            has_idempotency_key: idempotency_key.is_some(),
         };
         let id = self.worker_identity(name, webhook_id).into();
         Ok(Call {
             origin: job,
             identity: id,
+            idempotency_key,
             body: payload.into(),
             arrival,
         })
--- a/src/front/webhook/inbound/fixture_tests.rs
+++ b/src/front/webhook/inbound/fixture_tests.rs
@@ -2,7 +2,8 @@
 //!
 //! See `tests/wire_formats.rs`; `UPDATE_FIXTURES=1` rewrites the file.
 
-use super::WebhookVerifier;
+use super::{CallContext, WebhookVerifier};
+use crate::api::{Effect, FunctionId, IdempotencyScope};
 use crate::fixtures::check_lines;
 use crate::front::webhook::replay::ReplayStore;
 
@@ -24,3 +25,33 @@
         )],
     );
 }
+
+fn call_of_class(effect: Effect) -> CallContext {
+    CallContext {
+        tenant: "acme".into(),
+        serial: 3,
+        webhook_id: "msg_1".into(),
+        class: "edit".into(),
+        effect,
+        function: FunctionId(7),
+        order_key: None,
+    }
+}
+
+/// Gateways of different versions, and a restarted one, must derive the same key: workers recognize
+/// a repeat by nothing else. Stored calls have all that the key is made from.
+#[test]
+fn idempotency_key_matches_its_recorded_value() {
+    let keyed = call_of_class(Effect::Keyed {
+        scope: IdempotencyScope::Cell,
+        window: 12_000_000,
+    });
+    let key = keyed.idempotency_key().expect("a key");
+    check_lines(
+        "wire/idempotency_key.txt",
+        &[format!("key {}", key.as_str())],
+    );
+    for effect in [Effect::Idempotent, Effect::NonIdempotent] {
+        assert_eq!(call_of_class(effect).idempotency_key(), None);
+    }
+}
--- a/src/gateway/commands.rs
+++ b/src/gateway/commands.rs
@@ -2,7 +2,7 @@
 
 use super::load_coordination::Order;
 use super::{ConnKey, Gateway, Origin, Role};
-use crate::api::{ClassId, Effect, FunctionId, Micros, WorkerId};
+use crate::api::{Effect, FunctionId, Micros, WorkerId};
 use crate::completion::{CloseReason, SendProgress};
 use crate::core::{
     AttemptCompletion, AttemptDispatch, AttemptKey, Command, HealthCheckKey, LoadOrderKey,
@@ -267,7 +267,7 @@
             Ok(key) => key,
             Err(reason) => return self.complete_unsent(Exchange::Attempt(attempt), reason),
         };
-        let run_at_most_once = self.runs_once(dispatch.class);
+        let run_at_most_once = dispatch.effect != Effect::Idempotent;
         let Some((connection, Role::Worker(worker))) = self.connections.get_mut(connection_key)
         else {
             return;
@@ -281,6 +281,7 @@
         let command = AttemptCommand {
             attempt,
             identity: dispatch.identity,
+            idempotency_key: dispatch.idempotency_key.as_ref(),
             class,
             function: dispatch.function,
             wait_ms: dispatch.expires_at.saturating_sub(now) / 1000,
@@ -303,13 +304,4 @@
         }
         self.connection_to(now, dispatch.worker, &dispatch.identity)
     }
-
-    /// Whether a call of this class must not run twice; true for an unknown class.
-    fn runs_once(&self, class: ClassId) -> bool {
-        let class = self.config.settings.classes.get(usize::from(class.0));
-        match class.map(|class| class.effect) {
-            Some(Effect::Idempotent) => false,
-            Some(Effect::Keyed { .. } | Effect::NonIdempotent) | None => true,
-        }
-    }
 }
--- a/src/gateway/webhooks/shard_calls.rs
+++ b/src/gateway/webhooks/shard_calls.rs
@@ -131,6 +131,8 @@
             .tenants
             .get_with_serial(&call.tenant, call.serial)?
             .id;
+        let context = job_of(call);
+        let idempotency_key = context.idempotency_key();
         let arrival = Arrival {
             request: RequestId(0),
             class: ClassId(class as u8),
@@ -142,10 +144,12 @@
             memory_mb: call.memory_mb,
             concurrency_per_copy: call.concurrency_per_copy,
             load_duration: call.load_time,
+            has_idempotency_key: idempotency_key.is_some(),
         };
         Some(Call {
-            origin: job_of(call),
+            origin: context,
             identity: call.worker_id.as_str().into(),
+            idempotency_key,
             body: call.body.clone().into(),
             arrival,
         })
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -144,7 +144,7 @@
         let mut client_deadline = 0;
         if let Some(settings) = self.settings.classes.get(class) {
             request.latency_objective = settings.latency_objective;
-            request.effect = settings.effect;
+            request.effect = settings.effect.of_request(arrival.has_idempotency_key);
             client_deadline = settings.deadline;
         }
         if is_client_retry {
--- a/src/worker/connection.rs
+++ b/src/worker/connection.rs
@@ -125,7 +125,11 @@
         let class = command.class;
         let function = command.function.0;
         let wait_ms = command.wait_ms.max(1);
-        let fields = format!("profile={class},thing={function:016x},max={wait_ms}");
+        let mut fields = format!("profile={class},thing={function:016x},max={wait_ms}");
+        if let Some(key) = command.idempotency_key {
+            fields.push_str(",replay=");
+            fields.push_str(key.as_str());
+        }
         let bytes = encode_array(&[
             b"go",
             command.identity.as_bytes(),
--- a/src/worker/exchange.rs
+++ b/src/worker/exchange.rs
@@ -4,7 +4,7 @@
 
 use crate::api::{FunctionId, Micros};
 use crate::completion::{CloseReason, SendProgress};
-use crate::core::{AttemptKey, AttemptReply, HealthCheckKey, LoadOrderKey};
+use crate::core::{AttemptKey, AttemptReply, HealthCheckKey, IdempotencyKey, LoadOrderKey};
 
 /// A command to a worker that expects one reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,6 +59,8 @@
     pub attempt: AttemptKey,
     /// The call's identity.
     pub identity: Rc<str>,
+    /// The key by which the worker recognizes repeats.
+    pub idempotency_key: Option<&'a IdempotencyKey>,
     /// The class's name.
     pub class: &'a str,
     /// The function to run.
--- a/src/worker/tests.rs
+++ b/src/worker/tests.rs
@@ -37,6 +37,7 @@
         let command = AttemptCommand {
             attempt,
             identity: id.into(),
+            idempotency_key: None,
             class: "c",
             function: FunctionId(7),
             wait_ms: 9,
--- a/testbed/src/emulator/mod.rs
+++ b/testbed/src/emulator/mod.rs
@@ -771,10 +771,12 @@
             memory_mb: 1.0,
             concurrency_per_copy: 4,
             load_duration: Some(workers::LOAD_TIME),
+            has_idempotency_key: false,
         };
         let call = Call {
             origin: id,
             identity: format!("{id:016x}").into(),
+            idempotency_key: None,
             body: Rc::from(&b""[..]),
             arrival,
         };
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -230,6 +230,7 @@
                         memory_mb: 100.0,
                         concurrency_per_copy: 4,
                         load_duration: Some(LOAD_TIME),
+                        has_idempotency_key: false,
                     }),
                 );
                 self.schedule_arrival(instance);
--- a/tests/common/by_hand.rs
+++ b/tests/common/by_hand.rs
@@ -14,6 +14,16 @@
     pub word: String,
     /// The request's identity, or the tag of a load order.
     pub id: String,
+    /// The fields of a request, `name=value,name=value`.
+    pub fields: String,
+}
+
+impl WorkerCommand {
+    /// Returns the idempotency key of a request.
+    pub fn idempotency_key(&self) -> Option<&str> {
+        let mut fields = self.fields.split(',');
+        fields.find_map(|field| field.strip_prefix("replay="))
+    }
 }
 
 /// One connection of the gateway to a worker.
@@ -38,9 +48,20 @@
         Some(WorkerCommand {
             word: text(0),
             id: text(1),
+            fields: text(2),
         })
     }
 
+    /// Returns the next attempt; skips health checks and load orders.
+    pub fn next_attempt(&mut self) -> WorkerCommand {
+        loop {
+            let command = self.next().expect("an attempt");
+            if command.word == "go" {
+                return command;
+            }
+        }
+    }
+
     /// Returns the identity of the next attempt. Panics if another command comes first.
     pub fn next_go(&mut self) -> String {
         let command = self.next().expect("an attempt");
@@ -264,6 +285,8 @@
     pub class: &'static str,
     pub function: u64,
     pub wait_ms: u64,
+    /// The operation's idempotency key.
+    pub key: Option<&'static str>,
 }
 
 impl Ask {
@@ -274,6 +297,7 @@
             class: "disponibilidad",
             function: 0xaa,
             wait_ms: 2400,
+            key: None,
         }
     }
 
@@ -291,9 +315,12 @@
 
     /// The HTTP request of the call.
     pub fn text(self) -> String {
+        let key = self
+            .key
+            .map_or(String::new(), |key| format!("X-Operation-Key: {key}\r\n"));
         format!(
             "POST /call/{:016x}/trigger HTTP/1.1\r\nHost: t\r\nX-Class: {}\r\nX-Org: franq-bajio\r\n\
-             X-Correlation-Id: {:016x}\r\nX-Deadline-Ms: {}\r\nContent-Length: 2\r\n\r\nhi",
+             X-Correlation-Id: {:016x}\r\nX-Deadline-Ms: {}\r\n{key}Content-Length: 2\r\n\r\nhi",
             self.function, self.class, self.id, self.wait_ms
         )
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use serde_json::{json, Value};
 
 pub mod by_hand;
+pub mod signed;
 
 /// The limit for every wait. Only a gateway that hangs makes a test fail by this limit.
 pub const PATIENCE: Duration = Duration::from_secs(30);
--- a/tests/decisions/driver.rs
+++ b/tests/decisions/driver.rs
@@ -357,6 +357,7 @@
             memory_mb: 100.0,
             concurrency_per_copy: 1 + (function.0 % 3) as u32,
             load_duration: random.percent(70).then_some(load_time(function)),
+            has_idempotency_key: true,
         };
         let client_leaves_after = random.percent(4).then(|| random.below(time));
         self.requests.insert(
--- a/tests/fleet_cost.rs
+++ b/tests/fleet_cost.rs
@@ -156,6 +156,7 @@
             memory_mb: 64.0,
             concurrency_per_copy: 4,
             load_duration: Some(40_000),
+            has_idempotency_key: false,
         };
         self.handle(Event::Request(arrival))
     }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -60,6 +60,7 @@
     now: Micros,
     last_request: u32,
     concurrency_per_copy: u32,
+    has_idempotency_key: bool,
 }
 
 impl Rig {
@@ -69,6 +70,7 @@
             now: 1,
             last_request: 0,
             concurrency_per_copy: 1,
+            has_idempotency_key: true,
         };
         let members = (1..=workers)
             .map(|w| member(w, WorkerStatus::Ready, None))
@@ -112,6 +114,7 @@
             memory_mb: 100.0,
             concurrency_per_copy: self.concurrency_per_copy,
             load_duration: Some(SECOND / 2),
+            has_idempotency_key: self.has_idempotency_key,
         }));
         (request, actions)
     }
@@ -260,6 +263,21 @@
     }
 }
 
+/// Guards against keyed requests that run twice: without a key no worker recognizes a repeat.
+#[test]
+fn keyed_request_without_key_fails_after_a_possible_run() {
+    for (has_idempotency_key, repeats) in [(true, true), (false, false)] {
+        let mut rig = Rig::new(settings(), 3);
+        rig.has_idempotency_key = has_idempotency_key;
+        let (request, actions) = rig.request(7, 1);
+        let (_, worker) = sent(&actions)[0];
+        let after = rig.end_attempt(request, worker, Outcome::Reset, 1_000);
+        assert_eq!(sent(&after).len(), usize::from(repeats), "{after:?}");
+        let fails = after.contains(&Action::Fail { request });
+        assert_eq!(fails, !repeats, "{after:?}");
+    }
+}
+
 #[test]
 fn non_idempotent_requests_fail_after_a_possible_run() {
     let mut rig = Rig::new(settings(), 3);
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -116,6 +116,7 @@
         &g,
         Ask {
             wait_ms: 8000,
+            key: Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
             ..Ask::once(1)
         },
     );
--- a/tests/wire_formats/worker.rs
+++ b/tests/wire_formats/worker.rs
@@ -29,6 +29,7 @@
     let go = AttemptCommand {
         attempt: AttemptKey::from(KeyData::from_ffi(ATTEMPT)),
         identity: Rc::from(IDENTITY),
+        idempotency_key: None,
         class: "checkout",
         function: FUNCTION,
         wait_ms: 2500,
