Keep the identities of signed calls in a file that gateways share

Cause: without store and replay_file identities were in memory. The guard of a new process refused stamps from before its start and forgot that tolerance_s lets stamps lie ahead; another gateway had no guard. A process that knows nothing cannot tell a replay from a call of a portal whose clock is ahead: same stamp, same moment. Refusing all stamps up to start + tolerance would refuse each sound call for 300 s.

Change: the identities are in the file replays beside the operator's file, shared under a lock with the other gateways of that folder and with the second process of a hot restart, which used to replace the file. A first start keeps the old guard. Identities of calls that could not be kept are released; those dropped while a clock was ahead stay refused. Where no file can be written, stamps more than 5 s ahead are refused, and those up to 5 s after a start, so that sound calls are taken 6 s later.

Why it works: a call gets 202 only after its identity is in a place that outlives the process and that each gateway of the folder reads before its own 202.

--- a/src/config.rs
+++ b/src/config.rs
@@ -18,6 +18,8 @@
 use crate::settings;
 use crate::tenancy::{Registry, Spec};
 
+/// Name of the file of identities beside the operator's file.
+const DEFAULT_REPLAY_FILE: &str = "replays";
 /// Changes at service discovery count as known after this time, in microseconds, even if discovery
 /// is unreachable.
 const LIST_MAX_AGE: Micros = 7_000_000;
@@ -323,6 +325,10 @@
     pub replay_entries: usize,
     /// The file that keeps these identities across restarts.
     pub replay_file: Option<PathBuf>,
+    /// The file of identities where neither `replay_file` nor `store` names one: beside the operator's
+    /// file, so that gateways whose operator's files are in one folder share it.
+    #[serde(skip)]
+    pub default_replay_file: Option<PathBuf>,
     /// The store's file for calls and callbacks; without it they last as long as the process.
     pub store: Option<PathBuf>,
     /// Maximum size of calls and callbacks in the store, in MiB.
@@ -458,6 +464,7 @@
             if let Some(w) = &mut operator.webhooks {
                 w.replay_file = w.replay_file.take().map(|file| folder.join(file));
                 w.store = w.store.take().map(|file| folder.join(file));
+                w.default_replay_file = Some(folder.join(DEFAULT_REPLAY_FILE));
             }
             if let Some(admin) = &mut operator.admin {
                 admin.bundle = folder.join(&admin.bundle);
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -1,5 +1,7 @@
 //! Verifies signed webhooks and turns them into calls.
 
+use std::ops::RangeInclusive;
+
 use base64::prelude::{Engine, BASE64_STANDARD};
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
@@ -85,17 +87,60 @@
     }
 }
 
+/// How far a time stamp may lie ahead of the clock while identities are lost with the process, in
+/// seconds: enough for clocks that are kept by time servers.
+const MAX_AHEAD_WITHOUT_FILE_S: u64 = 5;
+
+/// What a process knows of the identities that earlier processes of its gateway accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlierIdentities {
+    /// All are known, from a file or a store.
+    Known,
+    /// None is known, as the first process with a file started at this time. Later processes know
+    /// those of this one.
+    FirstStart(Micros),
+    /// None is known, and those of this process, which started at this time, are lost with it.
+    Lost(Micros),
+}
+
+impl EarlierIdentities {
+    fn max_ahead_s(self, tolerance_s: u64) -> u64 {
+        match self {
+            EarlierIdentities::Known | EarlierIdentities::FirstStart(_) => tolerance_s,
+            EarlierIdentities::Lost(_) => MAX_AHEAD_WITHOUT_FILE_S.min(tolerance_s),
+        }
+    }
+
+    /// The time stamps from the start of this process on that an earlier one may have accepted, in
+    /// seconds; none if its identities are known. All earlier stamps are in doubt as well.
+    fn stamps_in_doubt(self) -> Option<RangeInclusive<u64>> {
+        let seconds = |at: Micros| at / 1_000_000;
+        match self {
+            EarlierIdentities::Known => None,
+            EarlierIdentities::FirstStart(at) => Some(seconds(at)..=seconds(at)),
+            EarlierIdentities::Lost(at) => {
+                Some(seconds(at)..=seconds(at) + MAX_AHEAD_WITHOUT_FILE_S)
+            }
+        }
+    }
+}
+
+/// The result of checking a time stamp.
+enum StampCheck {
+    Fresh,
+    /// Too far from the clock, or from before the start.
+    Refused,
+    /// Maybe accepted by the previous process; a new signature will do.
+    JustStarted,
+}
+
 /// Checks incoming webhooks.
 #[derive(Debug)]
 pub struct WebhookVerifier {
     /// The largest accepted difference between a time stamp and this clock, in seconds.
     pub tolerance_s: u64,
-    /// The start time of this process if the identities accepted before it are unknown: the
-    /// previous process may have accepted an older webhook already.
-    pub started: Option<Micros>,
-    /// Identities valid until this time may have been forgotten. Webhooks with such time stamps are
-    /// rejected, as they would be accepted a second time after the clock stepped back.
-    pub forgotten_until: Micros,
+    /// What is known of the identities that earlier processes accepted.
+    pub earlier_identities: EarlierIdentities,
     /// The identities already accepted.
     pub replays: ReplayStore,
     /// Seed for the identities sent to workers; differs per gateway and per start.
@@ -131,13 +176,12 @@
             ));
         }
         let until = (stamp + self.tolerance_s + 1) * 1_000_000;
-        if until <= self.forgotten_until {
-            return Err(request_error(401, "time stamp refused"));
-        }
         match self.replays.take(name, id, now, until) {
             RecordResult::New => Ok((call, identity_digest(name, id), until)),
             RecordResult::Before => Err(request_error(409, "already taken")),
+            RecordResult::Forgotten => Err(request_error(401, "time stamp refused")),
             RecordResult::Full => Err(request_error(503, "too many calls remembered")),
+            RecordResult::Unavailable => Err(request_error(503, "the call cannot be remembered")),
         }
     }
 
@@ -165,16 +209,32 @@
         if !signature::verify(tenant.secrets(now), id, stamp, r.body, given) {
             return Err(refused);
         }
-        let seconds = now / 1_000_000;
-        let started = self.started.map(|t| t / 1_000_000);
-        if stamp.abs_diff(seconds) > self.tolerance_s || started.is_some_and(|s| stamp < s) {
-            return Err(request_error(401, "time stamp refused"));
+        match self.check_stamp(stamp, now) {
+            StampCheck::Fresh => Ok((tenant, id, stamp)),
+            StampCheck::Refused => Err(request_error(401, "time stamp refused")),
+            StampCheck::JustStarted => Err(request_error(503, "just started")),
         }
-        // Time stamps are whole seconds: the previous process may have accepted this webhook.
-        if started == Some(stamp) {
-            return Err(request_error(503, "just started"));
+    }
+
+    /// Checks a time stamp, in seconds. An earlier process may have accepted any stamp up to its own
+    /// end plus the time by which stamps may lie ahead. Where its identities are unknown, such
+    /// stamps are rejected, and the time ahead is short, so that they are soon past.
+    fn check_stamp(&self, stamp: u64, now: Micros) -> StampCheck {
+        let now_s = now / 1_000_000;
+        let max_ahead_s = self.earlier_identities.max_ahead_s(self.tolerance_s);
+        if now_s.abs_diff(stamp) > self.tolerance_s || stamp > now_s + max_ahead_s {
+            return StampCheck::Refused;
+        }
+        let Some(may_be_taken) = self.earlier_identities.stamps_in_doubt() else {
+            return StampCheck::Fresh;
+        };
+        if stamp < *may_be_taken.start() {
+            StampCheck::Refused
+        } else if may_be_taken.contains(&stamp) {
+            StampCheck::JustStarted
+        } else {
+            StampCheck::Fresh
         }
-        Ok((tenant, id, stamp))
     }
 
     /// Verifies a signed query for a call's state, `GET /webhooks/TENANT/calls/ID`, whose
--- a/src/front/webhook/inbound/fixture_tests.rs
+++ b/src/front/webhook/inbound/fixture_tests.rs
@@ -2,7 +2,7 @@
 //!
 //! See `tests/wire_formats.rs`; `UPDATE_FIXTURES=1` rewrites the file.
 
-use super::{CallContext, WebhookVerifier};
+use super::{CallContext, EarlierIdentities, WebhookVerifier};
 use crate::api::{Effect, FunctionId, IdempotencyScope};
 use crate::fixtures::check_lines;
 use crate::front::webhook::replay::ReplayStore;
@@ -11,8 +11,7 @@
 fn worker_identity_matches_its_recorded_value() {
     let inbound = WebhookVerifier {
         tolerance_s: 300,
-        started: None,
-        forgotten_until: 0,
+        earlier_identities: EarlierIdentities::Known,
         replays: ReplayStore::new(1),
         seed: 0x5eed,
         classes: Vec::new(),
--- a/src/front/webhook/replay.rs
+++ b/src/front/webhook/replay.rs
@@ -1,44 +1,28 @@
 //! A bounded store of accepted webhook identities, against replays. A full store rejects new
 //! identities instead of forgetting valid ones.
+//!
+//! The identities may also be in a file, which outlives the process and which gateways may share:
+//! see [`ReplayStore::open`].
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fs::{File, OpenOptions};
-use std::io::{self, Write};
-use std::path::{Path, PathBuf};
+use std::io;
+use std::path::Path;
 
 use sha2::{Digest, Sha256};
 
 use crate::api::Micros;
 use crate::store::records::IdentityDigest;
 
+mod file;
+
+use file::{Line, ReplayFile};
+
 /// The file is rewritten once it has more lines than [`MIN_REWRITE_LINES`] and than this multiple
 /// of the number of stored identities.
 const REWRITE_FACTOR: usize = 2;
 const MIN_REWRITE_LINES: usize = 4096;
-
-/// The store's file, with one line `UNTIL DIGEST` per identity. The file outlives the process.
-#[derive(Debug)]
-struct ReplayFile {
-    path: PathBuf,
-    file: File,
-    lines: usize,
-}
-
-fn line(until: Micros, mark: &IdentityDigest) -> String {
-    let hex: String = mark.iter().map(|b| format!("{b:02x}")).collect();
-    format!("{until} {hex}\n")
-}
-
-fn parse(line: &str) -> Option<(Micros, IdentityDigest)> {
-    let (until, hex) = line
-        .split_once(' ')
-        .filter(|(_, h)| h.len() == 64 && h.is_ascii())?;
-    let mut mark = IdentityDigest::default();
-    for (i, byte) in mark.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).ok()?;
-    }
-    Some((until.parse().ok()?, mark))
-}
+/// Maximum number of gateways that the file names as its users.
+const MAX_USERS: usize = 1024;
 
 /// The digest of a tenant's `webhook-id`.
 pub fn identity_digest(tenant: &str, id: &str) -> IdentityDigest {
@@ -56,8 +40,12 @@
     New,
     /// The identity was recorded before.
     Before,
-    /// The store is full, or the file could not be written.
+    /// The identity may have been recorded before and forgotten, as a clock was set back.
+    Forgotten,
+    /// The store is full.
     Full,
+    /// The file cannot be read or written, or another process holds its lock.
+    Unavailable,
 }
 
 /// Identities of accepted calls, kept as long as their time stamps are accepted.
@@ -66,7 +54,11 @@
     capacity: usize,
     until: BTreeMap<IdentityDigest, Micros>,
     order: BTreeSet<(Micros, IdentityDigest)>,
-    kept: Option<ReplayFile>,
+    /// Identities valid until this time may have been dropped.
+    forgotten_until: Micros,
+    /// The gateways that have recorded all their identities in the file.
+    users: BTreeSet<String>,
+    file: Option<ReplayFile>,
 }
 
 impl ReplayStore {
@@ -76,100 +68,185 @@
             capacity,
             until: BTreeMap::new(),
             order: BTreeSet::new(),
-            kept: None,
+            forgotten_until: 0,
+            users: BTreeSet::new(),
+            file: None,
         }
     }
 
     /// Opens a store in a file and loads the identities that are still valid. A line truncated by a
-    /// kill is skipped: its call was never answered with 202.
+    /// kill is skipped: its call was never answered with 202. Other processes may use the file at
+    /// the same time.
     pub fn open(path: &Path, capacity: usize, now: Micros) -> io::Result<ReplayStore> {
         let mut store = ReplayStore::new(capacity);
-        let text = match std::fs::read_to_string(path) {
-            Err(e) if e.kind() == io::ErrorKind::NotFound => String::new(),
-            text => text?,
-        };
-        for (until, mark) in text
-            .lines()
-            .filter_map(parse)
-            .filter(|(until, _)| *until >= now)
-        {
-            store.until.insert(mark, until);
-            store.order.insert((until, mark));
-        }
-        store.rewrite(path)?;
+        store.file = Some(ReplayFile::open(path)?);
+        store.locked(|store| {
+            store.read_new()?;
+            store.drop_expired(now);
+            store.rewrite_if_long()
+        })?;
         Ok(store)
     }
 
+    /// Adds a gateway to the users of the file, from now on. Returns whether it was one before, so
+    /// that the file has all identities that its earlier processes accepted.
+    pub fn add_user(&mut self, name: &str) -> io::Result<bool> {
+        if self.users.contains(name) {
+            return Ok(true);
+        }
+        if self.users.len() < MAX_USERS && !name.contains('\n') {
+            self.users.insert(name.to_owned());
+            self.locked(|store| store.append(&Line::User(name.to_owned())))?;
+        }
+        Ok(false)
+    }
+
     /// Adds identities that were stored elsewhere.
     pub fn load(&mut self, kept: &[(IdentityDigest, Micros)]) {
-        for (mark, until) in kept {
-            if self.until.insert(*mark, *until).is_none() {
-                self.order.insert((*until, *mark));
-            }
+        for (digest, until) in kept {
+            self.insert(*until, *digest);
         }
     }
 
+    /// Identities valid until `until` may have been forgotten elsewhere.
+    pub fn set_forgotten_until(&mut self, until: Micros) {
+        self.forgotten_until = self.forgotten_until.max(until);
+    }
+
     /// Removes an identity whose call could not be stored.
-    pub fn forget(&mut self, mark: &IdentityDigest) {
-        if let Some(until) = self.until.remove(mark) {
-            self.order.remove(&(until, *mark));
-        }
-    }
-
-    fn rewrite(&mut self, path: &Path) -> io::Result<()> {
-        let fresh = path.with_extension("new");
-        let text: String = self
-            .order
-            .iter()
-            .map(|(until, mark)| line(*until, mark))
-            .collect();
-        std::fs::write(&fresh, text)?;
-        std::fs::rename(&fresh, path)?;
-        let file = OpenOptions::new().append(true).open(path)?;
-        self.kept = Some(ReplayFile {
-            path: path.to_owned(),
-            file,
-            lines: self.order.len(),
+    pub fn forget(&mut self, digest: &IdentityDigest) {
+        self.remove(digest);
+        // If this fails, the identity stays taken: its call is rejected rather than run twice.
+        let released = Line::Released(*digest);
+        if let Err(error) = self.locked(|store| store.append(&released)) {
+            tracing::warn!(%error, "an unused identity stays in the file of identities");
+        }
+    }
+
+    /// Records an identity of a tenant until `until`. A valid identity is never dropped for a newer
+    /// one, so a flood of calls cannot make the store forget.
+    pub fn take(&mut self, tenant: &str, id: &str, now: Micros, until: Micros) -> RecordResult {
+        let digest = identity_digest(tenant, id);
+        let taken = self.locked(|store| {
+            store.read_new()?;
+            store.drop_expired(now);
+            store.record(digest, until)
         });
-        Ok(())
+        taken.unwrap_or_else(|error| {
+            tracing::warn!(%error, "the file of identities cannot be used: a call is rejected");
+            RecordResult::Unavailable
+        })
+    }
+
+    fn record(&mut self, digest: IdentityDigest, until: Micros) -> io::Result<RecordResult> {
+        if until <= self.forgotten_until {
+            return Ok(RecordResult::Forgotten);
+        }
+        if self.until.contains_key(&digest) {
+            return Ok(RecordResult::Before);
+        }
+        if self.until.len() >= self.capacity {
+            return Ok(RecordResult::Full);
+        }
+        self.append(&Line::Taken(until, digest))?;
+        self.insert(until, digest);
+        if let Err(error) = self.rewrite_if_long() {
+            tracing::warn!(%error, "the file of identities cannot be shortened");
+        }
+        Ok(RecordResult::New)
+    }
+
+    /// Runs `action` while no other process changes the file. Without a file it just runs.
+    fn locked<T>(
+        &mut self,
+        action: impl FnOnce(&mut ReplayStore) -> io::Result<T>,
+    ) -> io::Result<T> {
+        if let Some(file) = &mut self.file {
+            file.lock()?;
+        }
+        let result = action(self);
+        if let Some(file) = &self.file {
+            file.unlock();
+        }
+        result
     }
 
-    fn append(&mut self, until: Micros, mark: &IdentityDigest) -> io::Result<()> {
-        let Some(kept) = &mut self.kept else {
+    /// Applies the lines that this and other processes have appended.
+    fn read_new(&mut self) -> io::Result<()> {
+        let Some(file) = &mut self.file else {
             return Ok(());
         };
-        kept.file.write_all(line(until, mark).as_bytes())?;
-        kept.lines += 1;
-        if kept.lines > MIN_REWRITE_LINES.max(REWRITE_FACTOR * self.until.len()) {
-            let path = kept.path.clone();
-            self.rewrite(&path)?;
+        let lines = file.read_new()?;
+        let was_removed = lines.is_empty() && file.lines() == 0 && !self.until.is_empty();
+        for line in lines {
+            match line {
+                Line::Taken(until, digest) => self.insert(until, digest),
+                Line::Released(digest) => self.remove(&digest),
+                Line::ForgottenUntil(until) => self.set_forgotten_until(until),
+                Line::User(name) if self.users.len() < MAX_USERS => {
+                    self.users.insert(name);
+                }
+                Line::User(_) => {}
+            }
+        }
+        if was_removed {
+            self.rewrite()?;
         }
         Ok(())
     }
 
-    /// Records an identity of a tenant until `until`. A valid identity is never dropped for a newer
-    /// one, so a flood of calls cannot make the store forget.
-    pub fn take(&mut self, tenant: &str, id: &str, now: Micros, until: Micros) -> RecordResult {
-        while let Some(&(t, mark)) = self.order.first().filter(|(t, _)| *t < now) {
-            self.order.remove(&(t, mark));
-            self.until.remove(&mark);
+    fn append(&mut self, line: &Line) -> io::Result<()> {
+        match &mut self.file {
+            Some(file) => file.append(line),
+            None => Ok(()),
+        }
+    }
+
+    /// Shortens the file if most of its lines are no longer needed. Otherwise it stays in place, as
+    /// a process of an earlier version may append to it.
+    fn rewrite_if_long(&mut self) -> io::Result<()> {
+        let max_lines = MIN_REWRITE_LINES.max(REWRITE_FACTOR * self.until.len());
+        if self
+            .file
+            .as_ref()
+            .is_some_and(|file| file.lines() >= max_lines)
+        {
+            self.rewrite()?;
         }
-        let mark = identity_digest(tenant, id);
-        if self.until.contains_key(&mark) {
-            return RecordResult::Before;
+        Ok(())
+    }
+
+    fn rewrite(&mut self) -> io::Result<()> {
+        let Some(file) = &mut self.file else {
+            return Ok(());
+        };
+        let mut lines: Vec<Line> = self.users.iter().cloned().map(Line::User).collect();
+        if self.forgotten_until > 0 {
+            lines.push(Line::ForgottenUntil(self.forgotten_until));
         }
-        if self.until.len() >= self.capacity {
-            return RecordResult::Full;
+        let taken = self.order.iter();
+        lines.extend(taken.map(|(until, digest)| Line::Taken(*until, *digest)));
+        file.replace(&lines)
+    }
+
+    fn drop_expired(&mut self, now: Micros) {
+        while let Some(&(until, digest)) = self.order.first().filter(|(until, _)| *until < now) {
+            self.remove(&digest);
+            self.set_forgotten_until(until);
         }
-        // Inserted before the write, as `append` may rewrite the file from the maps.
-        self.until.insert(mark, until);
-        self.order.insert((until, mark));
-        if self.append(until, &mark).is_err() {
-            self.until.remove(&mark);
-            self.order.remove(&(until, mark));
-            return RecordResult::Full;
+    }
+
+    fn insert(&mut self, until: Micros, digest: IdentityDigest) {
+        if let Some(earlier) = self.until.insert(digest, until) {
+            self.order.remove(&(earlier, digest));
+        }
+        self.order.insert((until, digest));
+    }
+
+    fn remove(&mut self, digest: &IdentityDigest) {
+        if let Some(until) = self.until.remove(digest) {
+            self.order.remove(&(until, *digest));
         }
-        RecordResult::New
     }
 }
 
--- a/src/front/webhook/replay/tests.rs
+++ b/src/front/webhook/replay/tests.rs
@@ -62,3 +62,128 @@
     );
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+struct Scratch(std::path::PathBuf);
+
+impl Scratch {
+    fn new(name: &str) -> Scratch {
+        let name = format!("molelug-{name}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).unwrap();
+        Scratch(folder)
+    }
+
+    fn file(&self) -> std::path::PathBuf {
+        self.0.join("seen")
+    }
+
+    fn open(&self, now: Micros) -> ReplayStore {
+        ReplayStore::open(&self.file(), 10_000, now).unwrap()
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Guards against replays at another process: two that share a file, also while one shortens or an
+/// operator removes it.
+#[test]
+fn identity_taken_by_one_process_is_known_to_the_other() {
+    let scratch = Scratch::new("shared-replays");
+    let (mut a, mut b) = (scratch.open(0), scratch.open(0));
+    assert_eq!(a.take("t", "1", 0, 900_000), RecordResult::New);
+    assert_eq!(b.take("t", "1", 0, 900_000), RecordResult::Before);
+    assert_eq!(b.take("t", "2", 0, 900_000), RecordResult::New);
+    assert_eq!(a.take("t", "2", 0, 900_000), RecordResult::Before);
+    // Enough short-lived identities that one process replaces the file.
+    for i in 1..2 * MIN_REWRITE_LINES as u64 {
+        assert_eq!(a.take("t", &format!("c{i}"), i, i), RecordResult::New);
+    }
+    assert_eq!(b.take("t", "3", 10_000, 900_000), RecordResult::New);
+    for id in ["1", "2", "3"] {
+        assert_eq!(a.take("t", id, 10_000, 900_000), RecordResult::Before);
+    }
+    std::fs::remove_file(scratch.file()).unwrap();
+    assert_eq!(b.take("t", "4", 10_000, 900_000), RecordResult::New);
+    let mut c = scratch.open(10_000);
+    for id in ["1", "2", "3", "4"] {
+        assert_eq!(c.take("t", id, 10_000, 900_000), RecordResult::Before);
+    }
+}
+
+/// Guards against calls that are lost: a call that could not be stored may come again, everywhere.
+#[test]
+fn released_identity_may_be_taken_again() {
+    let scratch = Scratch::new("released-replays");
+    let (mut a, mut b) = (scratch.open(0), scratch.open(0));
+    assert_eq!(a.take("t", "1", 0, 9), RecordResult::New);
+    assert_eq!(b.take("t", "1", 0, 9), RecordResult::Before);
+    a.forget(&identity_digest("t", "1"));
+    assert_eq!(b.take("t", "1", 0, 9), RecordResult::New);
+    assert_eq!(scratch.open(0).take("t", "1", 0, 9), RecordResult::Before);
+}
+
+/// Guards against replays after the clock was ahead: identities that seemed expired are dropped,
+/// and their time stamps are fresh again once the clock is set back.
+#[test]
+fn identity_dropped_while_clock_was_ahead_is_refused() {
+    let scratch = Scratch::new("stepped-replays");
+    let hour = 3_600_000_000;
+    assert_eq!(scratch.open(10).take("t", "1", 10, 20), RecordResult::New);
+    let mut ahead = scratch.open(hour);
+    assert_eq!(ahead.take("t", "2", hour, hour + 10), RecordResult::New);
+    assert_eq!(ahead.take("t", "3", 2 * hour, 2 * hour), RecordResult::New);
+    let mut back = scratch.open(11);
+    for id in ["1", "2"] {
+        let result = back.take("t", id, 11, 20);
+        assert!(
+            matches!(result, RecordResult::Forgotten | RecordResult::Before),
+            "{id}: {result:?}"
+        );
+    }
+    let mut memory = ReplayStore::new(10);
+    assert_eq!(memory.take("t", "1", 10, 20), RecordResult::New);
+    assert_eq!(memory.take("t", "2", 30, 40), RecordResult::New);
+    assert_eq!(memory.take("t", "1", 11, 20), RecordResult::Forgotten);
+}
+
+#[test]
+fn gateway_is_known_as_user_after_its_first_start() {
+    let scratch = Scratch::new("replay-users");
+    assert!(!scratch.open(0).add_user("g1").unwrap());
+    let mut again = scratch.open(0);
+    assert!(again.add_user("g1").unwrap());
+    assert!(!again.add_user("g2").unwrap(), "another gateway");
+    again.locked(ReplayStore::rewrite).unwrap();
+    assert!(scratch.open(0).add_user("g2").unwrap());
+}
+
+/// Another process that is stopped while it holds the lock delays no event loop.
+#[test]
+fn call_is_rejected_while_another_process_holds_the_lock() {
+    let scratch = Scratch::new("locked-replays");
+    let mut store = scratch.open(0);
+    let other = std::fs::File::open(scratch.file()).unwrap();
+    other.lock().unwrap();
+    assert_eq!(store.take("t", "1", 0, 9), RecordResult::Unavailable);
+    other.unlock().unwrap();
+    assert_eq!(store.take("t", "1", 0, 9), RecordResult::New);
+}
+
+#[test]
+fn line_cut_by_a_kill_takes_no_later_line_along() {
+    let scratch = Scratch::new("cut-replays");
+    let mut store = scratch.open(0);
+    assert_eq!(store.take("t", "1", 0, 9), RecordResult::New);
+    let mut text = std::fs::read_to_string(scratch.file()).unwrap();
+    text.push_str("9 0011");
+    std::fs::write(scratch.file(), text).unwrap();
+    assert_eq!(store.take("t", "2", 0, 9), RecordResult::New);
+    let mut other = scratch.open(0);
+    for id in ["1", "2"] {
+        assert_eq!(other.take("t", id, 0, 9), RecordResult::Before, "{id}");
+    }
+}
--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -24,7 +24,7 @@
 use crate::delivery::{Delivery, EndpointId, Input, Limits, Output, PendingMessage, Seq};
 use crate::front::http::{self, request_error, RequestError};
 use crate::front::webhook::answer::{self, Progress};
-use crate::front::webhook::inbound::{CallContext, WebhookVerifier};
+use crate::front::webhook::inbound::{CallContext, EarlierIdentities, WebhookVerifier};
 use crate::front::webhook::message::{self, Outcome};
 use crate::front::webhook::replay::{self, ReplayStore};
 use crate::net::UNTAGGED_FRAME;
--- a/src/gateway/webhooks/start.rs
+++ b/src/gateway/webhooks/start.rs
@@ -1,11 +1,12 @@
 //! Start of webhooks, and recovery of the calls of the previous process.
 
 use super::{
-    channel, store_error, Backend, CloseReason, ConfigError, Delivery, Disk, EgressPolicy,
-    EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Input, Limits, ListenerKind,
-    MemoryKeyspace, Micros, Op, PathBuf, PendingStoreOp, RecoveredState, RecoveryAction,
-    ReplayStore, ResumeAction, Schedule, SecondaryMap, SlotMap, StoreError, Tables, VecDeque,
-    WebhookDriver, WebhookVerifier, Webhooks, Writer, RETENTION_BATCH, RETENTION_CONTINUE_DELAY,
+    channel, store_error, Backend, CloseReason, ConfigError, Delivery, Disk, EarlierIdentities,
+    EgressPolicy, EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Input, Limits,
+    ListenerKind, MemoryKeyspace, Micros, Op, PathBuf, PendingStoreOp, RecoveredState,
+    RecoveryAction, ReplayStore, ResumeAction, Schedule, SecondaryMap, SlotMap, StoreError, Tables,
+    VecDeque, WebhookDriver, WebhookVerifier, Webhooks, Writer, RETENTION_BATCH,
+    RETENTION_CONTINUE_DELAY,
 };
 
 impl Gateway {
@@ -56,12 +57,9 @@
             }
         };
         let durable = w.store.is_some();
-        let mut replays = match &w.replay_file {
-            Some(path) => ReplayStore::open(path, w.replay_entries, now)
-                .map_err(|e| GatewayError::Operator(ConfigError::Read(path.clone(), e)))?,
-            None => ReplayStore::new(w.replay_entries),
-        };
+        let (mut replays, earlier_identities) = self.open_replays(&w, now)?;
         replays.load(&found.identities);
+        replays.set_forgotten_until(found.identities_expired_until);
         let schedule = match (&w.schedule_s, durable) {
             (Some(pauses), _) => Schedule::from_seconds(pauses).map_err(|e| {
                 GatewayError::Operator(ConfigError::Value("webhooks.schedule_s", e.to_string()))
@@ -90,8 +88,7 @@
         self.secondary.webhooks = Some(WebhookDriver {
             inbound: WebhookVerifier {
                 tolerance_s: w.tolerance_s,
-                started: (w.replay_file.is_none() && !durable).then_some(now),
-                forgotten_until: found.identities_expired_until,
+                earlier_identities,
                 replays,
                 seed,
                 classes: self.config.settings.classes.clone(),
@@ -139,6 +136,45 @@
         Ok(())
     }
 
+    /// Opens the identities that were accepted before: from the configured file or the store, or
+    /// else from the file beside the operator's file.
+    fn open_replays(
+        &self,
+        w: &Webhooks,
+        now: Micros,
+    ) -> Result<(ReplayStore, EarlierIdentities), GatewayError> {
+        if let Some(path) = &w.replay_file {
+            let replays = ReplayStore::open(path, w.replay_entries, now)
+                .map_err(|e| GatewayError::Operator(ConfigError::Read(path.clone(), e)))?;
+            return Ok((replays, EarlierIdentities::Known));
+        }
+        let in_memory = ReplayStore::new(w.replay_entries);
+        if w.store.is_some() {
+            return Ok((in_memory, EarlierIdentities::Known));
+        }
+        let Some(path) = &w.default_replay_file else {
+            return Ok((in_memory, EarlierIdentities::Lost(now)));
+        };
+        let opened = ReplayStore::open(path, w.replay_entries, now).and_then(|mut replays| {
+            let was_user = replays.add_user(&self.config.name)?;
+            Ok((replays, was_user))
+        });
+        Ok(match opened {
+            Ok((replays, true)) => (replays, EarlierIdentities::Known),
+            Ok((replays, false)) => (replays, EarlierIdentities::FirstStart(now)),
+            Err(error) => {
+                tracing::warn!(
+                    path = %path.display(),
+                    %error,
+                    remedy = "name a file that can be written as webhooks.replay_file, or a store",
+                    "accepted identities are lost with this process: calls signed up to a few \
+                     seconds after a start are rejected, and those signed further ahead always"
+                );
+                (in_memory, EarlierIdentities::Lost(now))
+            }
+        })
+    }
+
     /// Resumes the calls, deliveries and endpoints that the previous process left in the store.
     pub(super) fn recover(&mut self, now: Micros, found: RecoveredState) {
         let Some(hooks) = &mut self.secondary.webhooks else {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -139,6 +139,26 @@
         Gateway::spawn(folder, None, 1024, &variables, Some(socket))
     }
 
+    /// Starts a gateway with this name whose operator's file is in a folder that it shares with other
+    /// gateways. The folder stays.
+    pub fn start_named(
+        name: &str,
+        folder: &std::path::Path,
+        settings: &Value,
+        workers: &[Value],
+        operator: &str,
+    ) -> Gateway {
+        let configured = Gateway::configure(settings, workers, None, 1024);
+        let config = folder.join(format!("config-{name}.json"));
+        std::fs::rename(configured.join("config.json"), &config).expect("a file");
+        std::fs::remove_dir(configured).expect("an empty folder");
+        let config = config.display().to_string();
+        let variables = [("RELAY_NAME", name), ("RELAY_CONFIG", config.as_str())];
+        let mut g = Gateway::spawn(folder.into(), Some(operator), 1024, &variables, None);
+        g.shares_folder = true;
+        g
+    }
+
     /// Starts a process with an inherited socket in a folder that contains a configuration. Returns
     /// its log up to the listening address, and the gateway.
     pub fn start_in_folder(socket: &TcpListener, folder: &std::path::Path) -> (String, Gateway) {
--- a/tests/webhooks.rs
+++ b/tests/webhooks.rs
@@ -49,8 +49,8 @@
     http(g.webhooks.expect("webhooks are enabled"), &head, body).0
 }
 
-/// Starts a gateway and waits past its first second: without a replay file it rejects calls signed
-/// in or before that second.
+/// Starts a gateway and waits past its first second: at the first start with the file of identities
+/// beside the operator's file it rejects calls signed in or before that second.
 fn start(workers: &[Worker], portal: SocketAddr) -> Gateway {
     let g = Gateway::start(
         &settings(900.0),
@@ -282,7 +282,7 @@
     assert_eq!(
         call(&g, KEY, "a", at, &body),
         401,
-        "without a file: signed before the start"
+        "the first start with another file: signed before it"
     );
     let counters = g.stop();
     assert_eq!((portal.count(), &counters["taken"]), (1, &json!(0)));
