Answer accepted calls after their tenant or endpoint was changed

Cause: endpoints and secrets of an answer were looked up when it came, and a removal dropped them at once, with the callbacks that waited; a removed number was handed out again while its calls ran.

Change: a change that takes away what an accepted call was promised keeps the former version of the tenant (tenancy::former), in the state file as well, until nothing is owed under it or removed_grace_s (3600) is over. Answers go to the endpoints of now and of the time of acceptance, signed with the current and the replaced secrets. The number and the share stay the removed tenant's until then. State queries are verified against removed tenants of the name, too. message.exhausted of a removed tenant no longer goes to a newcomer of its name.

Why it works: what an answer needs lives as long as the call or callback it is for, and a newcomer has another serial number, under which nothing of this is found.

--- a/src/config.rs
+++ b/src/config.rs
@@ -320,6 +320,9 @@
     /// The largest accepted deviation of a time stamp, in seconds.
     #[serde(default = "default_tolerance")]
     pub tolerance_s: u64,
+    /// How long callbacks to a removed tenant or endpoint are tried, in seconds.
+    #[serde(default = "default_removed_grace")]
+    pub removed_grace_s: u64,
     /// Maximum number of identities remembered against replays.
     #[serde(default = "default_replays")]
     pub replay_entries: usize,
@@ -391,6 +394,10 @@
     300
 }
 
+fn default_removed_grace() -> u64 {
+    3600
+}
+
 fn default_replays() -> usize {
     65_536
 }
--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -110,6 +110,13 @@
         self.in_flight
     }
 
+    /// Returns whether messages of an endpoint wait, here or in the store, or are in flight.
+    pub fn has_messages(&self, endpoint: EndpointId) -> bool {
+        self.endpoints.get(&endpoint).is_some_and(|state| {
+            !state.loaded.is_empty() || state.fetching || state.next_stored_at.is_some()
+        })
+    }
+
     /// Returns the number of loaded messages.
     pub fn loaded(&self) -> usize {
         self.loaded.len()
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -37,7 +37,7 @@
 }
 
 /// Creates an error that leaves the connection usable, for a well-framed request.
-pub fn request_error(status: u16, why: &'static str) -> RequestError {
+pub const fn request_error(status: u16, why: &'static str) -> RequestError {
     RequestError {
         status,
         reason: why,
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -67,6 +67,8 @@
     pub function: FunctionId,
     /// The order key: callbacks with the same key are delivered in order.
     pub order_key: Option<String>,
+    /// The time of its acceptance, or an earlier time if that is unknown.
+    pub accepted_at: Micros,
 }
 
 impl CallContext {
@@ -125,6 +127,43 @@
     }
 }
 
+/// The error of a request without a valid signature; it does not tell whether the tenant exists.
+const SIGNATURE_REFUSED: RequestError = request_error(401, "signature refused");
+
+/// The headers of a signed request.
+struct SignedHeaders<'a> {
+    id: &'a str,
+    stamp: u64,
+    signature: &'a str,
+}
+
+impl<'a> SignedHeaders<'a> {
+    fn read(r: &Request<'a>) -> Result<SignedHeaders<'a>, RequestError> {
+        // Full stops separate the signed parts; one inside an identity would make them ambiguous.
+        let id = r
+            .header("webhook-id")
+            .filter(|id| !id.is_empty() && id.len() <= MAX_ID_BYTES && !id.contains('.'))
+            .ok_or(SIGNATURE_REFUSED)?;
+        let stamp = r
+            .header("webhook-timestamp")
+            .filter(|t| t.bytes().all(|b| b.is_ascii_digit()))
+            .and_then(|t| t.parse().ok())
+            .ok_or(SIGNATURE_REFUSED)?;
+        let signature = r.header("webhook-signature").ok_or(SIGNATURE_REFUSED)?;
+        Ok(SignedHeaders {
+            id,
+            stamp,
+            signature,
+        })
+    }
+
+    /// Returns whether a secret of the tenant that is valid at `valid_at` made the signature.
+    fn is_by(&self, tenant: &Tenant, body: &[u8], valid_at: Micros) -> bool {
+        let secrets = tenant.secrets(valid_at);
+        signature::verify(secrets, self.id, self.stamp, body, self.signature)
+    }
+}
+
 /// The result of checking a time stamp.
 enum StampCheck {
     Fresh,
@@ -194,23 +233,18 @@
         tenants: &'t Registry,
         now: Micros,
     ) -> Result<(&'t Tenant, &'a str, u64), RequestError> {
-        let refused = request_error(401, "signature refused");
-        let tenant = tenants.get(name).ok_or(refused)?;
-        // Full stops separate the signed parts; one inside an identity would make them ambiguous.
-        let id = r
-            .header("webhook-id")
-            .filter(|id| !id.is_empty() && id.len() <= MAX_ID_BYTES && !id.contains('.'))
-            .ok_or(refused)?;
-        let stamp = r
-            .header("webhook-timestamp")
-            .filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
-        let stamp: u64 = stamp.and_then(|t| t.parse().ok()).ok_or(refused)?;
-        let given = r.header("webhook-signature").ok_or(refused)?;
-        if !signature::verify(tenant.secrets(now), id, stamp, r.body, given) {
-            return Err(refused);
+        let tenant = tenants.get(name).ok_or(SIGNATURE_REFUSED)?;
+        let signed = SignedHeaders::read(r)?;
+        if !signed.is_by(tenant, r.body, now) {
+            return Err(SIGNATURE_REFUSED);
         }
+        self.require_fresh(signed.stamp, now)?;
+        Ok((tenant, signed.id, signed.stamp))
+    }
+
+    fn require_fresh(&self, stamp: u64, now: Micros) -> Result<(), RequestError> {
         match self.check_stamp(stamp, now) {
-            StampCheck::Fresh => Ok((tenant, id, stamp)),
+            StampCheck::Fresh => Ok(()),
             StampCheck::Refused => Err(request_error(401, "time stamp refused")),
             StampCheck::JustStarted => Err(request_error(503, "just started")),
         }
@@ -238,14 +272,16 @@
     }
 
     /// Verifies a signed query for a call's state, `GET /webhooks/TENANT/calls/ID`, whose
-    /// `webhook-id` must equal the call's. Returns the tenant's serial and the call's identity. The
-    /// query is read-only, so its identity is not recorded against replays.
+    /// `webhook-id` must equal the call's. Returns the serial numbers of the tenants of this name
+    /// whose secret signed it, the current tenant's first, and the call's identity. A removed tenant
+    /// may ask as long as its calls are owed an answer. The query is read-only, so its identity is
+    /// not recorded against replays.
     pub fn verify_state_query<'a>(
         &self,
         r: &Request<'a>,
         tenants: &Registry,
         now: Micros,
-    ) -> Result<(u64, &'a str), RequestError> {
+    ) -> Result<(Vec<u64>, &'a str), RequestError> {
         let rest = r
             .path
             .strip_prefix("/webhooks/")
@@ -253,11 +289,33 @@
         let (name, call) = rest
             .split_once("/calls/")
             .ok_or(request_error(404, "no such path"))?;
-        let (tenant, id, _) = self.verify(r, name, tenants, now)?;
-        if id != call || !r.body.is_empty() {
-            return Err(request_error(401, "signature refused"));
+        let signed = SignedHeaders::read(r)?;
+        let current = tenants.get(name).map(|tenant| (tenant, now));
+        let removed = tenants
+            .former_versions()
+            .iter()
+            .rev()
+            .filter(|version| version.name == name)
+            .filter(|version| {
+                tenants
+                    .get_with_serial(name, version.tenant.serial)
+                    .is_none()
+            })
+            .map(|version| (&version.tenant, version.replaced_at));
+        let mut serials = Vec::new();
+        for (tenant, valid_at) in current.into_iter().chain(removed) {
+            if !serials.contains(&tenant.serial) && signed.is_by(tenant, r.body, valid_at) {
+                serials.push(tenant.serial);
+            }
+        }
+        if serials.is_empty() {
+            return Err(SIGNATURE_REFUSED);
+        }
+        self.require_fresh(signed.stamp, now)?;
+        if signed.id != call || !r.body.is_empty() {
+            return Err(SIGNATURE_REFUSED);
         }
-        Ok((tenant.serial, id))
+        Ok((serials, signed.id))
     }
 
     fn parse_call(
@@ -311,6 +369,7 @@
             order_key: d
                 .order_key
                 .filter(|k| !k.is_empty() && k.len() <= MAX_ID_BYTES),
+            accepted_at: now,
         };
         let idempotency_key = job.idempotency_key();
         let arrival = Arrival {
--- a/src/front/webhook/inbound/fixture_tests.rs
+++ b/src/front/webhook/inbound/fixture_tests.rs
@@ -34,6 +34,7 @@
         effect,
         function: FunctionId(7),
         order_key: None,
+        accepted_at: 0,
     }
 }
 
--- a/src/gateway/admin_api.rs
+++ b/src/gateway/admin_api.rs
@@ -271,6 +271,12 @@
         if changes.is_empty() {
             return handled;
         }
+        let tenant = admin::tenant_of(admitted.request.path).unwrap_or_default();
+        let kept = self.keep_former_version(admitted.now, &tenants_before, tenant);
+        let Ok(is_kept) = kept else {
+            self.secondary.tenants = tenants_before;
+            return Err(request_error(503, "too many changes wait for calls to end"));
+        };
         if !self.persist_tenants() {
             self.secondary.tenants = tenants_before;
             return Err(request_error(500, "the change could not be kept"));
@@ -282,11 +288,24 @@
             "administration request applied"
         );
         for change in changes {
-            self.apply_change(admitted.now, change);
+            // What is still owed is removed once nothing is.
+            if !(is_kept && self.is_removal(&change)) {
+                self.apply_change(admitted.now, change);
+            }
         }
         handled
     }
 
+    /// Returns whether a change follows from the removal of a tenant, or of one of its endpoints.
+    fn is_removal(&self, change: &Change) -> bool {
+        match change {
+            Change::Removed(_) => true,
+            Change::QuotaChanged(number, _) => self.secondary.tenants.keeps_number(*number),
+            Change::Endpoints(_) | Change::Voters { .. } => false,
+            Change::Rotated(..) | Change::Test(..) => false,
+        }
+    }
+
     /// Releases a caller's idempotency key, and stores the response with it if the response is
     /// final.
     pub(super) fn finish_idempotency_key(
--- a/src/gateway/deadlines.rs
+++ b/src/gateway/deadlines.rs
@@ -38,6 +38,8 @@
     Replication,
     /// The tenant driver's next step.
     Tenants,
+    /// The next check of the former versions of tenants.
+    FormerTenants,
 }
 
 /// [`ExternalDeadline::kind`] of connections' deadlines; the number is the connection's key.
@@ -47,7 +49,7 @@
 const SINGLE_KIND: u8 = 2;
 
 /// The deadlines that exist once. Deadlines of the same instant fall due in this order.
-const SINGLE_DEADLINES: [GatewayDeadline; 14] = [
+const SINGLE_DEADLINES: [GatewayDeadline; 15] = [
     GatewayDeadline::DiscoveryReconnect,
     GatewayDeadline::StopAccepting,
     GatewayDeadline::AcceptRetry,
@@ -62,6 +64,7 @@
     GatewayDeadline::LoadCoordination,
     GatewayDeadline::Replication,
     GatewayDeadline::Tenants,
+    GatewayDeadline::FormerTenants,
 ];
 
 impl From<GatewayDeadline> for ExternalDeadline {
--- a/src/gateway/deadlines/tests.rs
+++ b/src/gateway/deadlines/tests.rs
@@ -21,6 +21,7 @@
         (GatewayDeadline::LoadCoordination, 11),
         (GatewayDeadline::Replication, 12),
         (GatewayDeadline::Tenants, 13),
+        (GatewayDeadline::FormerTenants, 14),
     ];
     assert_eq!(expected.len(), SINGLE_DEADLINES.len());
     for (deadline, number) in expected {
--- a/src/gateway/event_loop.rs
+++ b/src/gateway/event_loop.rs
@@ -192,6 +192,10 @@
             GatewayDeadline::Consensus => self.tick_consensus(),
             GatewayDeadline::Replication => self.tick_replication(),
             GatewayDeadline::Tenants => self.tick_tenants(now),
+            GatewayDeadline::FormerTenants => {
+                self.secondary.former_check_at = None;
+                self.drop_settled_versions(now);
+            }
             GatewayDeadline::HealthChecks => self.tick_health_checks(now),
             GatewayDeadline::LoadCoordination => self.tick_load_coordination(now),
             GatewayDeadline::ConsoleAcceptRetry => self.retry_console_accept(),
@@ -210,6 +214,7 @@
         | GatewayDeadline::Consensus
         | GatewayDeadline::Replication
         | GatewayDeadline::Tenants
+        | GatewayDeadline::FormerTenants
         | GatewayDeadline::HealthChecks
         | GatewayDeadline::LoadCoordination => Activity::Cluster,
         GatewayDeadline::DiscoveryReconnect
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod endpoint_updates;
 mod error;
 mod event_loop;
+mod former_tenants;
 mod gossip;
 mod health_checks;
 mod history;
--- a/src/gateway/replication/requests.rs
+++ b/src/gateway/replication/requests.rs
@@ -36,8 +36,19 @@
 pub(in crate::gateway) enum RequestOrigin {
     /// A caller whose call is to be accepted, and the digest of the call's identity.
     AcceptCall(ConnKey, IdentityDigest),
-    /// A caller who queries the state of a call, and the call's identity.
-    CallState(ConnKey, String),
+    /// A caller who queries the state of a call.
+    CallState(StateQuery),
+}
+
+/// A caller's query for the state of a call.
+#[derive(Debug)]
+pub(in crate::gateway) struct StateQuery {
+    conn: ConnKey,
+    shard: ShardId,
+    /// The call's identity.
+    id: String,
+    /// Serial numbers of further tenants, asked for next if this one has no such call.
+    others: Vec<u64>,
 }
 
 fn unknown_request() -> ReplicationError {
@@ -47,6 +58,28 @@
 }
 
 impl Gateway {
+    /// Asks the primary of a shard for the state of a call, which is of the first of the tenants
+    /// that has it.
+    pub(in crate::gateway) fn query_call_state(
+        &mut self,
+        conn: ConnKey,
+        shard: ShardId,
+        id: String,
+        mut serials: Vec<u64>,
+    ) {
+        if serials.is_empty() {
+            return;
+        }
+        let request = PrimaryRequest::CallState(serials.remove(0), id.clone());
+        let query = StateQuery {
+            conn,
+            shard,
+            id,
+            others: serials,
+        };
+        self.send_to_primary(shard, &request, RequestOrigin::CallState(query));
+    }
+
     /// Sends a caller's request to the primary of a shard.
     pub(in crate::gateway) fn send_to_primary(
         &mut self,
@@ -191,14 +224,18 @@
                     self.reject_call(now, conn, &identity, &unknown_request());
                 }
             },
-            Some(RequestOrigin::CallState(conn, id)) => {
+            Some(RequestOrigin::CallState(query)) => {
                 let state: Result<Option<CallState>, _> = match outcome {
                     RequestOutcome::Content(bytes) => {
                         Ok(postcard::from_bytes(&bytes).unwrap_or_default())
                     }
                     _ => Err(request_error(503, "nobody who knows of the call answered")),
                 };
-                self.answer_state(now, conn, &id, state);
+                if matches!(state, Ok(None)) && !query.others.is_empty() {
+                    self.query_call_state(query.conn, query.shard, query.id, query.others);
+                } else {
+                    self.answer_state(now, query.conn, &query.id, state);
+                }
             }
             None => {}
         }
--- a/src/gateway/secondary_listeners.rs
+++ b/src/gateway/secondary_listeners.rs
@@ -25,6 +25,8 @@
     pub(super) listed: BTreeSet<String>,
     /// The file that tenants are written to, if one is configured.
     state_file: Option<PathBuf>,
+    /// When the former versions of tenants are checked next.
+    pub(super) former_check_at: Option<Micros>,
     pub(super) webhooks: Option<WebhookDriver>,
     pub(super) admin: Option<AdminApi>,
 }
--- a/src/gateway/tenants.rs
+++ b/src/gateway/tenants.rs
@@ -309,12 +309,22 @@
 
     /// Applies the agreed version of a tenant; `None` removes the tenant.
     fn adopt_tenant(&mut self, now: Micros, tenant: &str, encoded: Option<&[u8]>) {
+        let before = self.secondary.tenants.clone();
         match self.secondary.tenants.adopt(now, tenant, encoded) {
             Ok(Some(adopted)) => {
                 tracing::info!(tenant, removed = encoded.is_none(), "agreed tenant adopted");
-                self.core
-                    .set_tenant_quota(now, adopted.share.0, adopted.share.1);
-                self.remove_delivery_endpoints(now, &adopted.gone);
+                let kept = self.keep_former_version(now, &before, tenant);
+                if let Err(error) = &kept {
+                    tracing::error!(tenant, %error, "calls of a changed tenant may stay unanswered");
+                }
+                let is_kept = kept.unwrap_or(false);
+                if !self.secondary.tenants.keeps_number(adopted.share.0) {
+                    self.core
+                        .set_tenant_quota(now, adopted.share.0, adopted.share.1);
+                }
+                if !is_kept {
+                    self.remove_delivery_endpoints(now, &adopted.gone);
+                }
                 self.update_delivery_endpoints(now, tenant);
             }
             Ok(None) => {}
--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -161,6 +161,9 @@
     ReadCallState {
         conn: ConnKey,
         id: String,
+        /// Serial numbers of further tenants of this name, asked for next if this one has no such
+        /// call.
+        others: Vec<u64>,
     },
     AdminRequest {
         conn: ConnKey,
@@ -226,6 +229,8 @@
     pending: usize,
     /// How long a portal may take to answer, in microseconds.
     answer_timeout: Micros,
+    /// How long callbacks to a removed tenant or endpoint are tried, in microseconds.
+    removal_grace: Micros,
     /// Maximum age in microseconds and maximum size in bytes of the retained records.
     retention: (Micros, u64),
     /// When shutdown began.
@@ -304,6 +309,63 @@
         self.jobs.is_empty() && kept
     }
 
+    /// Returns how long callbacks to a removed tenant or endpoint are tried.
+    pub(super) fn removal_grace(&self) -> Micros {
+        self.removal_grace
+    }
+
+    /// Returns the serial numbers of the tenants of all open calls, with the times at which the
+    /// calls were accepted.
+    pub(super) fn open_calls(&self) -> Vec<(u64, Micros)> {
+        self.jobs
+            .values()
+            .map(|open_call| (open_call.job.serial, open_call.job.accepted_at))
+            .collect()
+    }
+
+    /// Returns whether pending operations of the store may add a call or a callback.
+    pub(super) fn awaits_store(&self) -> bool {
+        let adds_work = |operation: &PendingStoreOp| {
+            matches!(
+                operation,
+                PendingStoreOp::AcceptCall { .. } | PendingStoreOp::EnqueueMessages
+            )
+        };
+        self.pending_store_ops.values().any(adds_work)
+    }
+
+    /// Returns whether messages to an endpoint wait or are in flight.
+    pub(super) fn has_messages(&self, id: EndpointId) -> bool {
+        self.delivery.has_messages(id)
+    }
+
+    /// Returns whether a message to an endpoint is in flight.
+    pub(super) fn is_sending(&self, id: EndpointId) -> bool {
+        self.health(id).is_some_and(|health| health.in_flight > 0)
+    }
+
+    /// Reads the state of a call for a client. The call is of the first of the tenants that has it.
+    fn read_call_state(&mut self, conn: ConnKey, id: String, mut serials: Vec<u64>) {
+        if serials.is_empty() {
+            return;
+        }
+        let serial = serials.remove(0);
+        let operation = Op::GetCall(serial, id.clone());
+        let purpose = PendingStoreOp::ReadCallState {
+            conn,
+            id,
+            others: serials,
+        };
+        self.submit(purpose, operation);
+    }
+
+    /// Passes the settings of an endpoint to delivery.
+    pub(super) fn set_delivery_endpoint(&mut self, now: Micros, serial: u64, endpoint: &Endpoint) {
+        let settings = endpoint.settings(serial, &self.schedule);
+        self.delivery
+            .handle(now, Input::EndpointChanged(endpoint.id, settings));
+    }
+
     /// Returns the state of an endpoint for operators.
     pub(super) fn health(&self, id: EndpointId) -> Option<crate::delivery::Health> {
         self.delivery.health(id)
@@ -333,7 +395,7 @@
     }
 }
 
-fn job_of(call: &CallRecord) -> CallContext {
+fn job_of(call: &CallRecord, accepted_at: Micros) -> CallContext {
     CallContext {
         tenant: call.tenant.clone(),
         serial: call.serial,
@@ -342,6 +404,7 @@
         effect: call.effect,
         function: FunctionId(call.function),
         order_key: call.order.clone(),
+        accepted_at,
     }
 }
 
--- a/src/gateway/webhooks/calls.rs
+++ b/src/gateway/webhooks/calls.rs
@@ -31,7 +31,7 @@
         };
         if r.method == "GET" {
             return match hooks.inbound.verify_state_query(r, tenants, now) {
-                Ok((serial, id)) if self.cluster.replication.is_some() => {
+                Ok((serials, id)) if self.cluster.replication.is_some() => {
                     let tenant = r
                         .path
                         .strip_prefix("/webhooks/")
@@ -45,19 +45,11 @@
                             .as_ref()
                             .map_or(0, |s| s.shard_of(&identity_digest)),
                     );
-                    self.send_to_primary(
-                        shard,
-                        &PrimaryRequest::CallState(serial, id.clone()),
-                        RequestOrigin::CallState(key, id),
-                    );
+                    self.query_call_state(key, shard, id, serials);
                     None
                 }
-                Ok((serial, id)) => {
-                    let purpose = PendingStoreOp::ReadCallState {
-                        conn: key,
-                        id: id.to_owned(),
-                    };
-                    hooks.submit(purpose, Op::GetCall(serial, id.to_owned()));
+                Ok((serials, id)) => {
+                    hooks.read_call_state(key, id.to_owned(), serials);
                     None
                 }
                 Err(bad) => Some(refuse(&bad, stays)),
@@ -312,16 +304,13 @@
         };
         hooks.at_most_once_calls.remove(&open_call.id);
         let body = message::event(COMPLETED, now, &message::completed(&open_call.job, outcome));
-        let tenant = self
-            .secondary
-            .tenants
-            .get_with_serial(&open_call.job.tenant, open_call.job.serial);
+        let endpoints = self.secondary.tenants.promised_endpoints(
+            &open_call.job.tenant,
+            open_call.job.serial,
+            open_call.job.accepted_at,
+        );
         let mut messages = Vec::new();
-        for e in tenant
-            .iter()
-            .flat_map(|t| t.endpoints.values())
-            .filter(|e| e.wants(COMPLETED))
-        {
+        for e in endpoints {
             let shard = open_call.seq.shard();
             let mut m = new_message(hooks.next_sequence_number(shard), e, COMPLETED, now, &body);
             m.id = format!("msg_{}", open_call.id);
--- a/src/gateway/webhooks/portals.rs
+++ b/src/gateway/webhooks/portals.rs
@@ -14,17 +14,17 @@
             return;
         };
         let (seq, id) = (record.waiting.seq, record.waiting.endpoint);
-        let tenant = self
+        let target = self
             .secondary
             .tenants
-            .get_with_serial(&record.tenant, record.serial);
-        let Some((tenant, e)) = tenant.and_then(|t| t.endpoint(id).map(|(_, e)| (t, e))) else {
+            .delivery_target(&record.tenant, record.serial, id, now);
+        let Some(target) = target else {
             // The endpoint was removed meanwhile; the removal ends its messages.
             return hooks
                 .delivery
                 .handle(now, Input::AttemptEnded(seq, DeliveryReport::VOID));
         };
-        let (address, secrets) = (e.portal.address, tenant.signing(e, now));
+        let (address, secrets) = (target.portal.address, target.secrets);
         let unsent = |ending| DeliveryReport {
             close_reason: ending,
             send_progress: SendProgress::Unsent,
@@ -41,7 +41,7 @@
         // A message that must not arrive twice gets a new connection: the portal may have closed an
         // idle one without the gateway having noticed.
         let reuse = record.waiting.effect == Effect::Idempotent;
-        let bytes = message::request(&e.portal, &record.id, &secrets, now, body, reuse);
+        let bytes = message::request(target.portal, &record.id, &secrets, now, body, reuse);
         record.waiting.due = now;
         hooks.out.insert(seq, Box::new(record));
         let deadline = now + hooks.answer_timeout;
--- a/src/gateway/webhooks/replies.rs
+++ b/src/gateway/webhooks/replies.rs
@@ -3,9 +3,9 @@
 use super::{
     fault_injection_point, http, refuse, request_error, ApplyRetention, AttemptRecord,
     BeginAttempt, CallState, ConnKey, DeadLetterReason, DeliveryReport, FinishAttempt, Gateway,
-    GatewayDeadline, Input, MessageState, Micros, Op, Output, PendingMessage, PendingStoreOp,
-    ReplicationError, Reply, RequestError, RequestOutcome, RetentionResult, StoreError, COMPLETED,
-    RETENTION_BATCH, RETENTION_CONTINUE_DELAY, RETENTION_INTERVAL,
+    GatewayDeadline, Input, MessageRecord, MessageState, Micros, Op, Output, PendingMessage,
+    PendingStoreOp, ReplicationError, Reply, RequestError, RequestOutcome, RetentionResult,
+    StoreError, COMPLETED, RETENTION_BATCH, RETENTION_CONTINUE_DELAY, RETENTION_INTERVAL,
 };
 use crate::delivery::{EndpointId, Seq};
 use crate::replication::replicator::Input as ReplicatorInput;
@@ -98,7 +98,14 @@
             PendingStoreOp::FetchDue(endpoint) => self.due_fetched(now, endpoint, reply),
             PendingStoreOp::PurgeEndpoint(endpoint) => self.endpoint_purged(endpoint, &reply),
             PendingStoreOp::ApplyRetention => self.retention_applied(now, reply),
-            PendingStoreOp::ReadCallState { conn, id } => {
+            PendingStoreOp::ReadCallState { conn, id, others }
+                if !others.is_empty() && matches!(reply, Ok(Reply::Call(None))) =>
+            {
+                if let Some(hooks) = &mut self.secondary.webhooks {
+                    hooks.read_call_state(conn, id, others);
+                }
+            }
+            PendingStoreOp::ReadCallState { conn, id, .. } => {
                 let state = match reply {
                     Ok(Reply::Call(state)) => Ok(state),
                     _ => Err(request_error(503, "the store cannot be read")),
@@ -324,9 +331,12 @@
                     self.count_outcome(&message, state);
                     let record = record
                         .filter(|r| r.kind == COMPLETED && matches!(state, MessageState::Dead(_)));
-                    if let Some(r) =
-                        record.filter(|_| state != MessageState::Dead(DeadLetterReason::Gone))
-                    {
+                    let tenants = &self.secondary.tenants;
+                    let is_current =
+                        |r: &MessageRecord| tenants.get_with_serial(&r.tenant, r.serial).is_some();
+                    if let Some(r) = record.filter(|r| {
+                        state != MessageState::Dead(DeadLetterReason::Gone) && is_current(r)
+                    }) {
                         let data = serde_json::json!({ "message": r.id, "call": r.call, "state": state.name() });
                         self.publish_operational_event(
                             now,
@@ -340,7 +350,8 @@
             }
             Output::EndpointDisabled(id, why) => {
                 let Some((tenant, name)) = self.secondary.tenants.disable(id) else {
-                    return;
+                    // A removed endpoint is not enabled again.
+                    return self.remove_delivery_endpoints(now, &[id]);
                 };
                 tracing::warn!(tenant, endpoint = name, why, "an endpoint is switched off");
                 self.persist_tenants();
--- a/src/gateway/webhooks/shard_calls.rs
+++ b/src/gateway/webhooks/shard_calls.rs
@@ -83,13 +83,14 @@
 
     fn recover_call(&mut self, now: Micros, call: &CallRecord, action: RecoveryAction) {
         let runnable = self.call_of(call);
+        let job = job_of(call, self.earliest_acceptance(call));
         let Some(webhooks) = &mut self.secondary.webhooks else {
             return;
         };
         let id: Rc<str> = call.worker_id.as_str().into();
         let key = webhooks.jobs.insert(OpenCall {
             seq: call.seq,
-            job: job_of(call),
+            job,
             id: id.clone(),
             request: None,
         });
@@ -123,15 +124,23 @@
         }
     }
 
+    /// Returns the earliest time at which the call of a record can have been accepted. Records do
+    /// not have the time itself.
+    fn earliest_acceptance(&self, call: &CallRecord) -> Micros {
+        let index = Names::index_of(&self.config.names.classes, &call.class);
+        let class = index.and_then(|index| self.config.settings.classes.get(index));
+        class.map_or(0, |class| call.expires.saturating_sub(class.deadline))
+    }
+
     /// Creates the call of a record; none if its class or tenant is not known here.
     pub(super) fn call_of(&self, call: &CallRecord) -> Option<Call<CallContext>> {
         let class = Names::index_of(&self.config.names.classes, &call.class)?;
         let tenant = self
             .secondary
             .tenants
-            .get_with_serial(&call.tenant, call.serial)?
+            .newest_version(&call.tenant, call.serial)?
             .id;
-        let context = job_of(call);
+        let context = job_of(call, self.earliest_acceptance(call));
         let idempotency_key = context.idempotency_key();
         let arrival = Arrival {
             request: RequestId(0),
@@ -174,7 +183,15 @@
         if self.core.is_open(&record.worker_id) {
             return Err(ReplicationError::DuplicateIdentity);
         }
-        let call = self.call_of(&record).ok_or(unknown("class or tenant"))?;
+        let tenants = &self.secondary.tenants;
+        if tenants
+            .get_with_serial(&record.tenant, record.serial)
+            .is_none()
+        {
+            return Err(unknown("tenant"));
+        }
+        let mut call = self.call_of(&record).ok_or(unknown("class"))?;
+        call.origin.accepted_at = now;
         let webhooks = self.secondary.webhooks.as_mut().ok_or(unknown("front"))?;
         webhooks.check_capacity()?;
         let seq = webhooks.next_sequence_number(shard);
--- a/src/gateway/webhooks/start.rs
+++ b/src/gateway/webhooks/start.rs
@@ -110,6 +110,7 @@
             armed_deadline: None,
             pending: w.pending,
             answer_timeout: w.callback_answer_ms * 1000,
+            removal_grace: w.removed_grace_s.saturating_mul(1_000_000),
             retention: (w.retention_days * 86_400_000_000, w.retention_mb << 20),
             stopping: None,
             pending_appends: VecDeque::new(),
@@ -125,6 +126,7 @@
         names
             .iter()
             .for_each(|name| self.update_delivery_endpoints(now, name));
+        self.set_up_former_versions(now);
         self.listen(ListenerKind::Webhook, w.listen)?;
         self.recover(now, found);
         if durable {
@@ -223,11 +225,8 @@
         ) else {
             return;
         };
-        for e in t.endpoints.values() {
-            hooks.delivery.handle(
-                now,
-                Input::EndpointChanged(e.id, e.settings(t.serial, &hooks.schedule)),
-            );
+        for endpoint in t.endpoints.values() {
+            hooks.set_delivery_endpoint(now, t.serial, endpoint);
         }
     }
 
--- a/src/tenancy/mod.rs
+++ b/src/tenancy/mod.rs
@@ -12,6 +12,7 @@
 mod error;
 #[cfg(test)]
 mod fixture_tests;
+mod former;
 mod persistence;
 pub mod replicated;
 mod secret;
@@ -20,6 +21,7 @@
 
 pub use endpoint::{Endpoint, EndpointSpec, EndpointView, Portal, COMPLETED};
 pub use error::TenantError;
+pub use former::{DeliveryTarget, FormerVersion, Released, MAX_FORMER_VERSIONS};
 pub use persistence::Adopted;
 pub use secret::Secret;
 
@@ -153,6 +155,8 @@
     tenants: BTreeMap<String, Tenant>,
     /// Numbers and shares reserved for the platform's own tenants.
     reserved: BTreeMap<String, (TenantId, f64)>,
+    /// Versions from before changes under which calls are owed an answer, the oldest first.
+    former: Vec<FormerVersion>,
     free_ids: Vec<TenantId>,
     next_id: u32,
     serials: u64,
@@ -325,10 +329,16 @@
         Ok((t.id, 0.0))
     }
 
-    /// Returns the numbers and shares of all tenants.
+    /// Returns the numbers and shares of all tenants, including removed ones whose calls are not
+    /// answered yet.
     pub fn shares(&self) -> Vec<(TenantId, f64)> {
-        self.tenants
-            .values()
+        let removed = self
+            .former
+            .iter()
+            .map(|version| &version.tenant)
+            .filter(|tenant| self.keeps_number(tenant.id));
+        removed
+            .chain(self.tenants.values())
             .map(|t| (t.id, t.share_per_s))
             .collect()
     }
--- a/src/tenancy/persistence.rs
+++ b/src/tenancy/persistence.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::endpoint::{parse_secrets, stored_secrets, StoredEndpoint};
-use super::{Registry, Spec, Tenant, TenantError};
+use super::{FormerVersion, Registry, Spec, Tenant, TenantError, MAX_FORMER_VERSIONS};
 use crate::api::{Micros, TenantId};
 use crate::delivery::EndpointId;
 
@@ -26,6 +26,14 @@
     endpoints: Option<Vec<StoredEndpoint>>,
 }
 
+/// A former version of a tenant as stored in the state file.
+#[derive(Deserialize, Serialize)]
+struct StoredFormerVersion {
+    tenant: StoredTenant,
+    replaced_at: Micros,
+    until: Micros,
+}
+
 /// Contents of the state file. Versions without endpoints wrote only the list.
 #[derive(Deserialize, Serialize)]
 #[serde(untagged)]
@@ -33,6 +41,9 @@
     All {
         serials: u64,
         tenants: Vec<StoredTenant>,
+        /// Absent in files of versions that kept no former versions.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        former: Vec<StoredFormerVersion>,
     },
     List(Vec<StoredTenant>),
 }
@@ -87,6 +98,16 @@
     }
 }
 
+impl StoredFormerVersion {
+    fn of(version: &FormerVersion) -> StoredFormerVersion {
+        StoredFormerVersion {
+            tenant: StoredTenant::of(&version.name, &version.tenant),
+            replaced_at: version.replaced_at,
+            until: version.until,
+        }
+    }
+}
+
 impl Registry {
     /// Returns a tenant serialized for other gateways, including secrets, or `None` if the tenant
     /// does not exist.
@@ -162,6 +183,37 @@
         Ok(())
     }
 
+    /// Reads a former version. Versions of the same tenant have the same number.
+    fn read_former(&mut self, kept: StoredFormerVersion) -> Result<(), TenantError> {
+        let name = kept.tenant.name.clone();
+        let current = self.tenants.remove(&name);
+        let free_ids = self.free_ids.clone();
+        let next_id = self.next_id;
+        let read = self.read(kept.tenant);
+        let tenant = self.tenants.remove(&name);
+        if let Some(current) = &current {
+            self.tenants.insert(name.clone(), current.clone());
+        }
+        read?;
+        let mut tenant = tenant.ok_or(TenantError::Unknown)?;
+        let former = self.former.iter().map(|version| &version.tenant);
+        let same = current
+            .iter()
+            .chain(former)
+            .find(|other| other.serial == tenant.serial);
+        if let Some(same) = same {
+            tenant.id = same.id;
+            (self.free_ids, self.next_id) = (free_ids, next_id);
+        }
+        self.former.push(FormerVersion {
+            name,
+            tenant,
+            replaced_at: kept.replaced_at,
+            until: kept.until,
+        });
+        Ok(())
+    }
+
     /// Returns all tenants as text for the state file. The text contains secrets, so the file is
     /// readable only by its owner.
     pub fn state(&self) -> String {
@@ -174,6 +226,7 @@
         serde_json::to_string(&StoredRegistry::All {
             serials: self.serials,
             tenants,
+            former: self.former.iter().map(StoredFormerVersion::of).collect(),
         })
         .unwrap_or_default()
     }
@@ -181,12 +234,17 @@
     /// Replaces all tenants with those of a state file. On an error nothing changes.
     pub fn restore(&mut self, text: &str) -> Result<(), TenantError> {
         let kept: StoredRegistry = serde_json::from_str(text).map_err(|_| TenantError::State)?;
-        let (serials, list) = match kept {
-            StoredRegistry::All { serials, tenants } => (serials, tenants),
-            StoredRegistry::List(tenants) => (0, tenants),
+        let (serials, list, former) = match kept {
+            StoredRegistry::All {
+                serials,
+                tenants,
+                former,
+            } => (serials, tenants, former),
+            StoredRegistry::List(tenants) => (0, tenants, Vec::new()),
         };
         let mut fresh = Registry {
             tenants: BTreeMap::new(),
+            former: Vec::new(),
             ..self.clone()
         };
         fresh.free_ids.extend(
@@ -199,6 +257,9 @@
         for kept in list {
             fresh.read(kept)?;
         }
+        for version in former.into_iter().take(MAX_FORMER_VERSIONS) {
+            fresh.read_former(version)?;
+        }
         *self = fresh;
         Ok(())
     }
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -5,46 +5,14 @@
 use std::collections::BTreeMap;
 
 use base64::prelude::{Engine, BASE64_STANDARD};
+use common::administration::*;
 use common::*;
-use jsonwebtoken::jwk::{Jwk, PublicKeyUse};
 use jsonwebtoken::{Algorithm, EncodingKey, Header};
 use molelug::identity::{check_id, IdentityError, Role, TokenVerifier};
 use serde_json::{json, Value};
 
-const VIEWER: &str = "spiffe://aurora.example/desk/viewer";
-const OPERATOR: &str = "spiffe://aurora.example/desk/operator";
 const SECOND: u64 = 1_000_000;
 
-/// A P-256 key in PKCS #8 whose 32 secret bytes are all `byte`.
-fn key(byte: u8) -> EncodingKey {
-    let head = "308141020100301306072a8648ce3d020106082a8648ce3d030107042730250201010420";
-    let head = head.replacen("308141", "3041", 1);
-    let mut der: Vec<u8> = (0..head.len() / 2)
-        .map(|i| u8::from_str_radix(&head[2 * i..2 * i + 2], 16).unwrap())
-        .collect();
-    der.extend([byte; 32]);
-    EncodingKey::from_ec_der(&der)
-}
-
-fn bundle(kid: &str, byte: u8, usage: &str) -> String {
-    let mut jwk = Jwk::from_encoding_key(&key(byte), Algorithm::ES256).expect("a public key");
-    jwk.common.key_id = Some(kid.into());
-    jwk.common.public_key_use = Some(PublicKeyUse::Other(usage.into()));
-    json!({ "keys": [jwk], "spiffe_sequence": 1 }).to_string()
-}
-
-fn token(kid: &str, byte: u8, claims: &Value) -> String {
-    let header = Header {
-        kid: Some(kid.into()),
-        ..Header::new(Algorithm::ES256)
-    };
-    jsonwebtoken::encode(&header, claims, &key(byte)).expect("a token")
-}
-
-fn claims(sub: &str, aud: Value, exp: u64) -> Value {
-    json!({ "sub": sub, "aud": aud, "exp": exp })
-}
-
 fn gate() -> TokenVerifier {
     let roles = BTreeMap::from([
         (VIEWER.into(), Role::Viewer),
@@ -557,7 +525,7 @@
 
 /// Removes a tenant, and one of two endpoints of another tenant, while callbacks are in flight,
 /// waiting, queued behind others or disabled, with a configuration reload in between. Every
-/// callback must reach a final state.
+/// callback must reach a final state once the time for callbacks to removed endpoints is over.
 #[test]
 fn removal_ends_callbacks_in_every_state() {
     let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
@@ -571,7 +539,7 @@
     let portal = Portal::start(key);
     let operator = format!(
         "[webhooks]\nlisten = \"127.0.0.1:0\"\nstore = {:?}\nschedule_s = [0.05]\n\
-         callback_answer_ms = 20000\n[admin]\nlisten = \"127.0.0.1:0\"\ntrust_domain = \"aurora.example\"\n\
+         removed_grace_s = 1\ncallback_answer_ms = 20000\n[admin]\nlisten = \"127.0.0.1:0\"\ntrust_domain = \"aurora.example\"\n\
          audience = \"molelug\"\nbundle = {:?}\n[[admin.callers]]\nspiffe_id = \"{OPERATOR}\"\nrole = \"operator\"\n",
         file("store"),
         file("bundle.json")
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,6 +12,7 @@
 
 use serde_json::{json, Value};
 
+pub mod administration;
 pub mod by_hand;
 pub mod signed;
 
