--- a/src/gateway/webhooks/calls.rs
+++ b/src/gateway/webhooks/calls.rs
@@ -304,7 +304,7 @@
         };
         hooks.at_most_once_calls.remove(&open_call.id);
         let body = message::event(COMPLETED, now, &message::completed(&open_call.job, outcome));
-        let endpoints = self.secondary.tenants.promised_endpoints(
+        let endpoints = self.secondary.tenants.answer_endpoints(
             &open_call.job.tenant,
             open_call.job.serial,
             open_call.job.accepted_at,
--- a/src/tenancy/former.rs
+++ b/src/tenancy/former.rs
@@ -45,7 +45,7 @@
 
 impl Tenant {
     /// Returns whether a change takes something away that calls of this version were promised.
-    fn loses_promises(&self, after: Option<&Tenant>, now: Micros) -> bool {
+    fn drops_obligations(&self, after: Option<&Tenant>, now: Micros) -> bool {
         let Some(after) = after.filter(|after| after.serial == self.serial) else {
             return !self.endpoints.is_empty();
         };
@@ -78,7 +78,7 @@
         let Some(tenant) = before.get(name) else {
             return Ok(false);
         };
-        if !tenant.loses_promises(self.get(name), now) {
+        if !tenant.drops_obligations(self.get(name), now) {
             return Ok(false);
         }
         if self.former.len() >= MAX_FORMER_VERSIONS {
@@ -118,12 +118,7 @@
 
     /// Returns the endpoints that a call's answer goes to: those that subscribe now, and those that
     /// did when it was accepted. An endpoint that still exists is returned as it is now.
-    pub fn promised_endpoints(
-        &self,
-        name: &str,
-        serial: u64,
-        accepted_at: Micros,
-    ) -> Vec<&Endpoint> {
+    pub fn answer_endpoints(&self, name: &str, serial: u64, accepted_at: Micros) -> Vec<&Endpoint> {
         let current = self.get_with_serial(name, serial);
         let former = self
             .former_of(name, serial)
--- a/src/tenancy/former/tests.rs
+++ b/src/tenancy/former/tests.rs
@@ -31,8 +31,8 @@
         .unwrap()
 }
 
-fn promised(registry: &Registry, serial: u64, accepted_at: Micros) -> Vec<EndpointId> {
-    let endpoints = registry.promised_endpoints("t", serial, accepted_at);
+fn answered_at(registry: &Registry, serial: u64, accepted_at: Micros) -> Vec<EndpointId> {
+    let endpoints = registry.answer_endpoints("t", serial, accepted_at);
     endpoints.into_iter().map(|endpoint| endpoint.id).collect()
 }
 
@@ -45,13 +45,13 @@
     assert!(r.put("t", &spec(B)).unwrap(), "a new tenant of the name");
     let new = r.get("t").unwrap().clone();
     assert_ne!((new.id, new.serial), (old.id, old.serial));
-    assert_eq!(promised(&r, old.serial, 10), [portal]);
+    assert_eq!(answered_at(&r, old.serial, 10), [portal]);
     assert_eq!(
-        promised(&r, old.serial, 11),
+        answered_at(&r, old.serial, 11),
         [],
         "accepted after the removal"
     );
-    assert_eq!(promised(&r, new.serial, 0), [new.endpoints[PORTAL].id]);
+    assert_eq!(answered_at(&r, new.serial, 0), [new.endpoints[PORTAL].id]);
     let target = r.delivery_target("t", old.serial, portal, 20).unwrap();
     assert_eq!(target.secrets, [Secret::parse(A).unwrap()]);
     assert!(r.keeps_number(old.id) && !r.keeps_number(new.id));
@@ -125,8 +125,8 @@
         ..EndpointSpec::default()
     };
     assert!(change(&mut r, 70, with(other_types)));
-    assert_eq!(promised(&r, serial, 70), [portal]);
-    assert_eq!(promised(&r, serial, 71), []);
+    assert_eq!(answered_at(&r, serial, 70), [portal]);
+    assert_eq!(answered_at(&r, serial, 71), []);
     assert!(change(&mut r, 80, |r| r.remove_endpoint("t", PORTAL)));
     let former: Vec<_> = r.former_endpoints().iter().map(|(_, e)| e.id).collect();
     assert_eq!(former, [portal]);
@@ -147,7 +147,7 @@
     let mut back = Registry::new(&[("org".into(), 5.0)]);
     back.restore(&r.state()).unwrap();
     assert_eq!(back.state(), r.state());
-    assert_eq!(promised(&back, serial, 10), promised(&r, serial, 10));
+    assert_eq!(answered_at(&back, serial, 10), answered_at(&r, serial, 10));
     let numbers: Vec<_> = back.former_versions().iter().map(|v| v.tenant.id).collect();
     assert_eq!(numbers.len(), 2);
     assert_eq!(numbers[0], numbers[1], "versions of one tenant");
--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -5,8 +5,8 @@
 use std::process::ExitCode;
 
 use crate::{
-    bench, conformance, crash, demo, emulator, fault_injection, gossip, large_fleet, lease_trials,
-    load, outage, rate,
+    bench, conformance, crash, demo, emulator, fault_injection, gossip, guarantees, large_fleet,
+    lease_trials, load, outage, rate,
 };
 use bpaf::Bpaf;
 
@@ -162,8 +162,8 @@
         #[bpaf(long, argument("N"), fallback(4))]
         parallel: usize,
         /// The subject: outage, held-back (events behind comments, no health checks), large-fleet
-        /// (drawn fleets and disturbances), large-release, held-loop, fleet-cost (a table) or
-        /// fleet-growth (200 workers beside 3,200)
+        /// (drawn fleets and disturbances), large-release, held-loop, fleet-cost (a table),
+        /// fleet-growth (200 workers beside 3,200) or guarantees (replays, changed tenants, keys)
         #[bpaf(positional("SUBJECT"))]
         subject: String,
     },
@@ -394,8 +394,9 @@
             "fleet-cost" => large_fleet::measure_costs().map(|()| true),
             "fleet-growth" => large_fleet::compare_growth().map(|()| true),
             "held-loop" => large_fleet::soak(seeds, seed, large_fleet::Scenario::held_loop),
+            "guarantees" => guarantees::soak(seeds, seed, parallel),
             other => Err(std::io::Error::other(format!(
-                "unknown subject '{other}': expected outage, held-back, large-fleet, large-release, held-loop, fleet-cost or fleet-growth"
+                "unknown subject '{other}': expected outage, held-back, large-fleet, large-release, held-loop, fleet-cost, fleet-growth or guarantees"
             ))),
         },
         Command::Bench(Bench::Wheel) => bench::wheel(),
--- a/testbed/src/fakes/gateway.rs
+++ b/testbed/src/fakes/gateway.rs
@@ -62,8 +62,14 @@
 
 /// Returns the configuration of a gateway in front of these workers.
 fn config(workers: &[Worker], deadline_ms: f64, sockets: usize) -> Value {
-    let endpoint = |(i, w): (usize, &Worker)| {
-        json!({ "name": format!("s-0000000{i}"), "address": w.address.to_string(), "zone": "north",
+    let addresses: Vec<SocketAddr> = workers.iter().map(|worker| worker.address).collect();
+    config_of(&addresses, deadline_ms, sockets)
+}
+
+/// Returns the configuration of a gateway in front of the workers at these addresses.
+fn config_of(workers: &[SocketAddr], deadline_ms: f64, sockets: usize) -> Value {
+    let endpoint = |(i, address): (usize, &SocketAddr)| {
+        json!({ "name": format!("s-0000000{i}"), "address": address.to_string(), "zone": "north",
                 "type": "std", "group": 0, "status": "SERVING", "weight": 4, "since_ms": 0 })
     };
     let endpoints: Vec<Value> = workers.iter().enumerate().map(endpoint).collect();
@@ -135,6 +141,24 @@
         Gateway::run(program, folder, operator)
     }
 
+    /// Starts a gateway with this name in front of the workers at these addresses. Its operator's
+    /// file is in `folder`, which it may share with others.
+    pub fn start_as(
+        name: &str,
+        folder: &Path,
+        workers: &[SocketAddr],
+        operator: &str,
+        deadline_ms: f64,
+    ) -> Result<Gateway> {
+        let config = folder.join(format!("config-{name}.json"));
+        let settings = config_of(workers, deadline_ms, DEFAULT_MAX_SOCKETS);
+        std::fs::write(&config, settings.to_string())?;
+        std::fs::write(folder.join("operator.toml"), operator)?;
+        let mut command = Gateway::command(None, folder, None, None)?;
+        command.env("RELAY_CONFIG", config).env("RELAY_NAME", name);
+        Gateway::spawn(command, operator)
+    }
+
     /// Starts a gateway without webhooks, with a gossip file if one is given.
     pub fn start_with_gossip(
         folder: &Path,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fault_injection;
 pub mod fault_proxy;
 pub mod gossip;
+pub mod guarantees;
 pub mod history;
 pub mod large_fleet;
 pub mod lease_trials;
--- a/tests/operator_files.rs
+++ b/tests/operator_files.rs
@@ -168,7 +168,7 @@
     out.add("webhooks.listen", webhooks.listen);
     out.add("webhooks.tolerance_s", webhooks.tolerance_s);
     out.add("webhooks.replay_entries", webhooks.replay_entries);
-    out.add("webhooks.removed_grace_s", &webhooks.removed_grace_s);
+    out.add("webhooks.removed_grace_s", webhooks.removed_grace_s);
     out.add("webhooks.replay_file", &webhooks.replay_file);
     out.add("webhooks.store", &webhooks.store);
     out.add("webhooks.store_mb", webhooks.store_mb);
