Send no callback on a connection to a portal's former address

Cause: send_message took an idle connection by endpoint and never compared its address. Change: connections are taken for an address, and idle ones to others are closed, also when the endpoint changes. Why it works: the address is compared where the connection is chosen, by the value it was opened with.

Test: moved_portal_gets_all_later_callbacks failed before (2 at the former address, 3 at the current one), passes now; webhooks, admin and removed tenants pass.

--- a/src/gateway/webhooks/portals.rs
+++ b/src/gateway/webhooks/portals.rs
@@ -1,9 +1,11 @@
 //! Connections to portals, and store requests of administrators.
 
+use std::net::SocketAddr;
+
 use super::{
     answer, answer_report, fault_injection_point, io, message, net, request_error, CloseReason,
-    ConnKey, DeliveryReport, Effect, Endpoint, Gateway, Input, MessageRecord, Micros, Op,
-    PendingStoreOp, PortalConnection, Progress, RequestError, Role, SendProgress, Seq,
+    ConnKey, DeliveryReport, Effect, Endpoint, EndpointId, Gateway, Input, MessageRecord, Micros,
+    Op, PendingStoreOp, PortalConnection, Progress, RequestError, Role, SendProgress, Seq,
     MAX_IDLE_PER_ENDPOINT, PORTAL_IDLE_TIMEOUT,
 };
 
@@ -45,7 +47,11 @@
         record.waiting.due = now;
         hooks.out.insert(seq, Box::new(record));
         let deadline = now + hooks.answer_timeout;
-        let idle = hooks.idle.get_mut(&id).filter(|_| reuse).and_then(Vec::pop);
+        let idle = if reuse {
+            self.take_idle_portal_connection(id, address)
+        } else {
+            None
+        };
         let key = match idle {
             Some(key) => Ok(key),
             None => {
@@ -87,6 +93,50 @@
         }
     }
 
+    /// Takes an idle connection to an endpoint at an address. Connections to its former addresses
+    /// are closed: another portal may answer there by now.
+    fn take_idle_portal_connection(
+        &mut self,
+        id: EndpointId,
+        address: SocketAddr,
+    ) -> Option<ConnKey> {
+        self.close_idle_portal_connections(id, Some(address));
+        let hooks = self.secondary.webhooks.as_mut()?;
+        let idle = hooks.idle.get_mut(&id)?;
+        let key = idle.pop();
+        if idle.is_empty() {
+            hooks.idle.remove(&id);
+        }
+        key
+    }
+
+    /// Closes the idle connections to an endpoint, except those to its address, if it has one.
+    pub(super) fn close_idle_portal_connections(
+        &mut self,
+        id: EndpointId,
+        address: Option<SocketAddr>,
+    ) {
+        let idle = self
+            .secondary
+            .webhooks
+            .as_ref()
+            .and_then(|hooks| hooks.idle.get(&id));
+        let is_outdated = |key: &ConnKey| match self.connections.get(*key) {
+            Some((_, Role::Portal(link))) => Some(link.address) != address,
+            _ => true,
+        };
+        let outdated: Vec<ConnKey> = idle
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(is_outdated)
+            .collect();
+        for key in outdated {
+            // Its end removes it from the idle ones.
+            self.close(key, CloseReason::Closed);
+        }
+    }
+
     /// Handles input from a portal.
     pub(in crate::gateway) fn handle_portal_input(&mut self, key: ConnKey, now: Micros) {
         let Some((conn, Role::Portal(link))) = self.connections.get_mut(key) else {
--- a/src/gateway/webhooks/start.rs
+++ b/src/gateway/webhooks/start.rs
@@ -1,12 +1,11 @@
 //! Start of webhooks, and recovery of the calls of the previous process.
 
 use super::{
-    channel, store_error, Backend, CloseReason, ConfigError, Delivery, Disk, EarlierIdentities,
-    EgressPolicy, EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Input, Limits,
-    ListenerKind, MemoryKeyspace, Micros, Op, PathBuf, PendingStoreOp, RecoveredState,
-    RecoveryAction, ReplayStore, ResumeAction, Schedule, SecondaryMap, SlotMap, StoreError, Tables,
-    VecDeque, WebhookDriver, WebhookVerifier, Webhooks, Writer, RETENTION_BATCH,
-    RETENTION_CONTINUE_DELAY,
+    channel, store_error, Backend, ConfigError, Delivery, Disk, EarlierIdentities, EgressPolicy,
+    EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Input, Limits, ListenerKind,
+    MemoryKeyspace, Micros, Op, PathBuf, PendingStoreOp, RecoveredState, RecoveryAction,
+    ReplayStore, ResumeAction, Schedule, SecondaryMap, SlotMap, StoreError, Tables, VecDeque,
+    WebhookDriver, WebhookVerifier, Webhooks, Writer, RETENTION_BATCH, RETENTION_CONTINUE_DELAY,
 };
 
 impl Gateway {
@@ -225,8 +224,13 @@
         ) else {
             return;
         };
+        let mut addresses = Vec::new();
         for endpoint in t.endpoints.values() {
             hooks.set_delivery_endpoint(now, t.serial, endpoint);
+            addresses.push((endpoint.id, endpoint.portal.address));
+        }
+        for (id, address) in addresses {
+            self.close_idle_portal_connections(id, Some(address));
         }
     }
 
@@ -241,9 +245,7 @@
                 return;
             };
             hooks.delivery.handle(now, Input::EndpointRemoved(*id));
-            for key in hooks.idle.remove(id).unwrap_or_default() {
-                self.close(key, CloseReason::Shutdown);
-            }
+            self.close_idle_portal_connections(*id, None);
         }
     }
 }
