Test: a fleet answers the calls of a tenant that it agreed to remove

Need: with agreed tenants each gateway keeps the former version by itself when it adopts a removal; nothing showed it between processes.

Change: 18 calls of three classes at six gateways with two copies, their tenant removed at one, a machine lost with its disk and another process killed and started again.

--- a/testbed/tests/tenants.rs
+++ b/testbed/tests/tenants.rs
@@ -3,8 +3,9 @@
 
 use std::path::PathBuf;
 use std::sync::Mutex;
+use std::time::Duration;
 
-use molelug_testbed::fakes::gateway::PROGRAM;
+use molelug_testbed::fakes::gateway::{KEYED_CLASS, NON_IDEMPOTENT_CLASS, PROGRAM, READ_CLASS};
 use molelug_testbed::fakes::{secret, secret_text};
 use molelug_testbed::fault_injection::fleet::{Fleet, FleetConfig};
 use molelug_testbed::fault_proxy::Faults;
@@ -306,3 +307,36 @@
         "{wrong:?}"
     );
 }
+
+/// Guards against accepted calls that are never answered: their tenant is removed at one gateway
+/// while they run, and then a machine is lost and another gateway restarts.
+#[test]
+fn calls_of_removed_tenant_are_answered_by_the_fleet() {
+    const CALLS: usize = 18;
+    let _slot = acquire_slot();
+    PROGRAM.get_or_init(|| PathBuf::from(env!("CARGO_BIN_EXE_molelug-testbed")));
+    let config = FleetConfig {
+        with_admin: true,
+        worker_latency: Duration::from_millis(300),
+        ..FleetConfig::default()
+    };
+    let mut fleet = Fleet::start(config, 5).unwrap();
+    fleet.wait_for_full_sets().unwrap();
+    let classes = [READ_CLASS, NON_IDEMPOTENT_CLASS, KEYED_CLASS];
+    for n in 0..CALLS {
+        let status = fleet.send(n % 6, &format!("call-{n}"), classes[n % 3]);
+        assert_eq!(status, 202, "call-{n}");
+    }
+    let removed = fleet
+        .admin_client(0)
+        .unwrap()
+        .request("DELETE", "franq-bajio", "", "");
+    assert_eq!(removed.status, 204, "{removed:?}");
+    fleet.wait_for_tenants().unwrap();
+    fleet.lose_machine(1).unwrap();
+    fleet.kill(2).unwrap();
+    fleet.start_instance(2).unwrap();
+    let (counts, wrong) = fleet.judge().unwrap();
+    assert_eq!(wrong, []);
+    assert_eq!(counts.calls, CALLS);
+}
