--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -1,13 +1,10 @@
 //! Verifies signed webhooks and turns them into calls.
 
-use std::ops::RangeInclusive;
-
 use base64::prelude::{Engine, BASE64_STANDARD};
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
 
 use super::replay::{identity_digest, RecordResult, ReplayStore};
-use super::signature;
 use crate::api::{Arrival, Class, ClassId, Effect, FunctionId, Micros, RequestId};
 use crate::core::{Call, IdempotencyKey};
 use crate::front::http::{request_error, Request, RequestError};
@@ -16,6 +13,13 @@
 use crate::store::records::IdentityDigest;
 use crate::tenancy::{Registry, Tenant, COMPLETED};
 
+mod headers;
+mod time_stamps;
+
+use headers::{SignedHeaders, SIGNATURE_REFUSED};
+pub use time_stamps::EarlierIdentities;
+use time_stamps::StampCheck;
+
 /// Maximum length of a `webhook-id` and of an order key, in bytes.
 const MAX_ID_BYTES: usize = 128;
 /// Bytes of the identity's digest in an idempotency key; the platform's keys are as long.
@@ -89,90 +93,6 @@
     }
 }
 
-/// How far a time stamp may lie ahead of the clock while identities are lost with the process, in
-/// seconds: enough for clocks that are kept by time servers.
-const MAX_AHEAD_WITHOUT_FILE_S: u64 = 5;
-
-/// What a process knows of the identities that earlier processes of its gateway accepted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EarlierIdentities {
-    /// All are known, from a file or a store.
-    Known,
-    /// None is known, as the first process with a file started at this time. Later processes know
-    /// those of this one.
-    FirstStart(Micros),
-    /// None is known, and those of this process, which started at this time, are lost with it.
-    Lost(Micros),
-}
-
-impl EarlierIdentities {
-    fn max_ahead_s(self, tolerance_s: u64) -> u64 {
-        match self {
-            EarlierIdentities::Known | EarlierIdentities::FirstStart(_) => tolerance_s,
-            EarlierIdentities::Lost(_) => MAX_AHEAD_WITHOUT_FILE_S.min(tolerance_s),
-        }
-    }
-
-    /// The time stamps from the start of this process on that an earlier one may have accepted, in
-    /// seconds; none if its identities are known. All earlier stamps are in doubt as well.
-    fn stamps_in_doubt(self) -> Option<RangeInclusive<u64>> {
-        let seconds = |at: Micros| at / 1_000_000;
-        match self {
-            EarlierIdentities::Known => None,
-            EarlierIdentities::FirstStart(at) => Some(seconds(at)..=seconds(at)),
-            EarlierIdentities::Lost(at) => {
-                Some(seconds(at)..=seconds(at) + MAX_AHEAD_WITHOUT_FILE_S)
-            }
-        }
-    }
-}
-
-/// The error of a request without a valid signature; it does not tell whether the tenant exists.
-const SIGNATURE_REFUSED: RequestError = request_error(401, "signature refused");
-
-/// The headers of a signed request.
-struct SignedHeaders<'a> {
-    id: &'a str,
-    stamp: u64,
-    signature: &'a str,
-}
-
-impl<'a> SignedHeaders<'a> {
-    fn read(r: &Request<'a>) -> Result<SignedHeaders<'a>, RequestError> {
-        // Full stops separate the signed parts; one inside an identity would make them ambiguous.
-        let id = r
-            .header("webhook-id")
-            .filter(|id| !id.is_empty() && id.len() <= MAX_ID_BYTES && !id.contains('.'))
-            .ok_or(SIGNATURE_REFUSED)?;
-        let stamp = r
-            .header("webhook-timestamp")
-            .filter(|t| t.bytes().all(|b| b.is_ascii_digit()))
-            .and_then(|t| t.parse().ok())
-            .ok_or(SIGNATURE_REFUSED)?;
-        let signature = r.header("webhook-signature").ok_or(SIGNATURE_REFUSED)?;
-        Ok(SignedHeaders {
-            id,
-            stamp,
-            signature,
-        })
-    }
-
-    /// Returns whether a secret of the tenant that is valid at `valid_at` made the signature.
-    fn is_by(&self, tenant: &Tenant, body: &[u8], valid_at: Micros) -> bool {
-        let secrets = tenant.secrets(valid_at);
-        signature::verify(secrets, self.id, self.stamp, body, self.signature)
-    }
-}
-
-/// The result of checking a time stamp.
-enum StampCheck {
-    Fresh,
-    /// Too far from the clock, or from before the start.
-    Refused,
-    /// Maybe accepted by the previous process; a new signature will do.
-    JustStarted,
-}
-
 /// Checks incoming webhooks.
 #[derive(Debug)]
 pub struct WebhookVerifier {
@@ -243,34 +163,14 @@
     }
 
     fn require_fresh(&self, stamp: u64, now: Micros) -> Result<(), RequestError> {
-        match self.check_stamp(stamp, now) {
+        let earlier = self.earlier_identities;
+        match earlier.check_stamp(stamp, self.tolerance_s, now) {
             StampCheck::Fresh => Ok(()),
             StampCheck::Refused => Err(request_error(401, "time stamp refused")),
             StampCheck::JustStarted => Err(request_error(503, "just started")),
         }
     }
 
-    /// Checks a time stamp, in seconds. An earlier process may have accepted any stamp up to its own
-    /// end plus the time by which stamps may lie ahead. Where its identities are unknown, such
-    /// stamps are rejected, and the time ahead is short, so that they are soon past.
-    fn check_stamp(&self, stamp: u64, now: Micros) -> StampCheck {
-        let now_s = now / 1_000_000;
-        let max_ahead_s = self.earlier_identities.max_ahead_s(self.tolerance_s);
-        if now_s.abs_diff(stamp) > self.tolerance_s || stamp > now_s + max_ahead_s {
-            return StampCheck::Refused;
-        }
-        let Some(may_be_taken) = self.earlier_identities.stamps_in_doubt() else {
-            return StampCheck::Fresh;
-        };
-        if stamp < *may_be_taken.start() {
-            StampCheck::Refused
-        } else if may_be_taken.contains(&stamp) {
-            StampCheck::JustStarted
-        } else {
-            StampCheck::Fresh
-        }
-    }
-
     /// Verifies a signed query for a call's state, `GET /webhooks/TENANT/calls/ID`, whose
     /// `webhook-id` must equal the call's. Returns the serial numbers of the tenants of this name
     /// whose secret signed it, the current tenant's first, and the call's identity. A removed tenant
--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -46,6 +46,7 @@
 use crate::tenancy::{Endpoint, COMPLETED};
 
 mod calls;
+mod driver;
 mod portals;
 mod replies;
 mod shard_calls;
@@ -245,138 +246,6 @@
     numbers: HashMap<ShardId, (Epoch, u32)>,
 }
 
-impl WebhookDriver {
-    /// Returns the number of callbacks that wait in memory; 0 if they are on disk.
-    fn waiting(&self) -> usize {
-        match &self.backend {
-            Backend::Memory(both) => both.1.stats().waiting as usize,
-            Backend::Disk(_) => 0,
-        }
-    }
-
-    pub(super) fn durable(&self) -> bool {
-        matches!(self.backend, Backend::Disk(_))
-    }
-
-    fn submit(&mut self, purpose: PendingStoreOp, op: Op) {
-        self.submit_for_replicas(purpose, op, 0);
-    }
-
-    /// Submits an operation. An operation of a shard is replicated to `min_replicas` replicas at
-    /// least.
-    fn submit_for_replicas(&mut self, purpose: PendingStoreOp, op: Op, min_replicas: usize) {
-        self.last_store_op += 1;
-        let number = self.last_store_op;
-        self.pending_store_ops.insert(number, purpose);
-        if let (Some(shard), Some(shared)) = (op.shard(), ReplicatedOp::from_op(&op)) {
-            match shared.encode() {
-                Ok(bytes) => self
-                    .pending_appends
-                    .push_back((number, shard, bytes, min_replicas)),
-                Err(e) => self.replies.push_back((number, Err(e))),
-            }
-            return;
-        }
-        match &mut self.backend {
-            Backend::Disk(writer) => writer.submit(number, op),
-            Backend::Memory(both) => {
-                let (space, tables) = &mut **both;
-                let reply = tables.apply(space, op);
-                self.replies.push_back((number, reply));
-            }
-        }
-    }
-
-    fn seq(&mut self) -> Seq {
-        self.last_seq += 1;
-        Seq(self.last_seq)
-    }
-
-    /// Returns whether shutdown has waited too long for the store.
-    pub(super) fn is_shutdown_overdue(&self, now: Micros) -> bool {
-        self.stopping
-            .is_some_and(|t| now > t + SHUTDOWN_STORE_TIMEOUT)
-    }
-
-    /// Returns whether the process can end without losing calls or leaving outcomes unknown.
-    pub(super) fn is_idle(&self, now: Micros) -> bool {
-        let late = self.is_shutdown_overdue(now);
-        let kept = if self.durable() {
-            self.delivery.attempts_in_flight() == 0 && (self.pending_store_ops.is_empty() || late)
-        } else {
-            self.waiting() == 0 && self.pending_store_ops.is_empty()
-        };
-        self.jobs.is_empty() && kept
-    }
-
-    /// Returns how long callbacks to a removed tenant or endpoint are tried.
-    pub(super) fn removal_grace(&self) -> Micros {
-        self.removal_grace
-    }
-
-    /// Returns the serial numbers of the tenants of all open calls, with the times at which the
-    /// calls were accepted.
-    pub(super) fn open_calls(&self) -> Vec<(u64, Micros)> {
-        self.jobs
-            .values()
-            .map(|open_call| (open_call.job.serial, open_call.job.accepted_at))
-            .collect()
-    }
-
-    /// Returns whether pending operations of the store may add a call or a callback.
-    pub(super) fn awaits_store(&self) -> bool {
-        let adds_work = |operation: &PendingStoreOp| {
-            matches!(
-                operation,
-                PendingStoreOp::AcceptCall { .. } | PendingStoreOp::EnqueueMessages
-            )
-        };
-        self.pending_store_ops.values().any(adds_work)
-    }
-
-    /// Returns whether messages to an endpoint wait or are in flight.
-    pub(super) fn has_messages(&self, id: EndpointId) -> bool {
-        self.delivery.has_messages(id)
-    }
-
-    /// Returns whether a message to an endpoint is in flight.
-    pub(super) fn is_sending(&self, id: EndpointId) -> bool {
-        self.health(id).is_some_and(|health| health.in_flight > 0)
-    }
-
-    /// Reads the state of a call for a client. The call is of the first of the tenants that has it.
-    fn read_call_state(&mut self, conn: ConnKey, id: String, mut serials: Vec<u64>) {
-        if serials.is_empty() {
-            return;
-        }
-        let serial = serials.remove(0);
-        let operation = Op::GetCall(serial, id.clone());
-        let purpose = PendingStoreOp::ReadCallState {
-            conn,
-            id,
-            others: serials,
-        };
-        self.submit(purpose, operation);
-    }
-
-    /// Passes the settings of an endpoint to delivery.
-    pub(super) fn set_delivery_endpoint(&mut self, now: Micros, serial: u64, endpoint: &Endpoint) {
-        let settings = endpoint.settings(serial, &self.schedule);
-        self.delivery
-            .handle(now, Input::EndpointChanged(endpoint.id, settings));
-    }
-
-    /// Returns the state of an endpoint for operators.
-    pub(super) fn health(&self, id: EndpointId) -> Option<crate::delivery::Health> {
-        self.delivery.health(id)
-    }
-
-    /// Queues a reply of the store's thread.
-    pub(super) fn reply(&mut self, number: u64, reply: Result<Reply, StoreError>) {
-        self.replies.push_back((number, reply));
-    }
-}
-
 fn store_error(path: PathBuf, e: &StoreError) -> GatewayError {
     GatewayError::Operator(ConfigError::Parse(path, e.to_string()))
 }
