Keep what a removed tenant's calls need until their callbacks are stored

Callers would see: with removed_grace_s of a second or none, a call whose record or outcome is on its way to the store at a check loses its endpoint, and its answer.

Cause: between the store's acceptance and the 202, and between a call's end and the store of its callbacks, the call was in no list of open calls; found by reading. Change: both operations count as open calls of their tenant. Why it works: a version is dropped only when no call from before its change is open, whatever its time.

--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -153,6 +153,8 @@
     RecordAttempt(AttemptKey),
     /// Persists a change that may release messages for delivery.
     EnqueueMessages,
+    /// Replaces a call of the tenant with this serial number by its outcome and its callbacks.
+    CompleteCall(u64),
     /// Records the beginning of an attempt to deliver a message.
     BeginDelivery(Seq),
     FetchDue(EndpointId),
--- a/src/gateway/webhooks/calls.rs
+++ b/src/gateway/webhooks/calls.rs
@@ -330,7 +330,7 @@
             self.core.counters.callbacks_undelivered += 1;
         }
         hooks.submit(
-            PendingStoreOp::EnqueueMessages,
+            PendingStoreOp::CompleteCall(open_call.job.serial),
             Op::CompleteCall(CompleteCall {
                 call: open_call.seq,
                 outcome: outcome.name().into(),
--- a/src/gateway/webhooks/driver.rs
+++ b/src/gateway/webhooks/driver.rs
@@ -80,23 +80,30 @@
     }
 
     /// Returns the serial numbers of the tenants of all open calls, with the times at which the
-    /// calls were accepted.
+    /// calls were accepted. A call is open from its acceptance until its callbacks are stored.
     pub(in crate::gateway) fn open_calls(&self) -> Vec<(u64, Micros)> {
-        self.jobs
+        let running = self
+            .jobs
             .values()
-            .map(|open_call| (open_call.job.serial, open_call.job.accepted_at))
-            .collect()
+            .map(|open_call| (open_call.job.serial, open_call.job.accepted_at));
+        let in_store = self
+            .pending_store_ops
+            .values()
+            .filter_map(|operation| match operation {
+                PendingStoreOp::AcceptCall { call, .. } => {
+                    Some((call.origin.serial, call.origin.accepted_at))
+                }
+                PendingStoreOp::CompleteCall(serial) => Some((*serial, 0)),
+                _ => None,
+            });
+        running.chain(in_store).collect()
     }
 
-    /// Returns whether pending operations of the store may add a call or a callback.
+    /// Returns whether pending operations of the store may bring a message to an endpoint.
     pub(in crate::gateway) fn awaits_store(&self) -> bool {
-        let adds_work = |operation: &PendingStoreOp| {
-            matches!(
-                operation,
-                PendingStoreOp::AcceptCall { .. } | PendingStoreOp::EnqueueMessages
-            )
-        };
-        self.pending_store_ops.values().any(adds_work)
+        let brings_messages =
+            |operation: &PendingStoreOp| matches!(operation, PendingStoreOp::EnqueueMessages);
+        self.pending_store_ops.values().any(brings_messages)
     }
 
     /// Returns whether messages to an endpoint wait or are in flight.
--- a/src/gateway/webhooks/replies.rs
+++ b/src/gateway/webhooks/replies.rs
@@ -91,7 +91,9 @@
             PendingStoreOp::RecordAttempt(attempt) => {
                 self.attempt_recorded(now, attempt, reply.is_ok())
             }
-            PendingStoreOp::EnqueueMessages | PendingStoreOp::RecordOnly => {
+            PendingStoreOp::CompleteCall(_)
+            | PendingStoreOp::EnqueueMessages
+            | PendingStoreOp::RecordOnly => {
                 self.enqueue_released(now, reply);
             }
             PendingStoreOp::BeginDelivery(seq) => self.delivery_begun(now, seq, reply),
--- a/src/gateway/webhooks/shards.rs
+++ b/src/gateway/webhooks/shards.rs
@@ -18,7 +18,9 @@
             PendingStoreOp::AcceptCall { .. } => Some("call recorded here"),
             PendingStoreOp::RecordAttempt(_) => Some("intent recorded here"),
             PendingStoreOp::BeginDelivery(_) => Some("callback's intent recorded here"),
-            PendingStoreOp::EnqueueMessages => Some("answer recorded here"),
+            PendingStoreOp::CompleteCall(_) | PendingStoreOp::EnqueueMessages => {
+                Some("answer recorded here")
+            }
             _ => None,
         }
     }
--- a/tests/removed_tenants.rs
+++ b/tests/removed_tenants.rs
@@ -249,3 +249,19 @@
     site.expect_one_callback("call-1");
     site.end();
 }
+
+/// Guards against accepted calls that are never answered: no time is given to waiting callbacks,
+/// and the call runs for longer than two checks of what is owed.
+#[test]
+fn running_call_is_answered_without_any_grace() {
+    let site = Site::start("no-grace", "removed_grace_s = 0");
+    let (_, mut worker, attempt) = site.begin_call("call-1", UNSAFE_CLASS);
+    site.remove_tenant();
+    let removed_at = now_s();
+    until("what is owed was checked twice", || {
+        now_s() > removed_at + 2
+    });
+    worker.answer(&attempt, "200", "remark=w");
+    site.expect_one_callback("call-1");
+    site.end();
+}
