Judge callbacks after a kill by their class and their stored state

Change: an unsafe callback that did not come counts as answered only if the gateway was killed and its message is in state unknown; a safe one may come again only after a kill; all of a call have one id.

--- a/testbed/src/guarantees/tenants.rs
+++ b/testbed/src/guarantees/tenants.rs
@@ -1,6 +1,7 @@
 //! Accepted calls whose tenant is changed at some step, by the administration interface, with and
 //! without an end of the process between.
 
+use std::collections::BTreeMap;
 use std::io::{Error, Result};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -9,7 +10,8 @@
 use serde_json::json;
 
 use super::{Draw, End, RackWorker, Verdict, DEADLINE_MS, SAFE_CLASS, UNSAFE_CLASS};
-use crate::fakes::gateway::Gateway;
+use crate::fakes::gateway::{self, Gateway};
+use crate::fakes::portal::Delivery;
 use crate::fakes::{admin, secret, secret_text, status, Caller, Portal, PortalBehavior};
 use crate::fault_injection::tenants::AdminClient;
 
@@ -104,16 +106,7 @@
     super::wait_until(Duration::from_secs(15), || {
         (0..CALLS).all(|number| told(number).iter().any(|delivery| delivery.confirmed))
     });
-    for number in 0..CALLS {
-        let deliveries = told(number);
-        let confirmed = deliveries.iter().filter(|d| d.confirmed).count();
-        let is_unsafe = number % 2 == 1;
-        // An unsafe callback that a portal failed may have had its effect: it comes once.
-        let is_answered = confirmed == 1 || (is_unsafe && deliveries.len() == 1);
-        if !is_answered || deliveries.iter().any(|delivery| !delivery.signed) {
-            violations.push(format!("call-{number} was told: {deliveries:?}"));
-        }
-    }
+    let deliveries: Vec<Vec<Delivery>> = (0..CALLS).map(told).collect();
     if !newcomer.deliveries().is_empty() {
         violations.push(format!(
             "the newcomer was told: {:?}",
@@ -121,6 +114,17 @@
         ));
     }
     gateway.stop()?;
+    let states = message_states(folder)?;
+    let was_killed = matches!(end, Some(End::Kill));
+    for (number, deliveries) in deliveries.iter().enumerate() {
+        let state = states
+            .get(&format!("call-{number}"))
+            .map_or("", String::as_str);
+        let is_unsafe = number % 2 == 1;
+        if !is_answered(deliveries, is_unsafe, was_killed, state) {
+            violations.push(format!("call-{number}, {state}, was told: {deliveries:?}"));
+        }
+    }
     let ended = end.map_or("runs on".to_owned(), |end| format!("{end:?}"));
     Ok(Verdict {
         seed,
@@ -129,6 +133,40 @@
     })
 }
 
+/// Returns whether a call's callback came as its class allows. A callback that must not come twice
+/// is not sent again once it may have arrived: its portal failed it, or the gateway was killed after
+/// the attempt was recorded, and its message is `unknown`. After a kill a safe one may be repeated
+/// under its id.
+fn is_answered(deliveries: &[Delivery], is_unsafe: bool, was_killed: bool, state: &str) -> bool {
+    let confirmed = deliveries.iter().filter(|d| d.confirmed).count();
+    let has_one_id = deliveries.windows(2).all(|pair| pair[0].id == pair[1].id);
+    let is_signed = deliveries.iter().all(|delivery| delivery.signed);
+    let came = match (is_unsafe, deliveries.len()) {
+        (true, 0) => was_killed && state == "unknown",
+        (true, count) => count == 1,
+        (false, _) => confirmed == 1 || (was_killed && confirmed > 1),
+    };
+    came && has_one_id && is_signed
+}
+
+/// Returns the states of the callbacks in the store, by call.
+fn message_states(folder: &Path) -> Result<BTreeMap<String, String>> {
+    let exported = gateway::command(None)?
+        .args(["store", "export"])
+        .arg(folder.join("store"))
+        .output()?;
+    let text = String::from_utf8_lossy(&exported.stdout);
+    let messages = text
+        .lines()
+        .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    Ok(messages
+        .filter_map(|message| {
+            let text = |key: &str| message[key].as_str().map(str::to_owned);
+            Some((text("call")?, text("state")?))
+        })
+        .collect())
+}
+
 fn make_change(
     gateway: &Gateway,
     folder: &Path,
