Notice a client's departure behind unread input, and send nothing on for it

Cause: once a client's buffer is full its socket is not read until the pending call is answered, so end of stream and reset lie behind the unread bytes. After the answer the next call was taken from the buffer and sent on, and the close was found afterwards.

Change: an event on a client's connection that still has unread input asks the system whether the peer has gone (poll with RDHUP), and so does the writer of each attempt, first or further, just before its first byte leaves, and every front before it takes the next request from a buffer. Where the client has sent more ahead than its buffer holds, its end of stream may not even have arrived (the receive window is closed); such calls are answered 503 and never sent. The protocol allows one request at a time on a connection, so no sound client is ever that far ahead. A half-close counts as a departure, as before: the protocol knows no other way to stop waiting.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -50,6 +50,12 @@
         self.attempts.get(key).map(|attempt| attempt.worker)
     }
 
+    /// Returns the origin of the request that an attempt in flight belongs to.
+    pub fn origin_of(&self, key: AttemptKey) -> Option<&O> {
+        let request = self.requests.get(self.attempts.get(key)?.request)?;
+        Some(&request.call.origin)
+    }
+
     /// Sends a request to a worker, unless it has been answered or has an attempt in flight.
     pub(super) fn send_attempt(
         &mut self,
--- a/src/gateway/accepting.rs
+++ b/src/gateway/accepting.rs
@@ -85,6 +85,7 @@
             kind,
             pending: None,
             keep_alive: true,
+            is_far_ahead: false,
         };
         let Ok(key) = set_up.and_then(|()| self.add_connection(stream, true, role)) else {
             return;
--- a/src/gateway/clients.rs
+++ b/src/gateway/clients.rs
@@ -105,7 +105,8 @@
 
     /// Reads the rest of a partial request, or waits for it.
     fn await_rest_of_request(&mut self, key: ConnKey, now: Micros) -> ReadProgress {
-        let Some((connection, _)) = self.connections.get_mut(key) else {
+        let Some((connection, Role::Client { is_far_ahead, .. })) = self.connections.get_mut(key)
+        else {
             return ReadProgress::Stop;
         };
         // If the buffer was full while a request was pending, the input left in the socket raises
@@ -116,6 +117,9 @@
         if connection.peer_closed {
             self.ready.push(key);
         }
+        if connection.input.bytes().is_empty() {
+            *is_far_ahead = false;
+        }
         // The time for a partial request counts from its first byte.
         let request_deadline = now + CLIENT_REQUEST_TIMEOUT;
         let later = connection
@@ -136,7 +140,7 @@
     ) -> ReadProgress {
         let keep_open = after.keeps_open();
         let response = match request {
-            Ok(ClientRequest::Call(call)) => match self.reject_client_call(&call, after) {
+            Ok(ClientRequest::Call(call)) => match self.reject_client_call(key, &call, after) {
                 Some(response) => response,
                 None => {
                     self.submit_client_call(key, now, call);
@@ -163,9 +167,15 @@
 
     /// Returns the response to a call that is rejected before the decision module sees it; `None`
     /// if the call is to be submitted.
-    fn reject_client_call(&mut self, call: &Call<()>, after: AfterResponse) -> Option<Vec<u8>> {
-        if self.core.pending_requests() >= self.config.max_pending_requests {
-            // The platform does the same beyond `mostHeld`.
+    fn reject_client_call(
+        &mut self,
+        key: ConnKey,
+        call: &Call<()>,
+        after: AfterResponse,
+    ) -> Option<Vec<u8>> {
+        // The platform does the same beyond `mostHeld`.
+        let is_full = self.core.pending_requests() >= self.config.max_pending_requests;
+        if is_full || self.is_far_ahead(key) {
             self.core.count_rejected(call.arrival.class);
             let answer = Answer::Rejected {
                 retry_after: OVERLOAD_RETRY_AFTER,
@@ -180,6 +190,18 @@
         None
     }
 
+    /// Whether a client has sent so much ahead that its departure could go unnoticed.
+    fn is_far_ahead(&self, key: ConnKey) -> bool {
+        let role = self.connections.get(key).map(|(_, role)| role);
+        matches!(
+            role,
+            Some(Role::Client {
+                is_far_ahead: true,
+                ..
+            })
+        )
+    }
+
     fn submit_client_call(&mut self, key: ConnKey, now: Micros, call: Call<()>) {
         self.set_deadline(key, None);
         if call.arrival.unread_for > 0 {
@@ -225,8 +247,44 @@
         let response = platform::answer(answer, after.keeps_open());
         self.set_deadline(key, Some(now + CLIENT_IDLE_TIMEOUT));
         self.respond_to_client(key, response, after);
-        // A client may have sent its next request already.
-        self.read_client_requests(key, now);
+        if !self.close_if_departed(key) {
+            // A client may have sent its next request already.
+            self.read_client_requests(key, now);
+        }
+    }
+
+    /// Notes whether a client's input did not fit into its buffer. Closes the connection if the
+    /// client has departed behind the unread input; returns whether it was closed.
+    pub(super) fn note_unread_input(&mut self, key: ConnKey) -> bool {
+        let Some((connection, role)) = self.connections.get_mut(key) else {
+            return true;
+        };
+        let Role::Client {
+            pending,
+            is_far_ahead,
+            ..
+        } = role
+        else {
+            return false;
+        };
+        if !connection.has_more_input {
+            return false;
+        }
+        *is_far_ahead |= pending.is_some();
+        self.close_if_departed(key)
+    }
+
+    /// Closes the connection of a client that has departed and has input left, which is not
+    /// handled any more; returns whether it was closed.
+    pub(super) fn close_if_departed(&mut self, key: ConnKey) -> bool {
+        let has_departed = self.connections.get(key).is_some_and(|(connection, _)| {
+            let has_input = !connection.input.bytes().is_empty() || connection.has_more_input;
+            has_input && connection.has_peer_departed()
+        });
+        if has_departed {
+            self.close(key, CloseReason::Closed);
+        }
+        has_departed
     }
 
     /// Whether an answer is large and too many bytes are unsent already. This guards the memory
--- a/src/gateway/commands.rs
+++ b/src/gateway/commands.rs
@@ -29,7 +29,12 @@
             } else if let Some(key) = self.dirty.pop() {
                 self.withdraw_expired_effects(key);
                 self.withdraw_without_evidence(now, key);
-                self.flush_connection(key);
+                if self.close_departed_clients_of(key) {
+                    // Their attempts are withdrawn before anything is written.
+                    self.dirty.push(key);
+                } else {
+                    self.flush_connection(key);
+                }
             } else {
                 return;
             }
@@ -186,6 +191,34 @@
         ));
     }
 
+    /// Closes the connections of clients that have departed while their attempts wait on a worker's
+    /// connection to be written; returns whether there were any.
+    fn close_departed_clients_of(&mut self, key: ConnKey) -> bool {
+        let Some((connection, Role::Worker(worker))) = self.connections.get(key) else {
+            return false;
+        };
+        if !connection.connected {
+            return false;
+        }
+        let clients = worker
+            .unsent_attempts(&connection.outbox)
+            .into_iter()
+            .filter_map(|attempt| match self.core.origin_of(attempt) {
+                Some(Origin::Client(key)) => Some(*key),
+                Some(Origin::Webhook(_)) | None => None,
+            });
+        let departed: Vec<ConnKey> = clients
+            .filter(|client| {
+                let connection = self.connections.get(*client);
+                connection.is_some_and(|(connection, _)| connection.has_peer_departed())
+            })
+            .collect();
+        for client in &departed {
+            self.close(*client, CloseReason::Closed);
+        }
+        !departed.is_empty()
+    }
+
     /// Withdraws unsent attempts and load orders if the core no longer has evidence that the worker
     /// accepts new work. The evidence may expire while they wait for the connection to open.
     fn withdraw_without_evidence(&mut self, now: Micros, key: ConnKey) {
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -171,6 +171,9 @@
             };
             self.set_deadline(key, Some(next));
         }
+        if self.note_unread_input(key) {
+            return;
+        }
         self.dirty.push(key);
         // Input received before the peer closed is still handled.
         self.on_input(key, now);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -95,6 +95,9 @@
         kind: ListenerKind,
         pending: Option<PendingResponse>,
         keep_alive: bool,
+        /// Whether the client has sent more input ahead of a response than its buffer holds. The
+        /// end of its stream may then be out of reach behind unread input.
+        is_far_ahead: bool,
     },
     /// A worker.
     Worker(WorkerConnection),
--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -350,6 +350,8 @@
         conn.closing = !stays;
         self.set_deadline(key, Some(now + CLIENT_IDLE_TIMEOUT));
         self.dirty.push(key);
-        self.read_secondary_requests(key, now);
+        if !self.close_if_departed(key) {
+            self.read_secondary_requests(key, now);
+        }
     }
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use calloop::RegistrationToken;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 
 use super::arrival::ReceptionTime;
 use super::buffer::{Buffer, FillOutcome, MAX_EMPTY_BUFFER_BYTES};
@@ -180,6 +181,23 @@
         }
     }
 
+    /// Returns whether the peer has closed or reset the connection, also if input is unread before
+    /// its end. An end that is still on its way is not seen.
+    pub fn has_peer_departed(&self) -> bool {
+        const AT_ONCE: Timespec = Timespec {
+            tv_sec: 0,
+            tv_nsec: 0,
+        };
+        if self.peer_closed {
+            return true;
+        }
+        let mut descriptors = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+        let departed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        // If the system cannot tell, the next read or write shows the end.
+        poll(&mut descriptors, Some(&AT_ONCE)).is_ok()
+            && descriptors[0].revents().intersects(departed)
+    }
+
     /// Writes as much output as the socket accepts; returns `false` if some is left.
     ///
     /// # Errors
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -74,6 +74,12 @@
         self.frames.iter().any(|f| f.tag == tag && f.sent == 0)
     }
 
+    /// Returns the tags of the counted frames of which no byte has been written.
+    pub fn unsent_counted_tags(&self) -> impl Iterator<Item = u64> + '_ {
+        let unsent = |frame: &&Frame| frame.counts && frame.sent == 0;
+        self.frames.iter().filter(unsent).map(|frame| frame.tag)
+    }
+
     /// Returns whether the queue is empty.
     pub fn is_empty(&self) -> bool {
         self.frames.is_empty()
--- a/src/worker/connection.rs
+++ b/src/worker/connection.rs
@@ -1,6 +1,6 @@
 //! The state of one connection to a worker and its exchanges in flight. It works on buffers and does no socket I/O.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 use slotmap::Key;
@@ -10,7 +10,7 @@
 use super::{AttemptCommand, Completed, Exchange, RespError};
 use crate::api::{FunctionId, Micros, WorkerId};
 use crate::completion::{CloseReason, SendProgress};
-use crate::core::{AttemptReply, HealthCheckKey, LoadOrderKey};
+use crate::core::{AttemptKey, AttemptReply, HealthCheckKey, LoadOrderKey};
 use crate::net::{Buffer, Outbox, UNTAGGED_FRAME};
 
 /// The time within which a duplicate of a worker's reply may be received.
@@ -225,6 +225,21 @@
             .map(|(identity, open)| (identity.clone(), open.tag))
     }
 
+    /// Returns the attempts of which no byte has been sent.
+    pub fn unsent_attempts(&self, outbox: &Outbox) -> Vec<AttemptKey> {
+        let tags: BTreeSet<u64> = outbox.unsent_counted_tags().collect();
+        if tags.is_empty() {
+            return Vec::new();
+        }
+        let unsent = self.open.values().filter(|open| tags.contains(&open.tag));
+        unsent
+            .filter_map(|open| match open.exchange {
+                Exchange::Attempt(key) => Some(key),
+                Exchange::LoadOrder(_) | Exchange::HealthCheck(_) => None,
+            })
+            .collect()
+    }
+
     /// Withdraws an exchange if none of its bytes have been sent; returns whether it was withdrawn.
     pub fn withdraw(&mut self, outbox: &mut Outbox, exchange: Exchange) -> bool {
         let Some((identity, tag)) = self.find(exchange) else {
--- /dev/null
+++ b/tests/rude_clients.rs
@@ -0,0 +1,105 @@
+//! Clients that disconnect, flood or stall: what they may make the gateway send, keep and delay.
+//!
+//! Each test is named after the failure that it guards against. Verdicts come from what the worker
+//! was sent, from recorded times, and from the process's own memory figures.
+
+mod common;
+
+use std::io::{ErrorKind, Write};
+
+use common::by_hand::*;
+use common::*;
+
+/// The size of one padded call, in bytes.
+const PADDED_CALL_BYTES: usize = 1200;
+/// The id of the call of a client that is still connected.
+const SOUND_ID: u64 = 0xffff;
+
+fn serving(worker: &WorkerByHand) -> serde_json::Value {
+    endpoint("s-00000001", worker.address(), "SERVING")
+}
+
+/// A call padded with a header that the gateway ignores.
+fn padded(ask: Ask) -> String {
+    let text = ask.text();
+    let padding = "p".repeat(PADDED_CALL_BYTES.saturating_sub(text.len() + "X-Pad: \r\n".len()));
+    text.replacen(
+        "Host: t\r\n",
+        &format!("Host: t\r\nX-Pad: {padding}\r\n"),
+        1,
+    )
+}
+
+/// The way a client disconnects.
+#[derive(Clone, Copy, Debug)]
+enum Disconnect {
+    Close,
+    Reset,
+}
+
+/// A client sends calls ahead of its first answer and disconnects. Once the first attempt has
+/// ended, the next attempt must be that of another client.
+fn check_calls_sent_ahead(disconnect: Disconnect, calls_ahead: u64) {
+    let worker = WorkerByHand::start();
+    let g = Gateway::start_daily(&settings(8000.0), &[serving(&worker)], None);
+    let mut client = Client::asks(&g, Ask::safe(1));
+    let mut connection = worker.accept();
+    assert_eq!(connection.next_attempt().id, Ask::safe(1).id());
+    for id in 0..calls_ahead {
+        client.send(&padded(Ask::safe(2 + id)));
+    }
+    match disconnect {
+        Disconnect::Close => drop(client),
+        Disconnect::Reset => reset(client.stream),
+    }
+    check_next_attempt_is_of_sound_client(&g, connection);
+}
+
+/// Ends the attempt of call 1. The next attempt must be that of a client that is still connected.
+fn check_next_attempt_is_of_sound_client(g: &Gateway, mut connection: WorkerConn) {
+    let mut sound = Client::asks(g, Ask::safe(SOUND_ID));
+    connection.answer(&Ask::safe(1).id(), "200", "remark=w");
+    let next = connection.next_attempt().id;
+    assert_eq!(
+        next,
+        Ask::safe(SOUND_ID).id(),
+        "a call of a departed client"
+    );
+    connection.answer(&next, "200", "remark=w");
+    assert_eq!(sound.status(), 200);
+    assert_eq!(g.figure("upstream_requests"), 2);
+}
+
+#[test]
+fn close_behind_unread_calls_is_noticed() {
+    check_calls_sent_ahead(Disconnect::Close, 60);
+}
+
+#[test]
+fn reset_behind_unread_calls_is_noticed() {
+    check_calls_sent_ahead(Disconnect::Reset, 60);
+}
+
+/// Where the client has sent more than the sockets hold, its end of stream cannot arrive, so calls
+/// so far ahead are rejected.
+#[test]
+fn calls_ahead_of_a_close_that_cannot_arrive_are_not_sent() {
+    let worker = WorkerByHand::start();
+    let g = Gateway::start_daily(&settings(8000.0), &[serving(&worker)], None);
+    let mut client = Client::asks(&g, Ask::safe(1));
+    let mut connection = worker.accept();
+    assert_eq!(connection.next_attempt().id, Ask::safe(1).id());
+    client.stream.set_nonblocking(true).expect("a socket");
+    let mut id = 2;
+    // The first write that the sockets cannot hold ends the loop.
+    loop {
+        match client.stream.write(padded(Ask::safe(id)).as_bytes()) {
+            Ok(PADDED_CALL_BYTES) => id += 1,
+            Ok(_) => break,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    drop(client);
+    check_next_attempt_is_of_sound_client(&g, connection);
+}
