Keep the identities of calls that may have run, and run none of them again

Cause: the core knows an identity only while its request is open; it was forgotten as soon as the request had ended.

Change: the identity of a call that must not run twice (every class but those that are safe to repeat, and keyed calls that brought their key too, as for a repeated attempt) is claimed when the call is submitted and kept for 30 s after its deadline. It is released if no attempt can have run. A repeat is answered 409 (failed, as a refusal would promise that nothing ran). Counters: repeated_identities, identities_unavailable.

Evidence: unsafe_id_of_departed_client_does_not_run_again failed before (502 after a second attempt, not 409) and passes; unsafe_id_that_never_ran_is_taken_ again guards the release. An identity does not survive a SIGKILL: the gateway has no disk that does.

--- a/src/config.rs
+++ b/src/config.rs
@@ -70,6 +70,14 @@
     pub sockets: usize,
 }
 
+impl Limits {
+    /// The limit on memory in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        const BYTES_PER_MB: f64 = 1e6;
+        (self.memory_mb * BYTES_PER_MB) as usize
+    }
+}
+
 fn default_memory() -> f64 {
     192.0
 }
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -130,6 +130,14 @@
     },
     /// Close the service discovery stream and open a new one.
     ReopenDiscovery,
+    /// A call that must not run twice has ended, and no attempt of it can have run: the same
+    /// identity may be submitted again.
+    ReleaseIdentity {
+        /// The origin of the call.
+        origin: O,
+        /// The identity of the call.
+        identity: Rc<str>,
+    },
     /// Deliver the final answer to a call.
     Answer {
         /// The origin of the call.
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -62,6 +62,12 @@
         self.open_identities.contains(identity)
     }
 
+    /// Returns whether a call must not run twice, also not as a repeat by its client.
+    pub fn runs_at_most_once(&self, call: &Call<()>) -> bool {
+        let effect = self.class_effect(call.arrival.class);
+        effect.of_request(call.idempotency_key.is_some()) != Effect::Idempotent
+    }
+
     /// Submits a call. It then gets exactly one answer unless its client disconnects first.
     pub fn submit(&mut self, now: Micros, mut call: Call<O>) -> RequestKey {
         let request_id = self.next_request_id();
@@ -204,6 +210,12 @@
         };
         self.keys_by_id.remove(&request.request_id);
         self.open_identities.remove(&request.call.identity);
+        if request.effect != Effect::Idempotent && request.may_have_run_at.is_none() {
+            self.commands.push_back(Command::ReleaseIdentity {
+                origin: request.call.origin.clone(),
+                identity: request.call.identity.clone(),
+            });
+        }
         let overdue_at = request.call.arrival.expires_at + self.answer_grace;
         self.deadlines
             .remove(overdue_at, Deadline::Request(key.data().as_ffi()));
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -89,6 +89,10 @@
     pub unmatched: u64,
     /// Worker replies, and input from service discovery, that could not be parsed.
     pub unreadable: u64,
+    /// Calls rejected because a call with the same identity may have run.
+    pub repeated_identities: u64,
+    /// Calls rejected because their identity could not be recorded.
+    pub identities_unavailable: u64,
     /// Webhook calls rejected for their signature, time or identity.
     #[serde(rename = "webhooks_refused")]
     pub webhooks_rejected: u64,
--- a/src/front/webhook/replay.rs
+++ b/src/front/webhook/replay.rs
@@ -59,6 +59,17 @@
     /// The gateways that have recorded all their identities in the file.
     users: BTreeSet<String>,
     file: Option<ReplayFile>,
+    /// `None` if all processes that use the file go by one clock.
+    foreign_validity: Option<ForeignValidity>,
+}
+
+/// How long an identity that a process with another clock recorded is kept after it is read.
+#[derive(Clone, Copy, Debug)]
+pub struct ForeignValidity {
+    /// The shortest time.
+    pub min: Micros,
+    /// The longest time.
+    pub max: Micros,
 }
 
 impl ReplayStore {
@@ -71,6 +82,7 @@
             forgotten_until: 0,
             users: BTreeSet::new(),
             file: None,
+            foreign_validity: None,
         }
     }
 
@@ -78,10 +90,30 @@
     /// kill is skipped: its call was never answered with 202. Other processes may use the file at
     /// the same time.
     pub fn open(path: &Path, capacity: usize, now: Micros) -> io::Result<ReplayStore> {
+        ReplayStore::open_as(path, capacity, now, None)
+    }
+
+    /// Opens a store like [`ReplayStore::open`] that processes with different clocks use.
+    pub fn open_between_clocks(
+        path: &Path,
+        capacity: usize,
+        now: Micros,
+        foreign_validity: ForeignValidity,
+    ) -> io::Result<ReplayStore> {
+        ReplayStore::open_as(path, capacity, now, Some(foreign_validity))
+    }
+
+    fn open_as(
+        path: &Path,
+        capacity: usize,
+        now: Micros,
+        foreign_validity: Option<ForeignValidity>,
+    ) -> io::Result<ReplayStore> {
         let mut store = ReplayStore::new(capacity);
         store.file = Some(ReplayFile::open(path)?);
+        store.foreign_validity = foreign_validity;
         store.locked(|store| {
-            store.read_new()?;
+            store.read_new(now)?;
             store.drop_expired(now);
             store.rewrite_if_long()
         })?;
@@ -101,6 +133,16 @@
         Ok(false)
     }
 
+    /// The number of identities.
+    pub fn len(&self) -> usize {
+        self.until.len()
+    }
+
+    /// Whether there are no identities.
+    pub fn is_empty(&self) -> bool {
+        self.until.is_empty()
+    }
+
     /// Adds identities that were stored elsewhere.
     pub fn load(&mut self, kept: &[(IdentityDigest, Micros)]) {
         for (digest, until) in kept {
@@ -128,7 +170,7 @@
     pub fn take(&mut self, tenant: &str, id: &str, now: Micros, until: Micros) -> RecordResult {
         let digest = identity_digest(tenant, id);
         let taken = self.locked(|store| {
-            store.read_new()?;
+            store.read_new(now)?;
             store.drop_expired(now);
             store.record(digest, until)
         });
@@ -172,7 +214,7 @@
     }
 
     /// Applies the lines that this and other processes have appended.
-    fn read_new(&mut self) -> io::Result<()> {
+    fn read_new(&mut self, now: Micros) -> io::Result<()> {
         let Some(file) = &mut self.file else {
             return Ok(());
         };
@@ -180,8 +222,10 @@
         let was_removed = lines.is_empty() && file.lines() == 0 && !self.until.is_empty();
         for line in lines {
             match line {
-                Line::Taken(until, digest) => self.insert(until, digest),
+                Line::Taken(until, digest) => self.insert(self.valid_until(now, until), digest),
                 Line::Released(digest) => self.remove(&digest),
+                // Times of other clocks say nothing about new identities.
+                Line::ForgottenUntil(_) if self.foreign_validity.is_some() => {}
                 Line::ForgottenUntil(until) => self.set_forgotten_until(until),
                 Line::User(name) if self.users.len() < MAX_USERS => {
                     self.users.insert(name);
@@ -195,6 +239,14 @@
         Ok(())
     }
 
+    /// Returns how long an identity is kept that another process recorded until `until`.
+    fn valid_until(&self, now: Micros, until: Micros) -> Micros {
+        let Some(ForeignValidity { min, max }) = self.foreign_validity else {
+            return until;
+        };
+        until.clamp(now.saturating_add(min), now.saturating_add(max))
+    }
+
     fn append(&mut self, line: &Line) -> io::Result<()> {
         match &mut self.file {
             Some(file) => file.append(line),
--- a/src/gateway/clients.rs
+++ b/src/gateway/clients.rs
@@ -140,13 +140,15 @@
     ) -> ReadProgress {
         let keep_open = after.keeps_open();
         let response = match request {
-            Ok(ClientRequest::Call(call)) => match self.reject_client_call(key, &call, after) {
-                Some(response) => response,
-                None => {
-                    self.submit_client_call(key, now, call);
-                    return ReadProgress::Stop;
+            Ok(ClientRequest::Call(call)) => {
+                match self.reject_client_call(key, now, &call, after) {
+                    Some(response) => response,
+                    None => {
+                        self.submit_client_call(key, now, call);
+                        return ReadProgress::Stop;
+                    }
                 }
-            },
+            }
             Ok(ClientRequest::Ping) => {
                 let draining = self.ops.lifecycle.is_draining();
                 let status = if draining || !self.core.knows_workers(now) {
@@ -170,6 +172,7 @@
     fn reject_client_call(
         &mut self,
         key: ConnKey,
+        now: Micros,
         call: &Call<()>,
         after: AfterResponse,
     ) -> Option<Vec<u8>> {
@@ -187,7 +190,9 @@
             let bad = http::request_error(409, "X-Correlation-Id of an open request");
             return Some(platform::encode_error(&bad, after.keeps_open()));
         }
-        None
+        let bad = self.claim_identity(now, call)?;
+        self.core.counters.bad_requests += 1;
+        Some(platform::encode_error(&bad, after.keeps_open()))
     }
 
     /// Whether a client has sent so much ahead that its departure could go unnoticed.
--- a/src/gateway/commands.rs
+++ b/src/gateway/commands.rs
@@ -108,6 +108,12 @@
                 Origin::Client(key) => self.answer_client(key, &answer),
                 Origin::Webhook(job) => self.complete_call(now, job, &Outcome::Answered(answer)),
             },
+            Command::ReleaseIdentity { origin, identity } => {
+                // The identities of webhook calls have a store of their own.
+                if let Origin::Client(_) = origin {
+                    self.identities.release(&identity);
+                }
+            }
             Command::Dispatch(dispatch) => {
                 if let Some(dispatch) = self.defer_until_recorded(now, dispatch) {
                     self.send_attempt(now, dispatch);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 
 mod accepting;
 mod admin_api;
+mod call_identities;
 mod client_slots;
 mod clients;
 mod commands;
@@ -53,6 +54,7 @@
 mod worker_connections;
 mod worker_routes;
 
+use call_identities::CallIdentities;
 use client_slots::ClientSlots;
 use clients::CLIENT_IDLE_TIMEOUT;
 use deadlines::GatewayDeadline;
@@ -158,6 +160,7 @@
     routes: WorkerRoutes,
     listeners: Listeners,
     client_slots: ClientSlots,
+    identities: CallIdentities,
     secondary: SecondaryListeners,
     cluster: ClusterDrivers,
     ops: OperationsDriver,
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -7,9 +7,9 @@
 use slotmap::SlotMap;
 
 use super::{
-    ClientSlots, ClusterDrivers, DiscoveryState, Gateway, GatewayDeadline, GatewayError,
-    ListenerKind, Listeners, OperationsDriver, OptionalSubsystems, SecondaryListeners,
-    WorkerRoutes,
+    CallIdentities, ClientSlots, ClusterDrivers, DiscoveryState, Gateway, GatewayDeadline,
+    GatewayError, ListenerKind, Listeners, OperationsDriver, OptionalSubsystems,
+    SecondaryListeners, WorkerRoutes,
 };
 use crate::api::{ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus};
 use crate::clock::Clock;
@@ -40,6 +40,7 @@
         let now = clock.now();
         let arrivals = ArrivalDating::new(now, clock.system_offset());
         let has_secondary = operator.webhooks.is_some() || operator.admin.is_some();
+        let identities = CallIdentities::in_memory(config.limits.memory_bytes());
         let mut gateway = Gateway {
             handle,
             clock,
@@ -53,6 +54,7 @@
             routes: WorkerRoutes::default(),
             listeners: Listeners::default(),
             client_slots: ClientSlots::new(has_secondary),
+            identities,
             secondary: SecondaryListeners::default(),
             cluster: ClusterDrivers::default(),
             ops: OperationsDriver::default(),
--- a/tests/rude_clients.rs
+++ b/tests/rude_clients.rs
@@ -103,3 +103,51 @@
     drop(client);
     check_next_attempt_is_of_sound_client(&g, connection);
 }
+
+/// Sends an unsafe call, disconnects once the worker has it, and sends the same id again.
+fn repeat_after_departure(g: &Gateway, connection: &mut WorkerConn) -> u16 {
+    let client = Client::asks(g, Ask::once(1));
+    assert_eq!(connection.next_attempt().id, Ask::once(1).id());
+    drop(client);
+    until("the departure is noticed", || g.figure("pending") == 0);
+    connection.answer(&Ask::once(1).id(), "200", "remark=w");
+    Client::asks(g, Ask::once(1)).status()
+}
+
+#[test]
+fn unsafe_id_of_departed_client_does_not_run_again() {
+    let worker = WorkerByHand::start();
+    let g = Gateway::start_daily(&settings(8000.0), &[serving(&worker)], None);
+    let mut client = Client::asks(&g, Ask::safe(SOUND_ID));
+    let mut connection = worker.accept();
+    assert_eq!(connection.next_attempt().id, Ask::safe(SOUND_ID).id());
+    connection.answer(&Ask::safe(SOUND_ID).id(), "200", "remark=w");
+    assert_eq!(client.status(), 200);
+    assert_eq!(repeat_after_departure(&g, &mut connection), 409);
+    assert_eq!(g.figure("upstream_requests"), 2, "attempts in all");
+}
+
+/// The first attempt never reached the worker, as it waited for the connection.
+#[test]
+fn unsafe_id_that_never_ran_is_taken_again() {
+    let dials = HeldDials::start();
+    let mut settings = settings(8000.0);
+    settings["caps"]["connectTimeoutMs"] = serde_json::json!(20_000.0);
+    let workers = [endpoint("s-00000001", dials.address(), "SERVING")];
+    let g = Gateway::start_daily(&settings, &workers, None);
+    let ask = Ask {
+        wait_ms: 8000,
+        ..Ask::once(1)
+    };
+    let client = Client::asks(&g, ask);
+    until("the attempt waits for the connection", || {
+        dials.waiting() == 1
+    });
+    drop(client);
+    until("the departure is noticed", || g.figure("pending") == 0);
+    let mut again = Client::asks(&g, ask);
+    let mut connection = dials.release().expect("the gateway still waits");
+    assert_eq!(connection.next_attempt().id, ask.id());
+    connection.answer(&ask.id(), "200", "remark=w");
+    assert_eq!(again.status(), 200);
+}
