Share the identities of unsafe calls between the processes of an upgrade

Cause: each process knew its own identities only.

Change: processes that inherit the clients' socket keep the identities in a file of the folder that they share already (TMPDIR/molelug-handover).

--- a/src/gateway/hot_restart.rs
+++ b/src/gateway/hot_restart.rs
@@ -12,6 +12,7 @@
 use std::path::{Path, PathBuf};
 use std::time::SystemTime;
 
+use super::call_identities::CallIdentities;
 use super::startup::MICROS_PER_SECOND;
 use super::{Gateway, GatewayDeadline};
 use crate::api::Micros;
@@ -205,10 +206,25 @@
             started_at: now,
             discovery_answered: false,
         };
+        self.share_identities(
+            now,
+            hot_restart.folder.as_ref().map(|(path, _)| path.as_path()),
+        );
         self.ops.hot_restart = Some(hot_restart);
         self.read_siblings(now);
     }
 
+    /// Shares the identities of calls that must not run twice with the other processes.
+    fn share_identities(&mut self, now: Micros, folder: Option<&Path>) {
+        let Some(folder) = folder else {
+            return;
+        };
+        match CallIdentities::shared(folder, self.config.limits.memory_bytes(), now) {
+            Ok(identities) => self.identities = identities,
+            Err(error) => tracing::error!(%error, "file of call identities cannot be used"),
+        }
+    }
+
     /// Reads the other processes' states, writes this process's state, and schedules the next step.
     pub(super) fn step_hot_restart(&mut self, now: Micros) {
         self.read_siblings(now);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -275,3 +275,30 @@
         );
     }
 }
+
+/// Suspends one process, so that only the other accepts what comes next.
+fn call_at_the_other(setup: &Setup, suspended: &Gateway, ask: by_hand::Ask) -> u16 {
+    suspended.suspend();
+    let mut stream = TcpStream::connect(setup.at).unwrap();
+    stream.write_all(ask.text().as_bytes()).unwrap();
+    let text = answer(&mut stream).expect("an answer");
+    suspended.resume();
+    text[9..12].parse().expect("a status")
+}
+
+#[test]
+fn unsafe_id_does_not_run_again_at_the_other_process() {
+    let setup = setup();
+    let old = setup.start_first();
+    let first = by_hand::Ask::once(1);
+    let mut client = TcpStream::connect(setup.at).unwrap();
+    client.write_all(first.text().as_bytes()).unwrap();
+    assert!(answer(&mut client).is_some_and(|text| text.starts_with("HTTP/1.1 200")));
+    let new = setup.start_beside(&old);
+    assert_eq!(call_at_the_other(&setup, &old, first), 409, "old to new");
+    let second = by_hand::Ask::once(2);
+    assert_eq!(call_at_the_other(&setup, &old, second), 200);
+    assert_eq!(call_at_the_other(&setup, &new, second), 409, "new to old");
+    assert_eq!(call_at_the_other(&setup, &old, by_hand::Ask::safe(3)), 200);
+    assert_eq!(call_at_the_other(&setup, &new, by_hand::Ask::safe(3)), 200);
+}
