--- a/testbed/src/emulator/mod.rs
+++ b/testbed/src/emulator/mod.rs
@@ -960,7 +960,7 @@
                 i.core
                     .load_ended(now, order, CloseReason::TimedOut, SendProgress::Started, 0);
             }
-            Command::Unload { .. } => {}
+            Command::Unload { .. } | Command::ReleaseIdentity { .. } => {}
             Command::Answer { answer, .. } => {
                 self.results.served += u64::from(matches!(answer, Answer::Served(_)))
             }
