Take a client's requests in turns, and none whose client left with the same read

Cause: a client was read on as long as bytes came, also from within the writing of an answer, so one connection had as much of a pass as it could fill.

Change: a turn is eight requests or one buffer (24 KiB). What is left waits behind the other clients that wait (round robin); their turns take 2 ms of a pass at most, with events of other connections, deadlines and accepts between. A client that sends one request at a time never waits. After an answer the next request waits for a turn too. Each new connection begins with one turn; there is no share by peer address, as all clients of a front come from one. On the way: input that is read together with the end of a client's stream, or with its reset, is no longer submitted and withdrawn again, but dropped: it cost demand and quota of functions for calls that nobody waits for. Counter: client_turns.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -76,6 +76,8 @@
     pub settled: u64,
     /// Client connections accepted.
     pub accepted: u64,
+    /// Turns of clients whose turn before had ended with input left.
+    pub client_turns: u64,
     /// Idle client connections closed to make room for new ones.
     #[serde(rename = "yielded")]
     pub evicted_idle: u64,
--- a/src/gateway/clients.rs
+++ b/src/gateway/clients.rs
@@ -1,5 +1,6 @@
 //! The platform's clients: requests, answers, and idle connections.
 
+use super::client_turns::MAX_REQUESTS_PER_TURN;
 use super::connections::read_dated;
 use super::{ConnKey, Gateway, Origin, PendingResponse, Role};
 use crate::api::Micros;
@@ -55,9 +56,15 @@
 }
 
 impl Gateway {
-    /// Handles the requests received on a client's connection, up to one that waits for its answer.
+    /// Handles the requests received on a client's connection, up to one that waits for its answer
+    /// or to the end of the client's turn.
     pub(super) fn read_client_requests(&mut self, key: ConnKey, now: Micros) {
-        while self.read_client_request(key, now) == ReadProgress::Continue {}
+        for _ in 0..MAX_REQUESTS_PER_TURN {
+            if self.read_client_request(key, now) == ReadProgress::Stop {
+                return;
+            }
+        }
+        self.await_turn(key);
     }
 
     fn read_client_request(&mut self, key: ConnKey, now: Micros) -> ReadProgress {
@@ -103,19 +110,16 @@
         )
     }
 
-    /// Reads the rest of a partial request, or waits for it.
+    /// Waits for the rest of a partial request.
     fn await_rest_of_request(&mut self, key: ConnKey, now: Micros) -> ReadProgress {
         let Some((connection, Role::Client { is_far_ahead, .. })) = self.connections.get_mut(key)
         else {
             return ReadProgress::Stop;
         };
-        // If the buffer was full while a request was pending, the input left in the socket raises
-        // no further event.
-        if connection.refill(READ_LIMIT) {
-            return ReadProgress::Continue;
-        }
-        if connection.peer_closed {
-            self.ready.push(key);
+        // If the buffer was full, the input left in the socket raises no further event.
+        if connection.has_more_input {
+            self.await_turn(key);
+            return ReadProgress::Stop;
         }
         if connection.input.bytes().is_empty() {
             *is_far_ahead = false;
@@ -252,15 +256,17 @@
         let response = platform::answer(answer, after.keeps_open());
         self.set_deadline(key, Some(now + CLIENT_IDLE_TIMEOUT));
         self.respond_to_client(key, response, after);
-        if !self.close_if_departed(key) {
-            // A client may have sent its next request already.
-            self.read_client_requests(key, now);
-        }
+        self.continue_after_answer(key);
     }
 
-    /// Notes whether a client's input did not fit into its buffer. Closes the connection if the
-    /// client has departed behind the unread input; returns whether it was closed.
-    pub(super) fn note_unread_input(&mut self, key: ConnKey) -> bool {
+    /// Closes a client's connection after a read that showed its departure, or that stopped before
+    /// the end of an input behind which the client has departed; returns whether it was closed.
+    /// Nobody waits for the answers to what is left unhandled.
+    pub(super) fn close_if_client_departed(
+        &mut self,
+        key: ConnKey,
+        read: Result<(), CloseReason>,
+    ) -> bool {
         let Some((connection, role)) = self.connections.get_mut(key) else {
             return true;
         };
@@ -272,24 +278,30 @@
         else {
             return false;
         };
-        if !connection.has_more_input {
-            return false;
+        *is_far_ahead |= connection.has_more_input && pending.is_some();
+        let departed = read.is_err()
+            || connection.peer_closed
+            || connection.has_more_input && connection.has_peer_departed();
+        if departed {
+            self.close(key, read.err().unwrap_or(CloseReason::Closed));
         }
-        *is_far_ahead |= pending.is_some();
-        self.close_if_departed(key)
+        departed
     }
 
-    /// Closes the connection of a client that has departed and has input left, which is not
-    /// handled any more; returns whether it was closed.
-    pub(super) fn close_if_departed(&mut self, key: ConnKey) -> bool {
-        let has_departed = self.connections.get(key).is_some_and(|(connection, _)| {
-            let has_input = !connection.input.bytes().is_empty() || connection.has_more_input;
-            has_input && connection.has_peer_departed()
-        });
-        if has_departed {
+    /// Lets a client whose request was answered have a turn if it has sent its next request
+    /// already. Closes the connection if the client has departed meanwhile.
+    pub(super) fn continue_after_answer(&mut self, key: ConnKey) {
+        let Some((connection, _)) = self.connections.get(key) else {
+            return;
+        };
+        if !connection.has_input() {
+            return;
+        }
+        if connection.has_peer_departed() {
             self.close(key, CloseReason::Closed);
+        } else {
+            self.await_turn(key);
         }
-        has_departed
     }
 
     /// Whether an answer is large and too many bytes are unsent already. This guards the memory
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -147,6 +147,10 @@
         if matches!(role, Role::Discovery(_)) && !self.discovery.unhandled.is_empty() {
             return self.ready.push(key);
         }
+        // Its input is read in its turn.
+        if connection.awaits_turn {
+            return;
+        }
         let was_connected = connection.connected;
         match connection.check_connect() {
             Ok(true) => {}
@@ -171,7 +175,7 @@
             };
             self.set_deadline(key, Some(next));
         }
-        if self.note_unread_input(key) {
+        if self.close_if_client_departed(key, read) {
             return;
         }
         self.dirty.push(key);
--- a/src/gateway/event_loop.rs
+++ b/src/gateway/event_loop.rs
@@ -77,6 +77,7 @@
     fn wait_timeout(&mut self) -> Option<Duration> {
         let now = self.clock.now();
         let has_work = !self.ready.is_empty()
+            || !self.turns.is_empty()
             || self.listeners.accept_pending
             || self.ops.is_busy()
             || self.discovery.is_busy()
@@ -96,6 +97,7 @@
         for key in std::mem::take(&mut self.ready) {
             self.on_ready(key);
         }
+        self.serve_turns();
         // A reply that has been read takes precedence over a deadline that passes in the same turn.
         while let Some(completed) = self.completed.pop_front() {
             let now = self.clock.now();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod admin_api;
 mod call_identities;
 mod client_slots;
+mod client_turns;
 mod clients;
 mod commands;
 mod connections;
@@ -56,6 +57,7 @@
 
 use call_identities::CallIdentities;
 use client_slots::ClientSlots;
+use client_turns::ClientTurns;
 use clients::CLIENT_IDLE_TIMEOUT;
 use deadlines::GatewayDeadline;
 use discovery_state::DiscoveryState;
@@ -166,6 +168,8 @@
     ops: OperationsDriver,
     /// Connections whose socket has become readable or writable.
     ready: Vec<ConnKey>,
+    /// Clients whose last turn ended with input left.
+    turns: ClientTurns,
     /// Connections that may have output to write.
     dirty: Vec<ConnKey>,
     /// Completed exchanges that have not been reported to the core.
--- a/src/gateway/secondary_listeners.rs
+++ b/src/gateway/secondary_listeners.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 
 use super::admin_api::AdminApi;
+use super::client_turns::MAX_REQUESTS_PER_TURN;
 use super::clients::{ReadProgress, CLIENT_IDLE_TIMEOUT, LINGER_TIMEOUT};
 use super::webhooks::{refuse, WebhookDriver};
 use super::{ConnKey, Gateway, GatewayError, ListenerKind, PendingResponse, Role};
@@ -91,9 +92,14 @@
     }
 
     /// Handles the requests received on a connection of a secondary listener, up to one that waits
-    /// for its answer.
+    /// for its answer or to the end of the client's turn.
     pub(super) fn read_secondary_requests(&mut self, key: ConnKey, now: Micros) {
-        while self.read_secondary_request(key, now) == ReadProgress::Continue {}
+        for _ in 0..MAX_REQUESTS_PER_TURN {
+            if self.read_secondary_request(key, now) == ReadProgress::Stop {
+                return;
+            }
+        }
+        self.await_turn(key);
     }
 
     fn read_secondary_request(&mut self, key: ConnKey, now: Micros) -> ReadProgress {
@@ -131,16 +137,11 @@
         self.respond_to_secondary(key, now, handled)
     }
 
-    /// Reads the rest of a partial request, or waits for it.
+    /// Waits for the rest of a partial request.
     fn await_rest_of_secondary_request(&mut self, key: ConnKey) -> ReadProgress {
-        let Some((connection, _)) = self.connections.get_mut(key) else {
-            return ReadProgress::Stop;
-        };
-        if connection.refill(http::READ_LIMIT) {
-            return ReadProgress::Continue;
-        }
-        if connection.peer_closed {
-            self.ready.push(key);
+        let connection = self.connections.get(key);
+        if connection.is_some_and(|(connection, _)| connection.has_more_input) {
+            self.await_turn(key);
         }
         ReadProgress::Stop
     }
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -7,8 +7,8 @@
 use slotmap::SlotMap;
 
 use super::{
-    CallIdentities, ClientSlots, ClusterDrivers, DiscoveryState, Gateway, GatewayDeadline,
-    GatewayError, ListenerKind, Listeners, OperationsDriver, OptionalSubsystems,
+    CallIdentities, ClientSlots, ClientTurns, ClusterDrivers, DiscoveryState, Gateway,
+    GatewayDeadline, GatewayError, ListenerKind, Listeners, OperationsDriver, OptionalSubsystems,
     SecondaryListeners, WorkerRoutes,
 };
 use crate::api::{ListUpdate, Micros, WorkerEntry, WorkerId, WorkerStatus};
@@ -59,6 +59,7 @@
             cluster: ClusterDrivers::default(),
             ops: OperationsDriver::default(),
             ready: Vec::new(),
+            turns: ClientTurns::default(),
             dirty: Vec::new(),
             completed: VecDeque::new(),
             signals: Vec::new(),
--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -350,8 +350,6 @@
         conn.closing = !stays;
         self.set_deadline(key, Some(now + CLIENT_IDLE_TIMEOUT));
         self.dirty.push(key);
-        if !self.close_if_departed(key) {
-            self.read_secondary_requests(key, now);
-        }
+        self.continue_after_answer(key);
     }
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -42,6 +42,8 @@
     pub connected: bool,
     /// Whether reading stopped before the socket was empty.
     pub has_more_input: bool,
+    /// Whether the connection waits for its next turn, as its last one ended with input left.
+    pub awaits_turn: bool,
     /// Whether the peer has closed its side.
     pub peer_closed: bool,
     /// Whether input is not handled until the output backlog has been written.
@@ -74,6 +76,7 @@
             outbox: Outbox::default(),
             connected,
             has_more_input: false,
+            awaits_turn: false,
             peer_closed: false,
             paused: false,
             closing: false,
@@ -158,10 +161,9 @@
         self.paused
     }
 
-    /// Continues a read that stopped at its limit; returns whether new bytes were received.
-    pub fn refill(&mut self, limit: usize) -> bool {
-        let unread = self.input.bytes().len();
-        self.has_more_input && self.read(limit).is_ok() && self.input.bytes().len() > unread
+    /// Returns whether input is left, in the buffer or in the socket.
+    pub fn has_input(&self) -> bool {
+        self.has_more_input || !self.input.bytes().is_empty()
     }
 
     /// Shuts down the write side and discards further input; returns whether the connection can be closed because the
--- a/tests/rude_clients.rs
+++ b/tests/rude_clients.rs
@@ -151,3 +151,24 @@
     connection.answer(&ask.id(), "200", "remark=w");
     assert_eq!(again.status(), 200);
 }
+
+/// While the gateway is suspended, a client sends many requests at once. They are handled in turns
+/// of a few requests, between which other clients, deadlines and accepts are served.
+#[test]
+fn flood_on_one_connection_does_not_hold_the_loop() {
+    const REQUESTS: usize = 400;
+    const REQUESTS_PER_TURN: usize = 8;
+    let g = Gateway::start(&settings(2500.0), &[], None, None);
+    let mut client = Client::connect(&g);
+    g.suspend();
+    client.send(&"GET /ping HTTP/1.1\r\nHost: t\r\n\r\n".repeat(REQUESTS));
+    g.resume();
+    for _ in 0..REQUESTS {
+        client.status();
+    }
+    let turns = g.stop()["client_turns"].as_u64().expect("a number");
+    assert!(
+        turns >= (REQUESTS / REQUESTS_PER_TURN) as u64 - 1,
+        "{REQUESTS} requests in {turns} further turns"
+    );
+}
