Bound the functions that are remembered between two intervals

Cause: functions are dropped only at the policy's interval of 10 s, and each stays for two of them; nothing bounded their number in between.

Change: the table of functions has a limit from memory_mb (a 16th of it, at 2 KiB a function). With the limit reached, the oldest function that was never served goes for a new one; a function that was served, or has a request or a load under way, stays.

Evidence: calls_of_ever_new_functions_keep_memory_bounded (64,000 functions, memory_mb 32, real process, debug build) fails with the limit taken out (44 MB of 32) and passes with it; decisions, module, fleet_cost, evidence pass.

--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -143,6 +143,9 @@
     /// The time after which changes at discovery count as known to this instance, even if discovery
     /// is unreachable, in microseconds; `None` if the list does not expire.
     pub list_max_age: Option<Micros>,
+    /// Maximum number of functions that are remembered without a request under way; `None` if it is
+    /// not limited.
+    pub max_functions: Option<usize>,
     /// Whether discovery sends heartbeats that confirm the list. Otherwise a subscription is valid
     /// until it fails.
     pub discovery_heartbeats: bool,
--- a/src/config.rs
+++ b/src/config.rs
@@ -70,6 +70,11 @@
     pub sockets: usize,
 }
 
+/// The share of the memory limit that functions without a request under way may use.
+const FUNCTION_MEMORY_SHARE: usize = 16;
+/// The size of a function's state in bytes, with its candidates and a known copy.
+pub(crate) const BYTES_PER_FUNCTION: usize = 2048;
+
 impl Limits {
     /// The limit on memory in bytes.
     pub fn memory_bytes(&self) -> usize {
@@ -231,6 +236,8 @@
         module.max_retry_after = module.max_retry_after.max((advice * 1e3) as Micros);
         // On sockets discovery pushes updates, and its heartbeats show the age of the list.
         module.discovery_heartbeats = board.is_some();
+        module.max_functions =
+            Some(raw.limits.memory_bytes() / FUNCTION_MEMORY_SHARE / BYTES_PER_FUNCTION);
         module.list_max_age = board.is_some().then_some(LIST_MAX_AGE);
         let listed = |list: &str, field: &str| -> Vec<String> {
             let named = |v: &Value| {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -123,6 +123,11 @@
         self.policy.healthy_workers()
     }
 
+    /// Returns the number of functions that the decision module remembers.
+    pub fn function_count(&self) -> usize {
+        self.policy.function_count()
+    }
+
     /// Returns the highest observed rate at which an average worker served this gateway, in answers per microsecond.
     pub fn observed_capacity(&self) -> f64 {
         self.policy.observed_capacity()
--- a/src/policy/function.rs
+++ b/src/policy/function.rs
@@ -65,6 +65,17 @@
         self.answers = self.answers.min(MAX_REMEMBERED_ANSWERS);
     }
 
+    /// Whether a worker has served it, or is known to hold copies of it.
+    pub(super) fn was_served(&self) -> bool {
+        self.answers > 0.0 || self.copies.values().any(|copy| copy.count > 0)
+    }
+
+    /// Whether a request or a load of it is under way.
+    pub(super) fn is_busy(&self) -> bool {
+        let is_loading = |copy: &CopyState| copy.own_in_flight > 0 || copy.loading_since.is_some();
+        !self.queue.is_empty() || self.copies.values().any(is_loading)
+    }
+
     /// Whether the function was called in the last two intervals, or has requests queued or in
     /// flight.
     pub(super) fn is_in_use(&self) -> bool {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -19,6 +19,7 @@
 mod endpoints;
 pub mod evidence;
 mod function;
+mod function_table;
 mod health;
 mod idempotency;
 mod latency;
@@ -38,7 +39,7 @@
 
 use candidates::AvailabilityChanges;
 use evidence::{Availability, CheckResult, EvidenceChange, EvidenceTracker, WorkerEvidenceAge};
-use function::FunctionState;
+use function_table::FunctionTable;
 use limits::TenantBucket;
 use load_backoff::LoadBackoffs;
 use loads::{CopyKey, LoadInProgress};
@@ -63,7 +64,7 @@
     settings: Settings,
     /// Decorrelates the turns of instances at workers in slow start.
     seed: u64,
-    functions: BTreeMap<FunctionId, FunctionState>,
+    functions: FunctionTable,
     workers: WorkerTable,
     /// Evidence that workers accept new work.
     evidence: EvidenceTracker,
@@ -126,6 +127,7 @@
             evidence: EvidenceTracker::new(&settings, seed, now),
             initial_concurrency_limit: INITIAL_CONCURRENCY_LIMIT / instances,
             tenant_buckets,
+            functions: FunctionTable::with_limit(settings.max_functions),
             interval_started_at: now,
             settings,
             ..Default::default()
@@ -279,6 +281,11 @@
         self.visited + self.evidence.examined()
     }
 
+    /// The number of known functions.
+    pub(crate) fn function_count(&self) -> usize {
+        self.functions.len()
+    }
+
     /// The number of workers that are ready and healthy.
     pub(crate) fn healthy_workers(&self) -> usize {
         self.healthy_workers
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -1,6 +1,5 @@
 //! The life cycle of a request, from its arrival until it is forgotten.
 
-use super::function::FunctionState;
 use super::idempotency::{never_ran, permitted_after};
 use super::loads::CopyKey;
 use super::{Policy, TICK_INTERVAL};
@@ -106,10 +105,10 @@
         }
         self.evidence.on_request(now);
         let over_quota = self.exceeds_quota(now, arrival.tenant);
-        let function = self
-            .functions
-            .entry(arrival.function)
-            .or_insert_with(FunctionState::first_seen);
+        if !self.functions.contains_key(&arrival.function) {
+            self.make_room_for_function();
+        }
+        let function = self.functions.get_or_create(arrival.function);
         function.concurrency_per_copy = arrival.concurrency_per_copy.max(1);
         function.load_duration = arrival.load_duration.or(function.load_duration);
         function.interval_requests += 1.0;
@@ -120,6 +119,22 @@
         self.requests.insert(arrival.request, request);
     }
 
+    /// Forgets a function that was never served, with all that is known of its copies, if there are
+    /// too many functions.
+    fn make_room_for_function(&mut self) {
+        let Some((id, function)) = self.functions.make_room() else {
+            return;
+        };
+        for worker in function.copies.into_keys() {
+            let key = CopyKey {
+                worker,
+                function: id,
+            };
+            self.known_copies.remove(&key);
+            self.loads_in_progress.remove(&key);
+        }
+    }
+
     fn new_request(&mut self, now: Micros, arrival: &Arrival, over_quota: bool) -> RequestState {
         let class = arrival.class.0 as usize;
         let remaining = arrival.expires_at.saturating_sub(now);
--- a/src/policy/scan.rs
+++ b/src/policy/scan.rs
@@ -33,7 +33,7 @@
         self.load_backoffs.forget_outdated(now);
         // Without this, memory would grow with every function ever called.
         self.visited += self.functions.len() as u64;
-        self.functions.retain(|_, function| function.is_in_use());
+        self.functions.forget_unused();
         for function in self.functions.values_mut() {
             function.begin_interval();
             function
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -176,6 +176,7 @@
             0
         },
         must_subscribe: get("registryMode") == Some("on_request"),
+        max_functions: None,
         list_max_age: (get("registryMode") == Some("on_request"))
             .then(|| time("obligations.askWithinMs") * FAILED_SUBSCRIPTION_FACTOR)
             .filter(|age| *age > 0),
--- a/tests/common/by_hand.rs
+++ b/tests/common/by_hand.rs
@@ -328,8 +328,12 @@
 
 impl Client {
     pub fn connect(g: &Gateway) -> Client {
+        Client::connect_to(g.platform)
+    }
+
+    pub fn connect_to(address: SocketAddr) -> Client {
         Client {
-            stream: TcpStream::connect(g.platform).expect("the address accepts connections"),
+            stream: TcpStream::connect(address).expect("the address accepts connections"),
             buffer: Vec::new(),
         }
     }
--- a/tests/decisions/combinations.rs
+++ b/tests/decisions/combinations.rs
@@ -97,6 +97,7 @@
         max_retry_after: 2 * SECOND,
         must_subscribe: false,
         list_max_age: None,
+        max_functions: None,
         discovery_heartbeats: false,
     }
 }
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -538,6 +538,7 @@
 fn static_list_never_ages() {
     let mut rig = Rig::new(&Settings {
         list_max_age: None,
+        max_functions: None,
         ..settings(true)
     });
     rig.advance(60 * SECOND);
--- a/tests/rude_clients.rs
+++ b/tests/rude_clients.rs
@@ -6,6 +6,7 @@
 mod common;
 
 use std::io::{ErrorKind, Write};
+use std::net::SocketAddr;
 
 use common::by_hand::*;
 use common::*;
@@ -172,3 +173,64 @@
         "{REQUESTS} requests in {turns} further turns"
     );
 }
+
+/// The smallest limit on memory that a site gives, in MB.
+const SMALLEST_MEMORY_MB: u64 = 32;
+const BYTES_PER_MB: u64 = 1_000_000;
+
+/// The process stays below its limit on memory.
+fn check_memory(g: &Gateway) {
+    let peak = g.peak_memory() / BYTES_PER_MB;
+    assert!(
+        peak < SMALLEST_MEMORY_MB,
+        "{peak} MB of {SMALLEST_MEMORY_MB}"
+    );
+}
+
+/// Sends calls of ever new functions on one connection, reads the answers, and returns their
+/// number.
+fn call_new_functions(gateway: SocketAddr, first: u64, calls: u64) -> u64 {
+    const CALLS_AT_ONCE: u64 = 64;
+    let mut client = Client::connect_to(gateway);
+    let mut answers = 0;
+    for batch in 0..calls / CALLS_AT_ONCE {
+        let ids = (0..CALLS_AT_ONCE).map(|n| first + batch * CALLS_AT_ONCE + n);
+        let text: String = ids
+            .map(|id| {
+                let ask = Ask {
+                    function: id,
+                    wait_ms: 1,
+                    ..Ask::safe(id)
+                };
+                ask.text()
+            })
+            .collect();
+        client.send(&text);
+        for _ in 0..CALLS_AT_ONCE {
+            client.status();
+            answers += 1;
+        }
+    }
+    answers
+}
+
+#[test]
+fn calls_of_ever_new_functions_keep_memory_bounded() {
+    const CLIENTS: u64 = 8;
+    const CALLS: u64 = 8_000;
+    let worker = Worker::start();
+    let workers = [endpoint("s-00000001", worker.address, "SERVING")];
+    let g = Gateway::start_with_memory(&settings(2500.0), &workers, SMALLEST_MEMORY_MB);
+    std::thread::scope(|scope| {
+        for client in 0..CLIENTS {
+            let gateway = g.platform;
+            scope.spawn(move || {
+                let answers = call_new_functions(gateway, client * CALLS, CALLS);
+                assert_eq!(answers, CALLS, "every call is answered");
+            });
+        }
+    });
+    check_memory(&g);
+    let mut sound = Client::asks(&g, Ask::safe(u64::MAX));
+    assert_eq!(sound.status(), 200);
+}
