Count what peers make the gateway keep against memory_mb, and give way under it

Cause: limits.memory_mb was parsed and used nowhere. Bounds stood by connection only, their sum grew with the descriptors; 48 MB of unsent answers were allowed whatever the limit; an empty buffer of up to 64 KiB was kept by each client.

Change: operations::memory_budget, a state machine without I/O, has one budget (three quarters of memory_mb beyond 8 MB for the program). Counted are client input, unsent responses, open requests with their bodies, workers' input, unsent commands, other connections, functions and identities. Memory is counted after every 32nd of the budget that was read, also within a pass, which ends its reading then. From half of the budget calls with bodies over 2 KiB get 503; from three quarters every new call does, accepting waits, and the clients that hold most are closed, unless a call of theirs is under way or a whole request is unanswered. Empty buffers over 4 KiB are freed at once. Two processes of an upgrade have half of the limit each. Gauges: `memory` on the operator console; a warning names the largest kind and holder once a second, before the limit.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -65,6 +65,8 @@
     requests: SlotMap<RequestKey, Request<O>>,
     /// The number of `requests` without a final answer.
     unanswered_requests: usize,
+    /// The size of the bodies of all `requests`.
+    body_bytes: usize,
     keys_by_id: HashMap<RequestId, RequestKey>,
     /// The identities of all requests in `requests`.
     open_identities: HashSet<Rc<str>>,
@@ -103,6 +105,7 @@
             effects,
             requests: SlotMap::with_key(),
             unanswered_requests: 0,
+            body_bytes: 0,
             keys_by_id: HashMap::new(),
             open_identities: HashSet::new(),
             attempts: SlotMap::with_key(),
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -50,6 +50,16 @@
         self.unanswered_requests
     }
 
+    /// Returns the number of requests that are remembered, answered or not.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns the size of the bodies of all requests that are remembered.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
     /// Counts a call that was rejected before it reached the decision module.
     pub fn count_rejected(&mut self, class: ClassId) {
         self.counters.received += 1;
@@ -78,6 +88,7 @@
             .of_request(call.arrival.has_idempotency_key);
         let arrival = call.arrival.clone();
         self.open_identities.insert(call.identity.clone());
+        self.body_bytes += call.body.len();
         let key = self.requests.insert(Request::new(request_id, call, effect));
         self.unanswered_requests += 1;
         self.keys_by_id.insert(request_id, key);
@@ -208,6 +219,7 @@
         let Some(request) = self.requests.remove(key) else {
             return;
         };
+        self.body_bytes -= request.call.body.len();
         self.keys_by_id.remove(&request.request_id);
         self.open_identities.remove(&request.call.identity);
         if request.effect != Effect::Idempotent && request.may_have_run_at.is_none() {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -76,6 +76,10 @@
     pub settled: u64,
     /// Client connections accepted.
     pub accepted: u64,
+    /// Calls rejected because memory was scarce.
+    pub rejected_for_memory: u64,
+    /// Connections closed because memory was scarce.
+    pub closed_for_memory: u64,
     /// Turns of clients whose turn before had ended with input left.
     pub client_turns: u64,
     /// Idle client connections closed to make room for new ones.
--- a/src/front/operator_console.rs
+++ b/src/front/operator_console.rs
@@ -18,6 +18,8 @@
     Telemetry,
     /// Asks for the age of the endpoint list and of the evidence for each worker.
     Evidence,
+    /// Asks for the memory that each kind of peers and tables holds.
+    Memory,
     /// Excludes a worker.
     Exclude(String),
     /// Includes an excluded worker again.
@@ -94,6 +96,7 @@
         "readyz" => Request::Ready,
         "telemetry" => Request::Telemetry,
         "evidence" => Request::Evidence,
+        "memory" => Request::Memory,
         "exclude" => Request::Exclude(worker()?),
         "include" => Request::Include(worker()?),
         "evacuate" => Request::Evacuate,
--- a/src/front/operator_console/tests.rs
+++ b/src/front/operator_console/tests.rs
@@ -8,6 +8,7 @@
     assert_eq!(one("readyz\n"), Ok(Some(Request::Ready)));
     assert_eq!(one("telemetry\r\n"), Ok(Some(Request::Telemetry)));
     assert_eq!(one("evidence\n"), Ok(Some(Request::Evidence)));
+    assert_eq!(one("memory\n"), Ok(Some(Request::Memory)));
     assert_eq!(
         one("exclude s-00c41f7a\n"),
         Ok(Some(Request::Exclude("s-00c41f7a".into())))
--- a/src/gateway/accepting.rs
+++ b/src/gateway/accepting.rs
@@ -53,6 +53,11 @@
                 return AcceptOutcome::Empty;
             };
             let kind = listener.kind;
+            self.count_memory_if_due();
+            if self.is_out_of_memory() {
+                self.retry_accepting_later();
+                return AcceptOutcome::NoCapacity;
+            }
             // A connection that is not accepted waits in the kernel's queue until a slot is free.
             if !self.client_slots.has_free(kind) && !self.evict_idle_client(kind) {
                 return AcceptOutcome::NoCapacity;
@@ -65,9 +70,7 @@
                     _ => {
                         // Out of descriptors or memory: the queue stays non-empty, and accepting
                         // again at once would be a busy loop.
-                        let retry_at = self.clock.now() + ACCEPT_RETRY_INTERVAL;
-                        self.core
-                            .schedule(retry_at, GatewayDeadline::AcceptRetry.into());
+                        self.retry_accepting_later();
                         return AcceptOutcome::NoCapacity;
                     }
                 },
@@ -76,6 +79,12 @@
         AcceptOutcome::More
     }
 
+    fn retry_accepting_later(&mut self) {
+        let retry_at = self.clock.now() + ACCEPT_RETRY_INTERVAL;
+        self.core
+            .schedule(retry_at, GatewayDeadline::AcceptRetry.into());
+    }
+
     /// Adds an accepted connection; one that cannot be set up is dropped.
     fn add_client(&mut self, kind: ListenerKind, stream: TcpStream) {
         let set_up = stream
--- a/src/gateway/call_identities.rs
+++ b/src/gateway/call_identities.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// The approximate memory in use, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        self.store.len() * BYTES_PER_IDENTITY
+    }
+
     /// Releases the identity of a call that cannot have run.
     pub(super) fn release(&mut self, identity: &str) {
         self.store.forget(&identity_digest(NO_TENANT, identity));
--- a/src/gateway/client_slots.rs
+++ b/src/gateway/client_slots.rs
@@ -65,6 +65,11 @@
         self.secondary -= usize::from(kind.is_secondary());
     }
 
+    /// The number of connected clients.
+    pub(super) fn count(&self) -> usize {
+        self.clients
+    }
+
     /// Whether no client is connected.
     pub(super) fn is_empty(&self) -> bool {
         self.clients == 0
--- a/src/gateway/client_turns.rs
+++ b/src/gateway/client_turns.rs
@@ -52,7 +52,7 @@
                 self.core.counters.client_turns += 1;
                 self.on_ready(key);
             }
-            if self.clock.now() >= ends_at {
+            if self.count_memory_if_due() || self.clock.now() >= ends_at {
                 return;
             }
         }
--- a/src/gateway/clients.rs
+++ b/src/gateway/clients.rs
@@ -17,11 +17,6 @@
 pub(super) const CLIENT_REQUEST_TIMEOUT: Micros = 2_000_000;
 /// Time for the rest of a partial request on an idle connection that would otherwise be closed.
 const PARTIAL_REQUEST_TIMEOUT: Micros = 200_000;
-/// Answers larger than this are counted against [`MAX_UNSENT_BYTES`].
-const LARGE_ANSWER_BYTES: usize = 16 << 10;
-/// Unsent bytes to all clients beyond which a large answer is not sent and its connection is
-/// closed.
-const MAX_UNSENT_BYTES: usize = 48 << 20;
 /// How long a connection with a rejected request stays open for its peer's remaining input.
 pub(super) const LINGER_TIMEOUT: Micros = 1_000_000;
 /// `Retry-After` of a call that is rejected because too many calls are pending.
@@ -182,7 +177,9 @@
     ) -> Option<Vec<u8>> {
         // The platform does the same beyond `mostHeld`.
         let is_full = self.core.pending_requests() >= self.config.max_pending_requests;
-        if is_full || self.is_far_ahead(key) {
+        let lacks_memory = self.lacks_memory_for(call);
+        self.core.counters.rejected_for_memory += u64::from(lacks_memory);
+        if is_full || lacks_memory || self.is_far_ahead(key) {
             self.core.count_rejected(call.arrival.class);
             let answer = Answer::Rejected {
                 retry_after: OVERLOAD_RETRY_AFTER,
@@ -235,9 +232,6 @@
     /// Writes the answer to a client's call.
     pub(super) fn answer_client(&mut self, key: ConnKey, answer: &Answer) {
         let now = self.clock.now();
-        if self.is_over_unsent_limit(answer) {
-            return self.close(key, CloseReason::LocalLimit);
-        }
         let may_keep_open = self.ops.lifecycle.keeps_alive(now);
         let Some((connection, role)) = self.connections.get_mut(key) else {
             return;
@@ -304,23 +298,6 @@
         }
     }
 
-    /// Whether an answer is large and too many bytes are unsent already. This guards the memory
-    /// against clients that request large answers and do not read them.
-    fn is_over_unsent_limit(&self, answer: &Answer) -> bool {
-        let Answer::Served(body) = answer else {
-            return false;
-        };
-        if body.len() <= LARGE_ANSWER_BYTES {
-            return false;
-        }
-        let unsent: usize = self
-            .connections
-            .values()
-            .map(|(connection, _)| connection.outbox.len())
-            .sum();
-        unsent > MAX_UNSENT_BYTES
-    }
-
     /// Schedules the closing of idle connections, the longest idle first.
     pub(super) fn schedule_idle_closes(&mut self, now: Micros) {
         let mut idle: Vec<(Micros, ConnKey)> = Vec::new();
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -165,7 +165,10 @@
             Role::Console => operator_console::READ_LIMIT,
             Role::Peer(_) => consensus::READ_LIMIT_BYTES,
         };
+        let unread = connection.input.bytes().len();
         let read = read_dated(connection, limit, now, &self.arrivals, date);
+        self.memory
+            .note_read(connection.input.bytes().len() - unread);
         if !was_connected {
             let next = match role {
                 Role::Worker(_) => now + worker_idle_timeout(self.config.connection_idle_timeout),
--- a/src/gateway/event_loop.rs
+++ b/src/gateway/event_loop.rs
@@ -94,9 +94,7 @@
         self.handle_signals();
         self.serve_console();
         self.end_activity(Activity::Console);
-        for key in std::mem::take(&mut self.ready) {
-            self.on_ready(key);
-        }
+        self.read_ready();
         self.serve_turns();
         // A reply that has been read takes precedence over a deadline that passes in the same turn.
         while let Some(completed) = self.completed.pop_front() {
@@ -126,10 +124,25 @@
         self.end_activity(Activity::Cluster);
         // Advice from peers may have caused further commands.
         self.run_commands();
+        self.watch_memory(now);
         self.stop_if_drained(now);
         self.end_activity(Activity::Commands);
     }
 
+    /// Reads the connections that are ready. If much is read, the rest waits for the next pass, in
+    /// which what was read has been handled.
+    fn read_ready(&mut self) {
+        let mut ready = std::mem::take(&mut self.ready).into_iter();
+        for key in ready.by_ref() {
+            self.on_ready(key);
+            if self.count_memory_if_due() {
+                break;
+            }
+        }
+        let added = std::mem::replace(&mut self.ready, ready.collect());
+        self.ready.extend(added);
+    }
+
     fn handle_signals(&mut self) {
         for signal in std::mem::take(&mut self.signals) {
             match signal {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 use crate::membership::config::Gossip;
 use crate::net::{self, ArrivalDating, Connection};
 use crate::operations::loop_timing::{LoopFigures, LoopTimer};
+use crate::operations::memory_budget::MemoryBudget;
 use crate::worker::{Completed, Exchange, WorkerConnection};
 
 mod accepting;
@@ -45,6 +46,7 @@
 mod hot_restart;
 mod listeners;
 mod load_coordination;
+mod memory;
 mod operations;
 mod reload;
 mod replication;
@@ -176,6 +178,7 @@
     completed: VecDeque<Completed>,
     signals: Vec<Signal>,
     timer: LoopTimer,
+    memory: MemoryBudget,
     /// When input that was read late had arrived.
     arrivals: ArrivalDating,
     stop: bool,
--- a/src/gateway/operations.rs
+++ b/src/gateway/operations.rs
@@ -231,6 +231,7 @@
                 ))
             }
             Request::Evidence => operator_console::figures(&self.describe_evidence(now)),
+            Request::Memory => operator_console::figures(&self.describe_memory(now)),
             Request::Exclude(name) => {
                 let change = self.ops.overrides.exclude(&name, now);
                 self.apply_override(now, &name, change)
--- a/src/gateway/secondary_listeners.rs
+++ b/src/gateway/secondary_listeners.rs
@@ -159,6 +159,13 @@
         }
         let response = match kind {
             ListenerKind::Admin => self.administer(key, request, keep_open, now),
+            ListenerKind::Webhook if self.is_out_of_memory() => {
+                self.core.counters.rejected_for_memory += 1;
+                Some(refuse(
+                    &http::request_error(503, "out of memory"),
+                    keep_open,
+                ))
+            }
             ListenerKind::Platform | ListenerKind::Webhook => {
                 self.handle_webhook_request(key, request, keep_open, now)
             }
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -17,6 +17,7 @@
 use crate::core::Core;
 use crate::net::ArrivalDating;
 use crate::operations::loop_timing::LoopTimer;
+use crate::operations::memory_budget::MemoryBudget;
 
 /// Converts between the core's rates, per microsecond, and the rates per second in the processes'
 /// state files.
@@ -40,6 +41,7 @@
         let now = clock.now();
         let arrivals = ArrivalDating::new(now, clock.system_offset());
         let has_secondary = operator.webhooks.is_some() || operator.admin.is_some();
+        let memory = MemoryBudget::new(config.limits.memory_bytes());
         let identities = CallIdentities::in_memory(config.limits.memory_bytes());
         let mut gateway = Gateway {
             handle,
@@ -64,6 +66,7 @@
             completed: VecDeque::new(),
             signals: Vec::new(),
             timer: LoopTimer::new(now),
+            memory,
             arrivals,
             stop: false,
         };
@@ -173,6 +176,8 @@
         }
         self.client_slots
             .set_max_descriptors(self.max_descriptors());
+        let memory_limit = self.config.limits.memory_bytes() / self.process_count();
+        self.memory.set_limit(memory_limit);
     }
 
     /// The number of descriptors that this process may hold.
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -5,7 +5,7 @@
 /// The initial size of a buffer in bytes.
 const INITIAL_BUFFER_BYTES: usize = 2048;
 /// The maximum size in bytes of a buffer that is kept when empty; a larger one is freed.
-pub(super) const MAX_EMPTY_BUFFER_BYTES: usize = 64 * 1024;
+const MAX_EMPTY_BUFFER_BYTES: usize = 4 * 1024;
 
 /// The bytes that were received and not yet consumed.
 #[derive(Debug, Default)]
@@ -34,6 +34,11 @@
         &self.data[self.start..self.end]
     }
 
+    /// Returns the size of the buffer's memory.
+    pub fn capacity(&self) -> usize {
+        self.data.len()
+    }
+
     /// Discards the first `n` bytes.
     pub fn consume(&mut self, n: usize) {
         self.start = (self.start + n).min(self.end);
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,7 +1,7 @@
 //! A connection of the event loop.
 
 use std::io::Read;
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::rc::Rc;
 
@@ -9,7 +9,7 @@
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 
 use super::arrival::ReceptionTime;
-use super::buffer::{Buffer, FillOutcome, MAX_EMPTY_BUFFER_BYTES};
+use super::buffer::{Buffer, FillOutcome};
 use super::outbox::Outbox;
 use super::timestamped::TimestampedReader;
 use crate::api::Micros;
@@ -18,6 +18,9 @@
 /// The maximum number of unsent bytes at which further requests of a client are handled.
 const MAX_UNSENT_BYTES: usize = 64 * 1024;
 
+/// The size of a read whose input is discarded, in bytes.
+const DISCARDED_READ_BYTES: usize = 64 * 1024;
+
 /// A stream shared by the event loop and its connection.
 #[derive(Clone, Debug)]
 pub struct SharedStream(pub Rc<TcpStream>);
@@ -87,6 +90,11 @@
         }
     }
 
+    /// Returns the peer's address, while it is connected.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.stream.0.peer_addr().ok()
+    }
+
     /// Returns whether a non-blocking connect has been completed.
     ///
     /// # Errors
@@ -174,7 +182,7 @@
         loop {
             let unread = self.input.bytes().len();
             self.input.consume(unread);
-            if self.read(MAX_EMPTY_BUFFER_BYTES).is_err() || self.peer_closed {
+            if self.read(DISCARDED_READ_BYTES).is_err() || self.peer_closed {
                 return true;
             }
             if !self.has_more_input {
--- a/src/operations/mod.rs
+++ b/src/operations/mod.rs
@@ -6,5 +6,6 @@
 pub mod hot_restart;
 pub mod lifecycle;
 pub mod loop_timing;
+pub mod memory_budget;
 pub mod metrics;
 pub mod overrides;
