Treat a worker as gone when discovery names a new one at its address

Cause: discovery tells names, and an address may pass to a new name before the old name is told as deleted. Until then the gateway had two workers at one address: it sent to the former one's open connection, counted loaded copies and warm capacity of a process that had ended, and split calls between the two.

Change: a list change that names a worker at an address where it was not before removes whoever was listed there and is not named in the same change, as if its removal had been told: connections retire, unsent bytes are withdrawn, copies are forgotten. The newcomer is cold. The configured list is read the same way. Several names at one address in one event stay as they are. Counter: workers_superseded, and a log line with both.

Read and found sound: gossip members carry incarnations, voters' sessions a name, a process number and a challenge.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -91,6 +91,8 @@
     pub connects: u64,
     /// Connections to service discovery that ended, answered or not.
     pub discovery_closed: u64,
+    /// Listed workers removed because discovery named another worker at their address.
+    pub workers_superseded: u64,
     /// Worker replies that matched no exchange in flight.
     pub unmatched: u64,
     /// Worker replies, and input from service discovery, that could not be parsed.
--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -21,6 +21,8 @@
     names: BTreeMap<WorkerId, String>,
     /// The address of each worker.
     pub addresses: BTreeMap<WorkerId, SocketAddr>,
+    /// The workers at each address, in the order of the ids.
+    by_address: BTreeMap<SocketAddr, BTreeSet<WorkerId>>,
     /// Removed workers, which are deleted once they are no longer in use.
     removed: BTreeSet<WorkerId>,
     /// Workers that must get no new work because of their listed status or an operator's command.
@@ -76,7 +78,12 @@
         for endpoint in &update.endpoints {
             let worker = self.id_of(&endpoint.name);
             let former = self.addresses.insert(worker, endpoint.address);
-            if former.is_some_and(|former| former != endpoint.address) {
+            if former != Some(endpoint.address) {
+                let at_address = self.by_address.entry(endpoint.address).or_default();
+                at_address.insert(worker);
+            }
+            if let Some(former) = former.filter(|former| *former != endpoint.address) {
+                self.leave_address(worker, former);
                 applied.address_changes.push(worker);
             }
             if endpoint.status == WorkerStatus::Removed {
@@ -96,6 +103,39 @@
         applied
     }
 
+    /// Returns the names of the workers whose addresses an update gives to other workers that were
+    /// not there before. Only one process listens at an address, so theirs have ended, whether the
+    /// update says so or not.
+    pub fn superseded_by(&self, update: &WatchEvent) -> BTreeSet<String> {
+        let mut superseded = BTreeSet::new();
+        for endpoint in &update.endpoints {
+            let Some(at_address) = self.by_address.get(&endpoint.address) else {
+                continue;
+            };
+            let own = self.ids.get(&endpoint.name);
+            let was_there = own.is_some_and(|own| at_address.contains(own));
+            if was_there || endpoint.status == WorkerStatus::Removed {
+                continue;
+            }
+            let others = at_address.difference(&self.removed);
+            superseded.extend(others.filter_map(|other| self.names.get(other).cloned()));
+        }
+        for endpoint in &update.endpoints {
+            superseded.remove(&endpoint.name);
+        }
+        superseded
+    }
+
+    fn leave_address(&mut self, worker: WorkerId, address: SocketAddr) {
+        let Some(at_address) = self.by_address.get_mut(&address) else {
+            return;
+        };
+        at_address.remove(&worker);
+        if at_address.is_empty() {
+            self.by_address.remove(&address);
+        }
+    }
+
     /// Deletes the removed workers that are not in use, which bounds memory when workers are continually replaced.
     pub fn forget_removed(&mut self, in_use: impl Fn(&WorkerId) -> bool) {
         let removed = std::mem::take(&mut self.removed);
@@ -103,7 +143,9 @@
             removed.into_iter().partition(in_use);
         self.removed = in_use;
         for worker in unused {
-            self.addresses.remove(&worker);
+            if let Some(address) = self.addresses.remove(&worker) {
+                self.leave_address(worker, address);
+            }
             self.draining.remove(&worker);
             if let Some(name) = self.names.remove(&worker) {
                 self.ids.remove(&name);
--- a/src/discovery/endpoint_list/tests.rs
+++ b/src/discovery/endpoint_list/tests.rs
@@ -1,7 +1,9 @@
 //! Tests of the removal of workers from the list.
 
 use super::*;
+use crate::api::{CellId, ZoneId};
 use crate::discovery::tests::{names, watch_event_json};
+use crate::discovery::Endpoint;
 
 #[test]
 fn removed_workers_are_forgotten_once_unused() {
@@ -28,3 +30,46 @@
         [&WorkerId(0x00c4_1f7a)]
     );
 }
+
+/// An update that names this worker at this address.
+fn naming(name: &str, port: u16, status: WorkerStatus) -> WatchEvent {
+    WatchEvent {
+        revision: 1,
+        snapshot: false,
+        endpoints: vec![Endpoint {
+            name: name.to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            zone: ZoneId(0),
+            cell: CellId(0),
+            status,
+            capacity: 1.0,
+            started_at: None,
+        }],
+    }
+}
+
+#[test]
+fn newcomer_supersedes_whoever_was_at_its_address() {
+    let mut list = EndpointList::default();
+    let former = naming("s-00000001", 1, WorkerStatus::Ready);
+    assert!(list.superseded_by(&former).is_empty());
+    list.apply(&former);
+    let repeated = naming("s-00000001", 1, WorkerStatus::Draining);
+    assert!(list.superseded_by(&repeated).is_empty());
+    let newcomer = naming("s-00000002", 1, WorkerStatus::Ready);
+    let superseded = list.superseded_by(&newcomer);
+    assert!(superseded.iter().eq(["s-00000001"]), "{superseded:?}");
+    list.apply(&naming("s-00000001", 1, WorkerStatus::Removed));
+    assert!(list.superseded_by(&newcomer).is_empty(), "it was removed");
+}
+
+#[test]
+fn worker_that_moves_to_another_address_leaves_its_own() {
+    let mut list = EndpointList::default();
+    list.apply(&naming("s-00000001", 1, WorkerStatus::Ready));
+    list.apply(&naming("s-00000001", 2, WorkerStatus::Ready));
+    let at_former_address = naming("s-00000002", 1, WorkerStatus::Ready);
+    assert!(list.superseded_by(&at_former_address).is_empty());
+    let at_new_address = naming("s-00000003", 2, WorkerStatus::Ready);
+    assert_eq!(list.superseded_by(&at_new_address).len(), 1);
+}
--- a/src/gateway/endpoint_updates.rs
+++ b/src/gateway/endpoint_updates.rs
@@ -237,20 +237,59 @@
             .listed()
             .filter(|(name, _)| !names.contains(name));
         unlisted
-            .filter_map(|(name, entry)| {
-                Some(Endpoint {
-                    name: name.to_owned(),
-                    address: *self.discovery.endpoints.addresses.get(&entry.worker)?,
-                    zone: entry.zone,
-                    cell: entry.cell,
-                    status: WorkerStatus::Removed,
-                    capacity: entry.capacity,
-                    started_at: None,
-                })
-            })
+            .filter_map(|(name, entry)| self.removal_of(name, entry))
             .collect()
     }
 
+    /// Returns the entry that removes a listed worker.
+    fn removal_of(&self, name: &str, entry: &WorkerEntry) -> Option<Endpoint> {
+        Some(Endpoint {
+            name: name.to_owned(),
+            address: *self.discovery.endpoints.addresses.get(&entry.worker)?,
+            zone: entry.zone,
+            cell: entry.cell,
+            status: WorkerStatus::Removed,
+            capacity: entry.capacity,
+            started_at: None,
+        })
+    }
+
+    /// Returns an update that removes the workers at whose addresses a change of the list names new
+    /// ones; `None` if there are none. A snapshot removes them by itself.
+    pub(super) fn removal_of_superseded(&self, update: &WatchEvent) -> Option<WatchEvent> {
+        if update.snapshot {
+            return None;
+        }
+        let superseded = self.discovery.endpoints.superseded_by(update);
+        let endpoints: Vec<Endpoint> = superseded
+            .iter()
+            .filter_map(|name| {
+                let entry = self.ops.overrides.listed_entry(name)?;
+                self.removal_of(name, entry)
+            })
+            .collect();
+        (!endpoints.is_empty()).then_some(WatchEvent {
+            revision: update.revision,
+            snapshot: false,
+            endpoints,
+        })
+    }
+
+    fn remove_superseded(&mut self, now: Micros, update: &WatchEvent) {
+        let Some(removal) = self.removal_of_superseded(update) else {
+            return;
+        };
+        for endpoint in &removal.endpoints {
+            tracing::info!(
+                worker = endpoint.name,
+                address = %endpoint.address,
+                "worker superseded at its address"
+            );
+        }
+        self.core.counters.workers_superseded += removal.endpoints.len() as u64;
+        self.apply_update(now, &removal);
+    }
+
     /// Applies the next piece of a long update, if one waits.
     pub(super) fn apply_staged(&mut self, now: Micros) {
         if self.discovery.staged.is_empty() {
@@ -270,6 +309,7 @@
     }
 
     fn apply_update(&mut self, now: Micros, update: &WatchEvent) {
+        self.remove_superseded(now, update);
         let applied = self.discovery.endpoints.apply(update);
         let names = update
             .endpoints
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Operator};
 use crate::core::Core;
+use crate::discovery::WatchEvent;
 use crate::net::ArrivalDating;
 use crate::operations::loop_timing::LoopTimer;
 use crate::operations::memory_budget::MemoryBudget;
@@ -125,21 +126,14 @@
     /// Applies the configured list of workers; returns the workers that are ready.
     fn apply_known_events(&mut self, now: Micros) -> BTreeSet<WorkerId> {
         let mut workers: BTreeMap<WorkerId, WorkerEntry> = BTreeMap::new();
-        for event in &self.config.initial_updates {
+        for event in self.config.initial_updates.clone() {
             if event.snapshot {
                 workers.clear();
             }
-            let names = event
-                .endpoints
-                .iter()
-                .map(|endpoint| endpoint.name.as_str());
-            let applied = self.discovery.endpoints.apply(event);
-            let overridden = self
-                .ops
-                .overrides
-                .apply_list(event.snapshot, names.zip(applied.workers));
-            workers.extend(overridden.into_iter().map(|entry| (entry.worker, entry)));
-            self.discovery.last_revision = self.discovery.last_revision.max(event.revision);
+            if let Some(removal) = self.removal_of_superseded(&event) {
+                workers.extend(self.apply_known_event(&removal));
+            }
+            workers.extend(self.apply_known_event(&event));
         }
         for entry in workers.values() {
             let draining = entry.status != WorkerStatus::Ready;
@@ -160,6 +154,24 @@
         ready
     }
 
+    /// Applies an update of the configured list; returns the workers in it.
+    fn apply_known_event(&mut self, event: &WatchEvent) -> Vec<(WorkerId, WorkerEntry)> {
+        let names = event
+            .endpoints
+            .iter()
+            .map(|endpoint| endpoint.name.as_str());
+        let applied = self.discovery.endpoints.apply(event);
+        let overridden = self
+            .ops
+            .overrides
+            .apply_list(event.snapshot, names.zip(applied.workers));
+        self.discovery.last_revision = self.discovery.last_revision.max(event.revision);
+        overridden
+            .into_iter()
+            .map(|entry| (entry.worker, entry))
+            .collect()
+    }
+
     /// Sets this process's share of the gateway's limits, which all processes of the gateway
     /// divide.
     pub(super) fn update_client_limits(&mut self, now: Micros) {
