Soak for rude clients, and counters for departures and rejected calls

`molelug-testbed soak rude-clients` draws one to three groups of clients (pings, unknown classes, ever new functions, garbage, bodies half way, heads without an end, heads of 1,500 fields, large calls sent ahead by clients that never read, 60 calls ahead of a departure, unsafe calls whose client leaves at once, unsafe ids that come again), their numbers, memory_mb from 32, descriptors, busy threads on the gateway's core, the workers' run time and a restart (three SIGTERMs, the kill at the earliest). Usual clients use their connections until the kill. Judged are their answers (deadline and 0.5 s), attempts over 0.1 s after a departure, unsafe ids that ran twice in one process, and the process's peak memory.

New counters rejected_far_ahead and departures_behind_input; debug lines say why a client's connection was closed and why a call was rejected on arrival.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -80,6 +80,10 @@
     pub rejected_for_memory: u64,
     /// Connections closed because memory was scarce.
     pub closed_for_memory: u64,
+    /// Calls rejected because their client had sent too much ahead of its answers.
+    pub rejected_far_ahead: u64,
+    /// Clients that were found to have departed with input left.
+    pub departures_behind_input: u64,
     /// Turns of clients whose turn before had ended with input left.
     pub client_turns: u64,
     /// Idle client connections closed to make room for new ones.
--- a/src/gateway/clients.rs
+++ b/src/gateway/clients.rs
@@ -179,7 +179,16 @@
         let is_full = self.core.pending_requests() >= self.config.max_pending_requests;
         let lacks_memory = self.lacks_memory_for(call);
         self.core.counters.rejected_for_memory += u64::from(lacks_memory);
-        if is_full || lacks_memory || self.is_far_ahead(key) {
+        let is_far_ahead = self.is_far_ahead(key);
+        self.core.counters.rejected_far_ahead += u64::from(is_far_ahead);
+        if is_full || lacks_memory || is_far_ahead {
+            tracing::debug!(
+                identity = %call.identity,
+                is_full,
+                lacks_memory,
+                is_far_ahead,
+                "call rejected on arrival"
+            );
             self.core.count_rejected(call.arrival.class);
             let answer = Answer::Rejected {
                 retry_after: OVERLOAD_RETRY_AFTER,
@@ -277,7 +286,7 @@
             || connection.peer_closed
             || connection.has_more_input && connection.has_peer_departed();
         if departed {
-            self.close(key, read.err().unwrap_or(CloseReason::Closed));
+            self.close_departed(key, read.err().unwrap_or(CloseReason::Closed));
         }
         departed
     }
@@ -292,12 +301,29 @@
             return;
         }
         if connection.has_peer_departed() {
-            self.close(key, CloseReason::Closed);
+            self.close_departed(key, CloseReason::Closed);
         } else {
             self.await_turn(key);
         }
     }
 
+    /// Closes the connection of a client that has departed.
+    pub(super) fn close_departed(&mut self, key: ConnKey, reason: CloseReason) {
+        let Some((connection, Role::Client { pending, .. })) = self.connections.get(key) else {
+            return;
+        };
+        let has_input = connection.has_input();
+        self.core.counters.departures_behind_input += u64::from(has_input);
+        tracing::debug!(
+            reason = reason.name(),
+            pending = ?pending,
+            has_input,
+            unsent = connection.outbox.len(),
+            "client departed"
+        );
+        self.close(key, reason);
+    }
+
     /// Schedules the closing of idle connections, the longest idle first.
     pub(super) fn schedule_idle_closes(&mut self, now: Micros) {
         let mut idle: Vec<(Micros, ConnKey)> = Vec::new();
--- a/src/gateway/commands.rs
+++ b/src/gateway/commands.rs
@@ -220,7 +220,7 @@
             })
             .collect();
         for client in &departed {
-            self.close(*client, CloseReason::Closed);
+            self.close_departed(*client, CloseReason::Closed);
         }
         !departed.is_empty()
     }
--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     bench, conformance, crash, demo, emulator, fault_injection, gossip, guarantees, large_fleet,
-    lease_trials, load, outage, rate,
+    lease_trials, load, outage, rate, rude_clients,
 };
 use bpaf::Bpaf;
 
@@ -163,7 +163,8 @@
         parallel: usize,
         /// The subject: outage, held-back (events behind comments, no health checks), large-fleet
         /// (drawn fleets and disturbances), large-release, held-loop, fleet-cost (a table),
-        /// fleet-growth (200 workers beside 3,200) or guarantees (replays, changed tenants, keys)
+        /// fleet-growth (200 workers beside 3,200), guarantees (replays, changed tenants, keys) or
+        /// rude-clients (floods, stalled requests, departures, repeated identities)
         #[bpaf(positional("SUBJECT"))]
         subject: String,
     },
@@ -395,8 +396,9 @@
             "fleet-growth" => large_fleet::compare_growth().map(|()| true),
             "held-loop" => large_fleet::soak(seeds, seed, large_fleet::Scenario::held_loop),
             "guarantees" => guarantees::soak(seeds, seed, parallel),
+            "rude-clients" => rude_clients::soak(seeds, seed, parallel),
             other => Err(std::io::Error::other(format!(
-                "unknown subject '{other}': expected outage, held-back, large-fleet, large-release, held-loop, fleet-cost, fleet-growth or guarantees"
+                "unknown subject '{other}': expected outage, held-back, large-fleet, large-release, held-loop, fleet-cost, fleet-growth, guarantees or rude-clients"
             ))),
         },
         Command::Bench(Bench::Wheel) => bench::wheel(),
--- a/testbed/src/fakes/gateway.rs
+++ b/testbed/src/fakes/gateway.rs
@@ -441,9 +441,18 @@
 
     /// Returns the resident memory in KiB; 0 if unknown.
     pub fn memory_kib(&self) -> u64 {
+        self.status_kib("VmRSS:")
+    }
+
+    /// Returns the highest resident memory so far in bytes; 0 if unknown.
+    pub fn peak_memory(&self) -> u64 {
+        self.status_kib("VmHWM:") * 1024
+    }
+
+    fn status_kib(&self, field: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
             .unwrap_or_default();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|l| l.strip_prefix(field));
         line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse().ok())
             .unwrap_or(0)
     }
--- a/testbed/src/large_fleet/mod.rs
+++ b/testbed/src/large_fleet/mod.rs
@@ -4,7 +4,7 @@
 
 mod clients;
 mod judge;
-mod neighbours;
+pub(crate) mod neighbours;
 mod run;
 mod scenario;
 mod worker_groups;
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod load;
 pub mod outage;
 pub mod rate;
+pub mod rude_clients;
