Forget functions that were called once, too, when there are too many

Cause: the bound on functions spared every function that was served. Where workers serve whatever is called, a client that names new functions still made the table grow for two intervals.

Change: if no function without an answer can go, the next one goes that was served, was called once and has nothing under way. Functions in use stay, and one in use is examined again only after all others. memory_mb is among the values that a reload cannot change, which a reload now says.

--- a/src/config.rs
+++ b/src/config.rs
@@ -200,6 +200,7 @@
     pub fn restart_only_values(&self) -> impl PartialEq + '_ {
         let limits = (
             self.limits.sockets,
+            self.limits.memory_bytes(),
             self.connect_timeout,
             self.connection_idle_timeout,
             self.max_streams_per_connection,
--- a/src/policy/function.rs
+++ b/src/policy/function.rs
@@ -70,6 +70,12 @@
         self.answers > 0.0 || self.copies.values().any(|copy| copy.count > 0)
     }
 
+    /// Whether it was called more often than on its first call and once more in the last two
+    /// intervals. A new function counts as called once in the interval before.
+    pub(super) fn was_called_again(&self) -> bool {
+        self.interval_requests + self.last_interval_requests > 2.0
+    }
+
     /// Whether a request or a load of it is under way.
     pub(super) fn is_busy(&self) -> bool {
         let is_loading = |copy: &CopyState| copy.own_in_flight > 0 || copy.loading_since.is_some();
--- a/src/policy/function_table.rs
+++ b/src/policy/function_table.rs
@@ -1,8 +1,8 @@
-//! The known functions, bounded: clients may name any number of functions that no worker runs.
+//! The known functions, bounded: clients may name any number of functions.
 //!
-//! A function that was served is kept while it is in use. A function that was never served is
-//! forgotten, the oldest first, once there are too many functions and no request or load of it is
-//! under way.
+//! Once there are too many functions, the oldest that was never served is forgotten for each new
+//! one. If there is none, the oldest goes that was called once only. A function stays while a
+//! request or a load of it is under way.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::{Deref, DerefMut};
@@ -10,7 +10,7 @@
 use super::function::FunctionState;
 use crate::api::FunctionId;
 
-/// Maximum number of functions without an answer that are examined for each new function.
+/// Maximum number of functions of each kind that are examined for each new function.
 const MAX_EXAMINED: usize = 16;
 
 /// The functions by their ids, and the order in which those without an answer became known.
@@ -20,6 +20,9 @@
     /// Functions that had no answer when last examined, oldest first. It may have ids that are
     /// no longer in `functions`.
     unserved: VecDeque<FunctionId>,
+    /// Functions that were found to be served, in the order in which they are examined next. It may
+    /// have ids that are no longer in `functions`.
+    served: VecDeque<FunctionId>,
     /// `None` if the number of functions is not limited.
     max_functions: Option<usize>,
 }
@@ -43,20 +46,43 @@
         })
     }
 
-    /// Removes a function that was never served, if there is no room for another one; returns it.
+    /// Removes a function if there is no room for another one; returns it.
     pub(super) fn make_room(&mut self) -> Option<(FunctionId, FunctionState)> {
         let max_functions = self.max_functions?;
         if self.functions.len() < max_functions {
             return None;
         }
+        let id = self
+            .next_unserved()
+            .or_else(|| self.next_of_single_call())?;
+        self.functions.remove(&id).map(|function| (id, function))
+    }
+
+    /// Takes the oldest function that was never served and has nothing under way.
+    fn next_unserved(&mut self) -> Option<FunctionId> {
         for _ in 0..MAX_EXAMINED.min(self.unserved.len()) {
             let id = self.unserved.pop_front()?;
             match self.functions.get(&id) {
-                // It has left already, or stays as it was served.
                 None => {}
-                Some(function) if function.was_served() => {}
+                Some(function) if function.was_served() => self.served.push_back(id),
                 Some(function) if function.is_busy() => self.unserved.push_back(id),
-                Some(_) => return self.functions.remove(&id).map(|function| (id, function)),
+                Some(_) => return Some(id),
+            }
+        }
+        None
+    }
+
+    /// Takes the next function that was served, was called once at most in the last two intervals,
+    /// and has nothing under way.
+    fn next_of_single_call(&mut self) -> Option<FunctionId> {
+        for _ in 0..MAX_EXAMINED.min(self.served.len()) {
+            let id = self.served.pop_front()?;
+            match self.functions.get(&id) {
+                None => {}
+                Some(function) if function.is_busy() || function.was_called_again() => {
+                    self.served.push_back(id);
+                }
+                Some(_) => return Some(id),
             }
         }
         None
@@ -66,11 +92,10 @@
     pub(super) fn forget_unused(&mut self) {
         self.functions.retain(|_, function| function.is_in_use());
         let functions = &self.functions;
-        self.unserved.retain(|id| {
-            let function = functions.get(id);
-            function.is_some_and(|function| !function.was_served())
-        });
-        self.unserved.shrink_to(self.functions.len());
+        for order in [&mut self.unserved, &mut self.served] {
+            order.retain(|id| functions.contains_key(id));
+            order.shrink_to(functions.len());
+        }
     }
 }
 
--- a/tests/policy/function_table.rs
+++ b/tests/policy/function_table.rs
@@ -32,12 +32,29 @@
     assert_eq!(removed, Some(FunctionId(2)));
     table.get_or_create(FunctionId(4)).answers = 1.0;
     table.get_or_create(FunctionId(3)).answers = 1.0;
+    for id in [0, 3, 4] {
+        table.get_or_create(FunctionId(id)).interval_requests = 2.0;
+    }
     assert!(table.make_room().is_none(), "nothing can be forgotten");
     table.get_or_create(FunctionId(1)).queue.clear();
     let removed = table.make_room().map(|(id, _)| id);
     assert_eq!(removed, Some(FunctionId(1)), "it is busy no more");
 }
 
+#[test]
+fn function_that_was_called_once_goes_before_one_in_use() {
+    let mut table = full_table();
+    for id in 0..MAX_FUNCTIONS as u64 {
+        let function = table.get_or_create(FunctionId(id));
+        function.answers = 1.0;
+        function.interval_requests = 1.0;
+    }
+    table.get_or_create(FunctionId(0)).interval_requests = 9.0;
+    let removed = table.make_room().map(|(id, _)| id);
+    assert_eq!(removed, Some(FunctionId(1)));
+    assert!(table.contains_key(&FunctionId(0)), "it is in use");
+}
+
 #[test]
 fn order_of_functions_is_bounded_too() {
     let mut table = full_table();
--- a/tests/rude_clients.rs
+++ b/tests/rude_clients.rs
@@ -201,7 +201,7 @@
 
 /// Sends calls of ever new functions on one connection, reads the answers, and returns their
 /// number.
-fn call_new_functions(gateway: SocketAddr, first: u64, calls: u64) -> u64 {
+fn call_new_functions(gateway: SocketAddr, first: u64, calls: u64, wait_ms: u64) -> u64 {
     const CALLS_AT_ONCE: u64 = 64;
     let mut client = Client::connect_to(gateway);
     let mut answers = 0;
@@ -211,7 +211,7 @@
             .map(|id| {
                 let ask = Ask {
                     function: id,
-                    wait_ms: 1,
+                    wait_ms,
                     ..Ask::safe(id)
                 };
                 ask.text()
@@ -226,10 +226,9 @@
     answers
 }
 
-#[test]
-fn calls_of_ever_new_functions_keep_memory_bounded() {
+/// Several clients call ever new functions of a worker that serves every function.
+fn check_new_functions(calls: u64, wait_ms: u64) {
     const CLIENTS: u64 = 8;
-    const CALLS: u64 = 8_000;
     let worker = Worker::start();
     let workers = [endpoint("s-00000001", worker.address, "SERVING")];
     let g = Gateway::start_with_memory(&settings(2500.0), &workers, SMALLEST_MEMORY_MB);
@@ -238,8 +237,8 @@
         for client in 0..CLIENTS {
             let gateway = g.platform;
             scope.spawn(move || {
-                let answers = call_new_functions(gateway, client * CALLS, CALLS);
-                assert_eq!(answers, CALLS, "every call is answered");
+                let answers = call_new_functions(gateway, client * calls, calls, wait_ms);
+                assert_eq!(answers, calls, "every call is answered");
             });
         }
     });
@@ -248,6 +247,16 @@
     assert_eq!(sound.status(), 200);
 }
 
+#[test]
+fn calls_of_ever_new_functions_keep_memory_bounded() {
+    check_new_functions(8_000, 1);
+}
+
+#[test]
+fn served_calls_of_ever_new_functions_keep_memory_bounded() {
+    check_new_functions(4_096, 2_400);
+}
+
 /// A number of clients that could together fill more than the smallest memory.
 const CROWD: u64 = 1_400;
 /// The largest body of a call.
