--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -103,8 +103,8 @@
         applied
     }
 
-    /// Returns the names of the workers whose addresses an update gives to other workers that were
-    /// not there before. Only one process listens at an address, so theirs have ended, whether the
+    /// Returns the names of the workers whose addresses an update gives to other ready workers that
+    /// were not there before. Only one process listens at an address, so theirs have ended, whether the
     /// update says so or not.
     pub fn superseded_by(&self, update: &WatchEvent) -> BTreeSet<String> {
         let mut superseded = BTreeSet::new();
@@ -114,7 +114,7 @@
             };
             let own = self.ids.get(&endpoint.name);
             let was_there = own.is_some_and(|own| at_address.contains(own));
-            if was_there || endpoint.status == WorkerStatus::Removed {
+            if was_there || endpoint.status != WorkerStatus::Ready {
                 continue;
             }
             let others = at_address.difference(&self.removed);
--- a/src/discovery/endpoint_list/tests.rs
+++ b/src/discovery/endpoint_list/tests.rs
@@ -56,6 +56,8 @@
     list.apply(&former);
     let repeated = naming("s-00000001", 1, WorkerStatus::Draining);
     assert!(list.superseded_by(&repeated).is_empty());
+    let draining = naming("s-00000002", 1, WorkerStatus::Draining);
+    assert!(list.superseded_by(&draining).is_empty(), "it never started");
     let newcomer = naming("s-00000002", 1, WorkerStatus::Ready);
     let superseded = list.superseded_by(&newcomer);
     assert!(superseded.iter().eq(["s-00000001"]), "{superseded:?}");
