Tests that single out each way in which a departure is noticed

Taken out one by one, three of the guards against late attempts failed no test, as the others stood in for them: the question at each event, the bound on what a client sends ahead, and the look before an attempt's first byte.

departure_behind_unread_calls_ends_the_open_call fails without the first (the open call goes on until its time ends), calls_ahead_of_an_end_that_cannot_ arrive_are_not_sent without the second (three attempts for two; the client ends its stream behind 4 MiB unsent and still reads, so that no reset tells). The third still fails no test alone: it covers what arrives within one pass.

--- a/tests/rude_clients.rs
+++ b/tests/rude_clients.rs
@@ -13,6 +13,8 @@
 
 /// The size of one padded call, in bytes.
 const PADDED_CALL_BYTES: usize = 1200;
+/// Bytes that a client's socket holds before they are sent, far more than the peer's socket takes.
+const UNSENT_BYTES: usize = 4 << 20;
 /// The id of the call of a client that is still connected.
 const SOUND_ID: u64 = 0xffff;
 
@@ -81,15 +83,57 @@
     check_calls_sent_ahead(Disconnect::Reset, 60);
 }
 
+/// The departure is noticed as it happens, and not only once the call's worker answers or its time
+/// ends.
+#[test]
+fn departure_behind_unread_calls_ends_the_open_call() {
+    let worker = WorkerByHand::start();
+    let longer_than_patience = 2 * PATIENCE.as_millis() as u64;
+    let settings = settings(longer_than_patience as f64);
+    let g = Gateway::start_daily(&settings, &[serving(&worker)], None);
+    let first = Ask {
+        wait_ms: longer_than_patience,
+        ..Ask::safe(1)
+    };
+    let mut client = Client::asks(&g, first);
+    let mut connection = worker.accept();
+    assert_eq!(connection.next_attempt().id, first.id());
+    for id in 2..62 {
+        client.send(&padded(Ask::safe(id)));
+    }
+    drop(client);
+    until("the departure is noticed", || g.figure("pending") == 0);
+    assert_eq!(g.figure("upstream_requests"), 1);
+}
+
 /// Where the client has sent more than the sockets hold, its end of stream cannot arrive, so calls
-/// so far ahead are rejected.
+/// so far ahead are rejected. A client that still reads causes no reset either.
+#[test]
+fn calls_ahead_of_an_end_that_cannot_arrive_are_not_sent() {
+    check_end_that_cannot_arrive(|client| {
+        let ended = client.stream.shutdown(std::net::Shutdown::Write);
+        ended.expect("a socket");
+        Some(client)
+    });
+}
+
 #[test]
 fn calls_ahead_of_a_close_that_cannot_arrive_are_not_sent() {
+    check_end_that_cannot_arrive(|client| {
+        drop(client);
+        None
+    });
+}
+
+/// A client sends more calls ahead than the sockets hold and ends its stream.
+fn check_end_that_cannot_arrive(end: impl FnOnce(Client) -> Option<Client>) {
     let worker = WorkerByHand::start();
     let g = Gateway::start_daily(&settings(8000.0), &[serving(&worker)], None);
     let mut client = Client::asks(&g, Ask::safe(1));
     let mut connection = worker.accept();
     assert_eq!(connection.next_attempt().id, Ask::safe(1).id());
+    rustix::net::sockopt::set_socket_send_buffer_size(&client.stream, UNSENT_BYTES)
+        .expect("an option");
     client.stream.set_nonblocking(true).expect("a socket");
     let mut id = 2;
     // The first write that the sockets cannot hold ends the loop.
@@ -101,8 +145,9 @@
             Err(error) => panic!("{error}"),
         }
     }
-    drop(client);
+    let client = end(client);
     check_next_attempt_is_of_sound_client(&g, connection);
+    drop(client);
 }
 
 /// Sends an unsafe call, disconnects once the worker has it, and sends the same id again.
