Date input from before a late wait, also in the pass after it

Cause: its time counted from its reading. If the process is stopped (or has no core) after the system reported a pass's events and before it runs again, what arrives meanwhile is reported to the next pass, whose own wait was not late, so it counted as new. A waiting process that is woken and gets no core is in just that state when SIGSTOP comes, so load makes it likely.

The new unit test plays that order of events.

Change: after a wait that ended late, the pass after it counts as held as well, and its input as arrived since that wait began; the system's time of reception is exact within that, as before. input_of_the_pass_after_a_late_wait_is_dated_ from_the_wait fails without the change and passes; the six others as before.

--- a/src/net/arrival.rs
+++ b/src/net/arrival.rs
@@ -30,6 +30,10 @@
     /// When the listeners' queues were last empty.
     queue_empty_at: Micros,
     is_held: bool,
+    /// When the events of this pass were reported, at the earliest.
+    reported_at: Micros,
+    /// Whether the wait before this pass ended late.
+    was_wait_late: bool,
     /// Whether connections were left in a queue for lack of capacity.
     is_queue_left: bool,
     /// The difference between the system clock and the monotonic clock.
@@ -46,6 +50,8 @@
             empty_at: now,
             queue_empty_at: now,
             is_held: false,
+            reported_at: now,
+            was_wait_late: false,
             is_queue_left: false,
             clock_offset,
             clock_was_set: false,
@@ -53,17 +59,22 @@
     }
 
     /// Begins a pass, after a wait that should have ended at `due_at`. The events of this pass were
-    /// reported just now.
+    /// reported just now, or at any time of the wait if it ended late.
     pub fn begin_pass(&mut self, now: Micros, due_at: Option<Micros>, clock_offset: i64) {
         let pass = self.pass_ended_at.saturating_sub(self.pass_started_at);
         let late_by = due_at.map_or(0, |due_at| now.saturating_sub(due_at));
-        self.is_held = pass + late_by > HELD_AFTER;
-        // Input that had arrived by the previous pass's start was reported and read then.
-        self.empty_at = if self.is_held {
-            self.pass_started_at
+        let is_wait_late = late_by > HELD_AFTER;
+        self.is_held = pass + late_by > HELD_AFTER || self.was_wait_late;
+        // Input that had arrived by the report of the previous pass's events was read then.
+        self.empty_at = if self.is_held { self.reported_at } else { now };
+        // A process that is stopped after its events were reported, and before it runs again, finds
+        // what arrives meanwhile in its next pass only.
+        self.reported_at = if is_wait_late {
+            self.pass_ended_at
         } else {
             now
         };
+        self.was_wait_late = is_wait_late;
         self.pass_started_at = now;
         self.clock_was_set = (clock_offset - self.clock_offset).abs() > MAX_CLOCK_DRIFT;
         self.clock_offset = clock_offset;
--- a/src/net/arrival/tests.rs
+++ b/src/net/arrival/tests.rs
@@ -70,3 +70,27 @@
         1_155_000
     );
 }
+
+/// The process is stopped after the events of a pass were reported: what arrives meanwhile is
+/// reported to the pass after it.
+#[test]
+fn input_of_the_pass_after_a_late_wait_is_dated_from_the_wait() {
+    const WAIT_BEGAN_AT: Micros = 1_000_000;
+    const WOKE_AT: Micros = 1_900_000;
+    let mut arrivals = ArrivalDating::new(WAIT_BEGAN_AT, 0);
+    arrivals.end_pass(WAIT_BEGAN_AT);
+    arrivals.begin_pass(WOKE_AT, Some(WAIT_BEGAN_AT + 4_000), 0);
+    arrivals.end_pass(WOKE_AT + 100);
+    let next = WOKE_AT + 200;
+    arrivals.begin_pass(next, Some(next), 0);
+    assert!(arrivals.needs_reception_times());
+    assert_eq!(arrivals.of_input(next, None), WAIT_BEGAN_AT);
+    assert_eq!(arrivals.of_accepted(next, None), WAIT_BEGAN_AT);
+    let received = ReceptionTime(1_350_000);
+    assert_eq!(arrivals.of_accepted(next, Some(received)), 1_350_000);
+    arrivals.end_pass(next + 100);
+    let later = next + 5_000;
+    arrivals.begin_pass(later, Some(later), 0);
+    assert!(!arrivals.needs_reception_times());
+    assert_eq!(arrivals.of_input(later, None), later);
+}
