Review case 6: a keyed webhook in doubt is told refused and runs again

A gateway killed while a keyed call of a portal runs says refused after its restart. The portal's next try has another webhook-id, and so another idempotency key: the booking runs twice. Also the stand-ins that the cases share.

--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,20 @@
+//! The stand-ins and the judges of the cases 6 to 10 of the review.
+
+#![allow(dead_code)]
+
+mod common;
+mod hooks;
+mod keyed_refusal;
+mod net;
+mod pack_worker;
+mod second_miss;
+mod site;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    match (arguments.get(1).map(String::as_str), arguments.get(2)) {
+        (Some("second-miss"), Some(record)) => second_miss::run(record),
+        (Some("keyed-refusal"), Some(record)) => keyed_refusal::run(record),
+        _ => std::process::exit(common::COULD_NOT_RUN),
+    }
+}
