--- a/review/standins-2/hooks.rs
+++ b/review/standins-2/hooks.rs
@@ -18,7 +18,7 @@
 pub fn operator_file(listen: SocketAddr, portal: SocketAddr, more: &str) -> PathBuf {
     let path = folder().join("webhooks.toml");
     let text = format!(
-        "[webhooks]\nlisten = \"{listen}\"\nstore = \"store\"\nschedule_s = [1, 2, 4]\n{more}\n\
+        "state = \"tenants.json\"\n[webhooks]\nlisten = \"{listen}\"\nstore = \"store\"\nschedule_s = [1, 2, 4]\n{more}\n\
          [[tenants]]\nname = \"hospital-norte\"\nshare_per_s = 50.0\nportal = \"http://{portal}/trips\"\nsecrets = [\"{}\"]\n",
         secret()
     );
