--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,7 +7,9 @@
 mod keyed_refusal;
 mod net;
 mod pack_worker;
+mod removed_tenant;
 mod second_miss;
+mod unsent_callback;
 mod site;
 
 fn main() {
@@ -15,6 +17,8 @@
     match (arguments.get(1).map(String::as_str), arguments.get(2)) {
         (Some("second-miss"), Some(record)) => second_miss::run(record),
         (Some("keyed-refusal"), Some(record)) => keyed_refusal::run(record),
+        (Some("unsent-callback"), Some(record)) => unsent_callback::run(record),
+        (Some("removed-tenant"), Some(record)) => removed_tenant::run(record),
         _ => std::process::exit(common::COULD_NOT_RUN),
     }
 }
