--- a/review/standins-2/hooks.rs
+++ b/review/standins-2/hooks.rs
@@ -26,8 +26,8 @@
     path
 }
 
-/// A signed call; the answer's status.
-pub fn send_call(listen: SocketAddr, id: &str, class: &str, function: &str, deadline_ms: u64, payload: &[u8]) -> Option<u16> {
+/// A signed call, as bytes.
+pub fn signed_call(id: &str, class: &str, function: &str, deadline_ms: u64, payload: &[u8]) -> Vec<u8> {
     let body = format!(
         "{{\"type\":\"call.requested\",\"data\":{{\"class\":\"{class}\",\"function\":\"{function}\",\"deadline_ms\":{deadline_ms},\
          \"lanes\":2,\"memory_mb\":300,\"load_ms\":300,\"payload\":\"{}\"}}}}",
@@ -36,16 +36,26 @@
     let stamp = unix_ms() / 1000;
     let signed = format!("{id}.{stamp}.{body}");
     let signature = base64(&hmac_sha256(KEY, signed.as_bytes()));
-    let head = format!(
+    format!(
         "POST /webhooks/hospital-norte HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nwebhook-id: {id}\r\n\
          webhook-timestamp: {stamp}\r\nwebhook-signature: v1,{signature}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
-    );
-    let answer = request(listen, head.as_bytes(), 3000);
-    log(format!("portal: call {id} ({class}) answered {:?}", answer.as_ref().map(|(status, _)| *status)));
+    )
+    .into_bytes()
+}
+
+/// Sends a call; returns the answer's status.
+pub fn send(listen: SocketAddr, id: &str, bytes: &[u8]) -> Option<u16> {
+    let answer = request(listen, bytes, 3000);
+    log(format!("portal: {id} answered {:?}", answer.as_ref().map(|(status, _)| *status)));
     answer.map(|(status, _)| status)
 }
 
+/// Signs and sends a call; returns the answer's status.
+pub fn send_call(listen: SocketAddr, id: &str, class: &str, function: &str, deadline_ms: u64, payload: &[u8]) -> Option<u16> {
+    send(listen, id, &signed_call(id, class, function, deadline_ms, payload))
+}
+
 /// The outcomes that callbacks told, by call.
 pub type Outcomes = Arc<Mutex<HashMap<String, Vec<String>>>>;
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod hooks;
 mod keyed_refusal;
+mod moved_identities;
 mod net;
 mod pack_worker;
 mod removed_tenant;
@@ -19,6 +20,7 @@
         (Some("keyed-refusal"), Some(record)) => keyed_refusal::run(record),
         (Some("unsent-callback"), Some(record)) => unsent_callback::run(record),
         (Some("removed-tenant"), Some(record)) => removed_tenant::run(record),
+        (Some("moved-identities"), Some(record)) => moved_identities::run(record),
         _ => std::process::exit(common::COULD_NOT_RUN),
     }
 }
