--- a/review/standins-2/hooks.rs
+++ b/review/standins-2/hooks.rs
@@ -5,8 +5,9 @@
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 
-use crate::common::{base64, folder, hmac_sha256, log, unix_ms};
-use crate::net::{json_text, portal, request};
+use crate::common::{base64, folder, free_port, hmac_sha256, log, require, unix_ms, wait_for, Gateway};
+use crate::net::{is_ready, json_text, portal, request};
+use crate::site::Site;
 
 pub const KEY: &[u8; 32] = b"a secret of thirty-two bytes ok!";
 
@@ -73,3 +74,28 @@
     }));
     (address, outcomes)
 }
+
+/// Starts two further gateways, n2 and n3, so that one that dies or restarts is a third of the fleet. Each is a machine of
+/// its own, with a folder and an operator's file of its own.
+pub fn further_gateways(site: &Site, portal: SocketAddr) -> Vec<Gateway> {
+    (2..=3)
+        .map(|number| {
+            let name = format!("n{number}");
+            let machine = folder().join(&name);
+            std::fs::create_dir_all(&machine).expect("a folder");
+            let [listen, door]: [SocketAddr; 2] = [free_port(), free_port()].map(|port| ([127, 0, 0, 1], port).into());
+            let operator = machine.join("webhooks.toml");
+            let text = format!(
+                "[webhooks]\nlisten = \"{door}\"\n\n[[tenants]]\nname = \"hospital-norte\"\nshare_per_s = 50.0\n\
+                 portal = \"http://{portal}/trips\"\nsecrets = [\"{}\"]\n",
+                secret()
+            );
+            std::fs::write(&operator, text).expect("an operator's file");
+            let other = Site { name: &name, me: number - 1, listen, ..*site };
+            let arguments = format!("--operator {}", operator.display());
+            let gateway = Gateway::start(&name, &other.write(), &arguments, &machine.join("tmp"));
+            require(wait_for(10_000, || is_ready(listen)), "the gateway is ready");
+            gateway
+        })
+        .collect()
+}
--- a/review/standins-2/keyed_refusal.rs
+++ b/review/standins-2/keyed_refusal.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 
 use crate::common::{begin, end, folder, free_port, log, require, sleep_ms, trouble, wait_for, Gateway, BROKEN, HELD};
-use crate::hooks::{confirming_portal, operator_file, send_call};
+use crate::hooks::{confirming_portal, further_gateways, operator_file, send_call};
 use crate::net::{field, is_ready, quiet_board, worker};
 use crate::site::Site;
 
@@ -76,43 +76,44 @@
     let listen: SocketAddr = format!("127.0.0.1:{}", free_port()).parse().unwrap();
     let hooks: SocketAddr = format!("127.0.0.1:{}", free_port()).parse().unwrap();
     let operator = operator_file(hooks, portal, "");
-    let site = Site { name: "n1", me: 0, gateways: 1, listen, board: Some(quiet_board()), workers: &workers, classes: CLASSES };
+    let site = Site { name: "n1", me: 0, gateways: 3, listen, board: Some(quiet_board()), workers: &workers, classes: CLASSES };
     let config = site.write();
+    let _others = further_gateways(&site, portal);
     let arguments = format!("--operator {}", operator.display());
     let mut gateway = Gateway::start("n1", &config, &arguments, &folder().join("tmp"));
     require(wait_for(10_000, || is_ready(listen)), "the gateway is ready");
     let function = "000000000000a001";
-    let mut id = 0;
+    let outcome_of = |call: &str| outcomes.lock().unwrap().get(call).and_then(|told| told.first().cloned());
+    let trips: Vec<(String, String)> = (1..=4).map(|number| (format!("call-{number}"), format!("trip {number}"))).collect();
+    for (call, trip) in &trips {
+        let status = send_call(hooks, call, "reserva", function, 3000, trip.as_bytes());
+        require(status == Some(202), "the call is accepted");
+    }
+    if trouble() {
+        sleep_ms(300);
+        gateway.kill();
+        sleep_ms(1000);
+        gateway = Gateway::start("n1", &config, &arguments, &folder().join("tmp"));
+    }
+    require(wait_for(12_000, || trips.iter().all(|(call, _)| outcome_of(call).is_some())), "the callbacks come");
+    require(wait_for(5_000, || is_ready(listen)), "the gateway is ready");
     let mut told_harmless = Vec::new();
-    for round in 0..4 {
-        let operation = format!("trip {round}");
-        id += 1;
-        let first = format!("call-{id}");
-        require(send_call(hooks, &first, "reserva", function, 3000, operation.as_bytes()) == Some(202), "the call is accepted");
-        if trouble() {
-            sleep_ms(300);
-            gateway.kill();
-            sleep_ms(1000);
-            gateway = Gateway::start("n1", &config, &arguments, &folder().join("tmp"));
+    for (call, trip) in &trips {
+        if outcome_of(call).as_deref() != Some("refused") {
+            continue;
         }
-        let outcome_of = |call: &str| outcomes.lock().unwrap().get(call).and_then(|told| told.first().cloned());
-        require(wait_for(12_000, || outcome_of(&first).is_some()), "the callback comes");
-        if outcome_of(&first).as_deref() == Some("refused") {
-            // Trying again is harmless, says the answer. A portal that does so under the same identity gets 409, and there
-            // will be no further answer under it; so the call goes out under a new one.
-            told_harmless.push(operation.clone());
-            require(wait_for(5_000, || is_ready(listen)), "the gateway is ready");
-            let again = send_call(hooks, &first, "reserva", function, 3000, operation.as_bytes());
-            if again == Some(202) {
-                continue;
-            }
-            id += 1;
-            let second = format!("call-{id}");
-            let status = send_call(hooks, &second, "reserva", function, 3000, operation.as_bytes());
-            require(status == Some(202), "the second call is accepted");
-            require(wait_for(12_000, || outcome_of(&second).is_some()), "the second callback comes");
+        // Trying again is harmless, says the answer. A portal that does so under the same identity gets 409, and there will
+        // be no further answer under it; so the call goes out under a new one.
+        told_harmless.push(trip.clone());
+        if send_call(hooks, call, "reserva", function, 3000, trip.as_bytes()) == Some(202) {
+            continue;
         }
+        let again = format!("{call}-again");
+        let status = send_call(hooks, &again, "reserva", function, 3000, trip.as_bytes());
+        require(status == Some(202), "the second call is accepted");
+        require(wait_for(12_000, || outcome_of(&again).is_some()), "the second callback comes");
     }
+    gateway.kill();
     let seen = seen.lock().unwrap();
     let twice: Vec<_> = seen.runs.iter().filter(|(_, runs)| **runs > 1).collect();
     log(format!("runs by operation: {:?}", seen.runs));
--- a/review/standins-2/moved_identities.rs
+++ b/review/standins-2/moved_identities.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 
 use crate::common::{begin, end, folder, free_port, log, require, sleep_ms, trouble, wait_for, Gateway, BROKEN, HELD};
-use crate::hooks::{confirming_portal, secret, send, signed_call};
+use crate::hooks::{confirming_portal, further_gateways, secret, send, signed_call};
 use crate::net::{is_ready, quiet_board, worker};
 use crate::site::{Site, AURORA_CLASSES};
 
@@ -53,8 +53,9 @@
     let hooks: SocketAddr = format!("127.0.0.1:{}", free_port()).parse().unwrap();
     let operator = folder().join("webhooks.toml");
     write_operator_file(&operator, hooks, portal, "");
-    let site = Site { name: "n1", me: 0, gateways: 1, listen, board: Some(quiet_board()), workers: &workers, classes: AURORA_CLASSES };
+    let site = Site { name: "n1", me: 0, gateways: 3, listen, board: Some(quiet_board()), workers: &workers, classes: AURORA_CLASSES };
     let config = site.write();
+    let _others = further_gateways(&site, portal);
     let arguments = format!("--operator {}", operator.display());
     let mut gateway = Gateway::start("n1", &config, &arguments, &folder().join("tmp"));
     require(wait_for(10_000, || is_ready(listen)), "the gateway is ready");
--- a/review/standins-2/removed_tenant.rs
+++ b/review/standins-2/removed_tenant.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crate::common::{begin, end, folder, free_port, log, require, sleep_ms, trouble, wait_for, Gateway, BROKEN, HELD};
-use crate::hooks::{confirming_portal, operator_file, secret, send_call};
+use crate::hooks::{confirming_portal, further_gateways, operator_file, secret, send_call};
 use crate::net::{is_ready, quiet_board, worker};
 use crate::site::{Site, AURORA_CLASSES};
 
@@ -41,8 +41,9 @@
         secret()
     );
     let operator = operator_file(hooks, portal, &other);
-    let site = Site { name: "n1", me: 0, gateways: 1, listen, board: Some(quiet_board()), workers: &workers, classes: AURORA_CLASSES };
+    let site = Site { name: "n1", me: 0, gateways: 3, listen, board: Some(quiet_board()), workers: &workers, classes: AURORA_CLASSES };
     let config = site.write();
+    let _others = further_gateways(&site, portal);
     let arguments = format!("--operator {}", operator.display());
     let mut gateway = Gateway::start("n1", &config, &arguments, &folder().join("tmp"));
     require(wait_for(10_000, || is_ready(listen)), "the gateway is ready");
--- a/review/standins-2/unsent_callback.rs
+++ b/review/standins-2/unsent_callback.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::common::{begin, end, folder, free_port, log, require, sleep_ms, trouble, wait_for, Gateway, BROKEN, HELD};
-use crate::hooks::{operator_file, send_call};
+use crate::hooks::{further_gateways, operator_file, send_call};
 use crate::net::{is_ready, quiet_board, read_message, worker};
 use crate::site::{Site, AURORA_CLASSES};
 use std::io::Write;
@@ -46,8 +46,9 @@
     let listen: SocketAddr = format!("127.0.0.1:{}", free_port()).parse().unwrap();
     let hooks: SocketAddr = format!("127.0.0.1:{}", free_port()).parse().unwrap();
     let operator = operator_file(hooks, portal_address, "");
-    let site = Site { name: "n1", me: 0, gateways: 1, listen, board: Some(quiet_board()), workers: &workers, classes: AURORA_CLASSES };
+    let site = Site { name: "n1", me: 0, gateways: 3, listen, board: Some(quiet_board()), workers: &workers, classes: AURORA_CLASSES };
     let config = site.write();
+    let _others = further_gateways(&site, portal_address);
     let arguments = format!("--operator {}", operator.display());
     let mut gateway = Gateway::start("n1", &config, &arguments, &folder().join("tmp"));
     require(wait_for(10_000, || is_ready(listen)), "the gateway is ready");
