--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -5,11 +5,11 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Mutex, OnceLock};
+use std::sync::{Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 static RECORD: OnceLock<(Instant, Mutex<File>)> = OnceLock::new();
-static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 static FOLDER: OnceLock<PathBuf> = OnceLock::new();
 
 /// Exit codes of a case.
@@ -55,9 +55,9 @@
 
 /// Ends all processes that the case started, removes the temporary folder and exits.
 pub fn end(code: i32) -> ! {
-    for pid in CHILDREN.lock().unwrap_or_else(|e| e.into_inner()).drain(..) {
-        signal(pid, "CONT");
-        signal(pid, "KILL");
+    for mut child in children().drain(..) {
+        let _ = child.kill();
+        let _ = child.wait();
     }
     std::thread::sleep(Duration::from_millis(50));
     if std::env::var("KEEP").is_err() {
@@ -113,9 +113,13 @@
     holds()
 }
 
+fn children() -> MutexGuard<'static, Vec<Child>> {
+    CHILDREN.lock().unwrap_or_else(|e| e.into_inner())
+}
+
 /// A gateway, started with the command `run` of deploy/balancer.toml.
 pub struct Gateway {
-    pub child: Child,
+    pid: u32,
     pub name: String,
 }
 
@@ -168,31 +172,37 @@
             command.env(key, value);
         }
         let child = command.spawn().expect("the gateway starts");
-        CHILDREN.lock().unwrap_or_else(|e| e.into_inner()).push(child.id());
+        let pid = child.id();
+        children().push(child);
         log(format!("{name}: started"));
-        Gateway { child, name: name.to_owned() }
+        Gateway { pid, name: name.to_owned() }
     }
 
     pub fn signal(&self, name: &str) {
         log(format!("{}: SIG{name}", self.name));
-        signal(self.child.id(), name);
+        signal(self.pid, name);
     }
 
     /// Kills it at once and waits for its end.
     pub fn kill(&mut self) {
         log(format!("{}: SIGKILL", self.name));
-        let _ = self.child.kill();
-        self.reap();
-    }
-
-    pub fn reap(&mut self) {
-        let _ = self.child.wait();
-        let id = self.child.id();
-        CHILDREN.lock().unwrap_or_else(|e| e.into_inner()).retain(|pid| *pid != id);
+        let mut children = children();
+        if let Some(child) = children.iter_mut().find(|child| child.id() == self.pid) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        children.retain(|child| child.id() != self.pid);
     }
 
+    /// Whether it has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+        let mut children = children();
+        let child = children.iter_mut().find(|child| child.id() == self.pid);
+        let ended = child.is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
+        if ended {
+            children.retain(|child| child.id() != self.pid);
+        }
+        ended
     }
 }
 
--- a/review/standins-2/moved_identities.rs
+++ b/review/standins-2/moved_identities.rs
@@ -78,7 +78,6 @@
     }
     gateway.signal("TERM");
     require(wait_for(3_700, || gateway.has_ended()), "the gateway ends in time");
-    gateway.reap();
     if trouble() {
         write_operator_file(&operator, hooks, portal, "store = \"store\"\n");
         log("operator: the gateway is given a store");
--- a/review/standins-2/removed_tenant.rs
+++ b/review/standins-2/removed_tenant.rs
@@ -55,7 +55,6 @@
     // A planned restart.
     gateway.signal("TERM");
     require(wait_for(3_700, || gateway.has_ended()), "the gateway ends in time");
-    gateway.reap();
     log("n1: ended");
     if trouble() {
         let text = std::fs::read_to_string(&operator).unwrap();
