Answer accepted calls whatever the next start's files say of their tenants

What callers saw: calls that got 202 with X-Kept-In: store were never answered when the gateway's next process started with an operator's file that lacked their tenant or endpoint. A newcomer of the tenant's name got the former one's callbacks and could ask for the state of its calls.

Cause: a callback's address, secrets, serial number, number and share were taken from the files of the present start. `recover` purged messages of unknown endpoints without a count; versions of tenants were kept only at changes by the administration API, and serial numbers began anew at each start.

Change: the store has the tenants under which its calls were accepted (a row of `meta` that earlier versions ignore), written at the start before a call can come and with each change before the calls that follow it. A start compares them with the files (`tenancy::continuity`) and keeps former versions as after a change by the API, while a call or callback is not over. A tenant in the file continues one of its name with which it has a secret or an address in common, or else gets a serial number of its own. A start purges nothing; what ends undelivered is counted and logged. A resumed call counts as accepted at the start at the latest.

`soak guarantees` now plays each drawn change that comes with an end of the process by file as well.

Why it works: the store's thread keeps the order, so that no 202 is given for a call whose tenant is not on disk; and nothing that decides on an answer is read from the new files alone.

--- a/src/gateway/former_tenants.rs
+++ b/src/gateway/former_tenants.rs
@@ -4,7 +4,14 @@
 use super::{Gateway, GatewayDeadline};
 use crate::api::Micros;
 use crate::delivery::EndpointId;
-use crate::tenancy::{FormerVersion, Registry, TenantError};
+use crate::store::disk::Disk;
+use crate::store::error::StoreError;
+use crate::store::operations::Op;
+use crate::store::records::TenantsRecord;
+use crate::store::tables::RecoveredState;
+use crate::tenancy::{
+    FormerVersion, PreviousTenants, Registry, Tenant, TenantError, TenantMatching,
+};
 
 /// How often former versions are checked, in microseconds.
 const CHECK_INTERVAL: Micros = 1_000_000;
@@ -44,6 +51,29 @@
     }
 }
 
+impl RecoveredState {
+    /// Returns whether calls or callbacks of a tenant are not over.
+    fn owes(&self, tenant: &Tenant) -> bool {
+        let waits = |id: EndpointId| self.endpoints.iter().any(|(waiting, _)| *waiting == id);
+        self.calls.iter().any(|call| call.serial == tenant.serial)
+            || tenant.endpoints.values().any(|endpoint| waits(endpoint.id))
+    }
+}
+
+/// Why the tenants of the previous process cannot be taken over. Nothing that is owed is lost.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum StartError {
+    /// The stored tenants cannot be continued.
+    #[error(
+        "the tenants of its calls cannot be taken over ({0}); start it with the former \
+         configuration until they are answered"
+    )]
+    Tenants(#[from] TenantError),
+    /// The tenants cannot be stored.
+    #[error("the tenants cannot be stored in it: {0}")]
+    Store(#[from] StoreError),
+}
+
 impl Gateway {
     /// Keeps the version of a tenant from before a change, if calls may be owed an answer under it.
     /// Returns whether it is kept.
@@ -65,6 +95,48 @@
         Ok(is_kept)
     }
 
+    /// Takes over the tenants of the previous process from the store, whatever the files name now,
+    /// and stores the tenants of this one before it accepts calls.
+    pub(super) fn continue_tenants(
+        &mut self,
+        now: Micros,
+        removal_grace: Micros,
+        store: &mut Disk,
+        found: &RecoveredState,
+    ) -> Result<(), StartError> {
+        let tenants = &mut self.secondary.tenants;
+        let matching = self.secondary.tenant_matching;
+        if let Some(TenantsRecord(text)) = &found.tenants {
+            let previous = PreviousTenants {
+                text,
+                matching,
+                is_owed: &|tenant| found.owes(tenant) || matching == TenantMatching::BySerial,
+            };
+            let until = now.saturating_add(removal_grace);
+            let kept = tenants.continue_from(&previous, now, until)?;
+            if kept > 0 {
+                tracing::info!(
+                    kept,
+                    "tenants that the configuration lacks or changes are still owed answers"
+                );
+            }
+        }
+        let stored = Op::StoreTenants(TenantsRecord(tenants.state()));
+        store.commit([stored], now)?;
+        for (tenant, quota_per_s) in self.secondary.tenants.shares() {
+            self.core.set_tenant_quota(now, tenant, quota_per_s);
+        }
+        Ok(())
+    }
+
+    /// Stores the tenants beside their calls. A call that is accepted later is stored after them.
+    pub(super) fn store_tenants(&mut self) {
+        let text = self.secondary.tenants.state();
+        if let Some(webhooks) = &mut self.secondary.webhooks {
+            webhooks.store_tenants(TenantsRecord(text));
+        }
+    }
+
     /// Passes the endpoints that only former versions have to delivery, and sets the first check.
     pub(super) fn set_up_former_versions(&mut self, now: Micros) {
         if self.secondary.tenants.former_versions().is_empty() {
@@ -110,7 +182,7 @@
         self.remove_delivery_endpoints(now, &released.endpoints);
         if kept < kept_before {
             // The file may be written later: a version that is read again is dropped again.
-            self.persist_tenants();
+            self.persist_dropped_versions();
         }
         if kept > 0 {
             self.schedule_former_version_check(now);
--- a/src/gateway/secondary_listeners.rs
+++ b/src/gateway/secondary_listeners.rs
@@ -16,7 +16,7 @@
 use crate::config::{ConfigError, Operator};
 use crate::front::http;
 use crate::net::UNTAGGED_FRAME;
-use crate::tenancy::{Registry, TenantError};
+use crate::tenancy::{Registry, TenantError, TenantMatching};
 
 /// The tenants and the drivers behind the secondary listeners.
 #[derive(Debug, Default)]
@@ -26,12 +26,23 @@
     pub(super) listed: BTreeSet<String>,
     /// The file that tenants are written to, if one is configured.
     state_file: Option<PathBuf>,
+    /// How tenants are recognized as those of the previous process.
+    pub(super) tenant_matching: TenantMatching,
     /// When the former versions of tenants are checked next.
     pub(super) former_check_at: Option<Micros>,
     pub(super) webhooks: Option<WebhookDriver>,
     pub(super) admin: Option<AdminApi>,
 }
 
+/// Who decides on the tenants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TenantAgreement {
+    /// This gateway's files.
+    None,
+    /// All gateways together.
+    AmongGateways,
+}
+
 /// A request of a secondary listener's client that has been handled.
 struct HandledRequest {
     /// The size of the request.
@@ -50,8 +61,13 @@
         &mut self,
         now: Micros,
         operator: Operator,
+        tenant_agreement: TenantAgreement,
     ) -> Result<(), GatewayError> {
         self.load_tenants(&operator)?;
+        if tenant_agreement == TenantAgreement::AmongGateways {
+            // The other gateways know a tenant by the serial number that follows from its name.
+            self.secondary.tenant_matching = TenantMatching::BySerial;
+        }
         for (tenant, quota_per_s) in self.secondary.tenants.shares() {
             self.core.set_tenant_quota(now, tenant, quota_per_s);
         }
@@ -88,6 +104,7 @@
         let parse_error = |error: TenantError| {
             GatewayError::Operator(ConfigError::Parse(path.clone(), error.to_string()))
         };
+        secondary.tenant_matching = TenantMatching::BySerial;
         secondary.tenants.restore(&text).map_err(parse_error)
     }
 
@@ -205,18 +222,28 @@
         ReadProgress::Continue
     }
 
-    /// Writes the tenants to their state file, if one is configured; returns `false` on failure.
-    pub(super) fn persist_tenants(&self) -> bool {
-        let Some(path) = &self.secondary.state_file else {
-            return true;
-        };
-        match write_private_file(path, &self.secondary.tenants.state()) {
-            Ok(()) => true,
-            Err(error) => {
+    /// Writes the tenants to their state file, if one is configured, and to the store; returns
+    /// `false` if the file cannot be written.
+    pub(super) fn persist_tenants(&mut self) -> bool {
+        if let Some(path) = &self.secondary.state_file {
+            if let Err(error) = write_private_file(path, &self.secondary.tenants.state()) {
                 tracing::error!(file = %path.display(), %error, "tenants cannot be written");
-                false
+                return false;
             }
         }
+        self.store_tenants();
+        true
+    }
+
+    /// Writes the tenants after former versions were dropped. This does not create a state file,
+    /// which would replace the tenants of the operator's file.
+    pub(super) fn persist_dropped_versions(&mut self) {
+        let state_file = self.secondary.state_file.as_ref();
+        if state_file.is_some_and(|path| path.exists()) {
+            self.persist_tenants();
+        } else {
+            self.store_tenants();
+        }
     }
 }
 
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -6,6 +6,7 @@
 use calloop::LoopHandle;
 use slotmap::SlotMap;
 
+use super::secondary_listeners::TenantAgreement;
 use super::{
     CallIdentities, ClientSlots, ClientTurns, ClusterDrivers, DiscoveryState, Gateway,
     GatewayDeadline, GatewayError, ListenerKind, Listeners, OperationsDriver, OptionalSubsystems,
@@ -83,7 +84,11 @@
             .core
             .schedule(now, GatewayDeadline::DiscoveryReconnect.into());
         gateway.set_up_console()?;
-        gateway.set_up_secondary(now, operator)?;
+        let tenant_agreement = match &subsystems.replication {
+            Some(_) => TenantAgreement::AmongGateways,
+            None => TenantAgreement::None,
+        };
+        gateway.set_up_secondary(now, operator, tenant_agreement)?;
         gateway.set_up_subsystems(now, &subsystems, ready)?;
         Ok(gateway)
     }
--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -35,10 +35,12 @@
 use crate::store::error::StoreError;
 use crate::store::keyspace::MemoryKeyspace;
 use crate::store::operations::{
-    AcceptCall, ApplyRetention, BeginAttempt, CompleteCall, FinishAttempt, Op, Reply,
+    AcceptCall, ApplyRetention, BeginAttempt, CompleteCall, FinishAttempt, Op, PurgeResult, Reply,
     RetentionResult,
 };
-use crate::store::records::{AttemptRecord, CallRecord, CallState, IdentityDigest, MessageRecord};
+use crate::store::records::{
+    AttemptRecord, CallRecord, CallState, IdentityDigest, MessageRecord, TenantsRecord,
+};
 use crate::store::recovery::{RecoveryAction, ResumeAction};
 use crate::store::replicated_op::ReplicatedOp;
 use crate::store::tables::{RecoveredState, Tables};
@@ -248,7 +250,7 @@
     numbers: HashMap<ShardId, (Epoch, u32)>,
 }
 
-fn store_error(path: PathBuf, e: &StoreError) -> GatewayError {
+fn store_error(path: PathBuf, e: &dyn std::error::Error) -> GatewayError {
     GatewayError::Operator(ConfigError::Parse(path, e.to_string()))
 }
 
--- a/src/gateway/webhooks/calls.rs
+++ b/src/gateway/webhooks/calls.rs
@@ -328,6 +328,12 @@
         }
         if messages.is_empty() {
             self.core.counters.callbacks_undelivered += 1;
+            let (tenant, call) = (&open_call.job.tenant, &open_call.job.webhook_id);
+            tracing::warn!(
+                tenant,
+                call,
+                "a call ends without a callback: no endpoint is known"
+            );
         }
         hooks.submit(
             PendingStoreOp::CompleteCall(open_call.job.serial),
--- a/src/gateway/webhooks/driver.rs
+++ b/src/gateway/webhooks/driver.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Backend, ConnKey, Endpoint, EndpointId, Input, Micros, Op, PendingStoreOp, ReplicatedOp, Reply,
-    Seq, StoreError, WebhookDriver, SHUTDOWN_STORE_TIMEOUT,
+    Seq, StoreError, TenantsRecord, WebhookDriver, SHUTDOWN_STORE_TIMEOUT,
 };
 
 impl WebhookDriver {
@@ -18,6 +18,13 @@
         matches!(self.backend, Backend::Disk(_))
     }
 
+    /// Stores the tenants, unless calls last only as long as the process.
+    pub(in crate::gateway) fn store_tenants(&mut self, tenants: TenantsRecord) {
+        if self.durable() {
+            self.submit(PendingStoreOp::RecordOnly, Op::StoreTenants(tenants));
+        }
+    }
+
     pub(super) fn submit(&mut self, purpose: PendingStoreOp, op: Op) {
         self.submit_for_replicas(purpose, op, 0);
     }
--- a/src/gateway/webhooks/replies.rs
+++ b/src/gateway/webhooks/replies.rs
@@ -4,8 +4,9 @@
     fault_injection_point, http, refuse, request_error, ApplyRetention, AttemptRecord,
     BeginAttempt, CallState, ConnKey, DeadLetterReason, DeliveryReport, FinishAttempt, Gateway,
     GatewayDeadline, Input, MessageRecord, MessageState, Micros, Op, Output, PendingMessage,
-    PendingStoreOp, ReplicationError, Reply, RequestError, RequestOutcome, RetentionResult,
-    StoreError, COMPLETED, RETENTION_BATCH, RETENTION_CONTINUE_DELAY, RETENTION_INTERVAL,
+    PendingStoreOp, PurgeResult, ReplicationError, Reply, RequestError, RequestOutcome,
+    RetentionResult, StoreError, COMPLETED, RETENTION_BATCH, RETENTION_CONTINUE_DELAY,
+    RETENTION_INTERVAL,
 };
 use crate::delivery::{EndpointId, Seq};
 use crate::replication::replicator::Input as ReplicatorInput;
@@ -187,10 +188,21 @@
         }
     }
 
-    /// Continues to purge a removed endpoint if it has more messages.
+    /// Counts the messages that ended with their endpoint, and continues if it has more.
     fn endpoint_purged(&mut self, endpoint: EndpointId, reply: &Result<Reply, StoreError>) {
-        let has_more = matches!(reply, Ok(Reply::More(true)));
-        if let Some(hooks) = self.secondary.webhooks.as_mut().filter(|_| has_more) {
+        let Ok(Reply::Purged(PurgeResult { ended, more })) = *reply else {
+            return;
+        };
+        self.core.counters.callbacks_undelivered += ended;
+        if ended > 0 {
+            let endpoint = endpoint.0;
+            tracing::warn!(
+                endpoint,
+                ended,
+                "callbacks end undelivered: their endpoint is gone"
+            );
+        }
+        if let Some(hooks) = self.secondary.webhooks.as_mut().filter(|_| more) {
             let purge = Op::PurgeEndpoint(endpoint, RETENTION_BATCH);
             hooks.submit(PendingStoreOp::PurgeEndpoint(endpoint), purge);
         }
--- a/src/gateway/webhooks/shard_calls.rs
+++ b/src/gateway/webhooks/shard_calls.rs
@@ -83,7 +83,7 @@
 
     fn recover_call(&mut self, now: Micros, call: &CallRecord, action: RecoveryAction) {
         let runnable = self.call_of(call);
-        let job = job_of(call, self.earliest_acceptance(call));
+        let job = job_of(call, self.earliest_acceptance(call).min(now));
         let Some(webhooks) = &mut self.secondary.webhooks else {
             return;
         };
--- a/src/gateway/webhooks/start.rs
+++ b/src/gateway/webhooks/start.rs
@@ -3,9 +3,9 @@
 use super::{
     channel, store_error, Backend, ConfigError, Delivery, Disk, EarlierIdentities, EgressPolicy,
     EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Input, Limits, ListenerKind,
-    MemoryKeyspace, Micros, Op, PathBuf, PendingStoreOp, RecoveredState, RecoveryAction,
-    ReplayStore, ResumeAction, Schedule, SecondaryMap, SlotMap, StoreError, Tables, VecDeque,
-    WebhookDriver, WebhookVerifier, Webhooks, Writer, RETENTION_BATCH, RETENTION_CONTINUE_DELAY,
+    MemoryKeyspace, Micros, PathBuf, RecoveredState, RecoveryAction, ReplayStore, ResumeAction,
+    Schedule, SecondaryMap, SlotMap, StoreError, Tables, VecDeque, WebhookDriver, WebhookVerifier,
+    Webhooks, Writer, RETENTION_CONTINUE_DELAY,
 };
 
 impl Gateway {
@@ -20,9 +20,12 @@
         let mut found = RecoveredState::default();
         let backend = match &w.store {
             Some(path) => {
-                let (disk, f) =
+                let (mut disk, f) =
                     Disk::open(path, max_bytes, now).map_err(|e| store_error(path.clone(), &e))?;
                 found = f;
+                let removal_grace = w.removed_grace_s.saturating_mul(1_000_000);
+                self.continue_tenants(now, removal_grace, &mut disk, &found)
+                    .map_err(|e| store_error(path.clone(), &e))?;
                 let (sender, replies) = channel::channel();
                 let on_reply = |event, _: &mut (), node: &mut Gateway| {
                     if let (channel::Event::Msg((number, reply)), Some(h)) =
@@ -181,19 +184,31 @@
         let Some(hooks) = &mut self.secondary.webhooks else {
             return;
         };
+        let mut callbacks_kept = 0;
         for (id, due) in &found.endpoints {
             if hooks.delivery.health(*id).is_some() {
                 hooks.delivery.handle(now, Input::Stored(*id, *due));
             } else {
-                hooks.submit(
-                    PendingStoreOp::PurgeEndpoint(*id),
-                    Op::PurgeEndpoint(*id, RETENTION_BATCH),
-                );
+                callbacks_kept += 1;
             }
         }
+        let tenants = &self.secondary.tenants;
+        let (calls, calls_kept): (Vec<_>, Vec<_>) = found.calls.into_iter().partition(|call| {
+            let known = tenants.newest_version(&call.tenant, call.serial);
+            known.is_some()
+        });
+        if callbacks_kept + calls_kept.len() > 0 {
+            // Only a store from before a version that stores its tenants has such.
+            tracing::warn!(
+                endpoints = callbacks_kept,
+                calls = calls_kept.len(),
+                remedy = "name their tenants and endpoints in the configuration again",
+                "unknown tenants are owed answers, which wait in the store"
+            );
+        }
         self.core.counters.callbacks_unknown += found.unknown_deliveries;
         let (mut run, mut refused, mut unknown) = (0, 0, 0);
-        for call in found.calls {
+        for call in calls {
             match self.resume_call(now, call, found.clock_regressed) {
                 ResumeAction::Keep | ResumeAction::Postpone => {}
                 ResumeAction::Recover(RecoveryAction::Run) => run += 1,
--- a/src/store/operations.rs
+++ b/src/store/operations.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::records::{
-    AttemptRecord, CallRecord, CallState, IdentityDigest, MessageRecord, StoreStats,
+    AttemptRecord, CallRecord, CallState, IdentityDigest, MessageRecord, StoreStats, TenantsRecord,
 };
 use crate::api::Micros;
 use crate::consensus::persistent_state::Record;
@@ -205,6 +205,8 @@
     BecomePrimary(ShardId),
     /// Ends this gateway's role as the primary of a shard.
     ResignPrimary(ShardId),
+    /// Persists the tenants under which calls are accepted from now on.
+    StoreTenants(TenantsRecord),
 }
 
 impl Op {
@@ -242,8 +244,8 @@
     Attempt(Option<Box<(MessageRecord, Vec<u8>)>>),
     /// The first waiting messages of an endpoint, and the due time of the message after them.
     Due(Vec<PendingMessage>, Option<Micros>),
-    /// Whether the limit was reached, so that more messages may remain.
-    More(bool),
+    /// The result of one pass of ending the messages to a removed endpoint.
+    Purged(PurgeResult),
     /// The reason why a message is not sent again.
     ResendRejected(&'static str),
     /// A list of messages.
@@ -266,6 +268,15 @@
     PrimaryState(Box<ShardState>),
 }
 
+/// The result of one pass of ending the messages to a removed endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PurgeResult {
+    /// The number of messages that ended undelivered.
+    pub ended: u64,
+    /// Whether the limit was reached, so that more messages may remain.
+    pub more: bool,
+}
+
 /// The result of a retention pass.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RetentionResult {
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -1,6 +1,8 @@
 //! Records that the store persists. They are encoded with postcard, so the order of their fields is
 //! part of the file format.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::api::{Effect, Micros};
@@ -48,6 +50,17 @@
     pub sent: Option<Micros>,
 }
 
+/// All tenants of a process, as the text of [`crate::tenancy::Registry::state`]. It has secrets, so
+/// that debug output omits it.
+#[derive(Clone, PartialEq, Eq)]
+pub struct TenantsRecord(pub String);
+
+impl fmt::Debug for TenantsRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "TenantsRecord({} bytes)", self.0.len())
+    }
+}
+
 /// A message to a tenant's endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MessageRecord {
--- a/src/store/tables.rs
+++ b/src/store/tables.rs
@@ -26,7 +26,7 @@
 use super::keys::{decode, encode, key, key_part, KEY_END};
 use super::keyspace::{Keyspace, KeyspaceReader, ScanOrder, Table};
 use super::operations::{Op, Reply};
-use super::records::{CallRecord, IdentityDigest, StoreStats};
+use super::records::{CallRecord, IdentityDigest, StoreStats, TenantsRecord};
 use super::shards;
 use crate::api::Micros;
 use crate::delivery::{EndpointId, Seq};
@@ -46,6 +46,9 @@
 /// The key of the header in [`Table::Meta`].
 const HEADER_KEY: &[u8] = b"head";
 
+/// The key of the tenants in [`Table::Meta`]. Earlier versions do not read it.
+const TENANTS_KEY: &[u8] = b"tenants";
+
 /// Data of the whole store, persisted with each commit. The header is encoded with postcard, so the
 /// order of its fields is part of the format.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +82,9 @@
     pub unknown_deliveries: u64,
     /// The voter's metadata and log, if the file has them.
     pub log: VoterState,
+    /// The tenants of the previous process; none if a version that did not store them wrote the
+    /// file.
+    pub tenants: Option<TenantsRecord>,
 }
 
 /// The state of the store that is kept in memory beside one keyspace.
@@ -120,6 +126,7 @@
         recovered.identities = readable_identities(keyspace)?;
         shards::resign_all(keyspace)?;
         recovered.log = consensus_log::read(keyspace)?;
+        recovered.tenants = stored_tenants(keyspace)?;
         tables.finish(keyspace, now)?;
         Ok((tables, recovered))
     }
@@ -206,6 +213,9 @@
             Op::ResignPrimary(shard) => {
                 shards::resign_primary(keyspace, shard).map(|()| Reply::Done)
             }
+            Op::StoreTenants(tenants) => keyspace
+                .put(Table::Meta, TENANTS_KEY, tenants.0.as_bytes())
+                .map(|_| Reply::Done),
         }
     }
 
@@ -223,6 +233,14 @@
     Ok(first.is_empty())
 }
 
+fn stored_tenants(reader: &dyn KeyspaceReader) -> Result<Option<TenantsRecord>, StoreError> {
+    let Some(bytes) = reader.get(Table::Meta, TENANTS_KEY)? else {
+        return Ok(None);
+    };
+    let text = String::from_utf8(bytes).map_err(|_| StoreError::Unreadable("the tenants"))?;
+    Ok(Some(TenantsRecord(text)))
+}
+
 /// Returns the calls without an outcome that are not replicated.
 fn local_calls(reader: &dyn KeyspaceReader) -> Result<Vec<CallRecord>, StoreError> {
     let mut calls = Vec::new();
--- a/src/store/tables/messages.rs
+++ b/src/store/tables/messages.rs
@@ -8,7 +8,9 @@
 use crate::store::error::StoreError;
 use crate::store::keys::{decode, encode, key, sequence_key, waiting_key};
 use crate::store::keyspace::{Keyspace, ScanOrder, Table};
-use crate::store::operations::{Filter, FinishAttempt, Reply, Resend, ResendDeadLetters};
+use crate::store::operations::{
+    Filter, FinishAttempt, PurgeResult, Reply, Resend, ResendDeadLetters,
+};
 use crate::store::records::MessageRecord;
 use crate::store::shards;
 
@@ -60,6 +62,7 @@
         let from = key(&[endpoint.0]);
         let to = key(&[endpoint.0, u64::MAX, u64::MAX]);
         let rows = keyspace.scan(Table::Waiting, &from, &to, limit, ScanOrder::Ascending)?;
+        let mut ended = 0;
         for (row_key, value) in &rows {
             let waiting: PendingMessage = decode(value, "what waits")?;
             let started = keyspace.get(Table::StartedAttempts, &sequence_key(waiting.seq))?;
@@ -71,6 +74,7 @@
             // Ending a message releases the next one of its order key, which has the same endpoint.
             let mut removed = vec![waiting];
             while let Some(waiting) = removed.pop() {
+                ended += 1;
                 let finish = FinishAttempt {
                     waiting: Box::new(waiting),
                     state: MessageState::Dead(DeadLetterReason::Gone),
@@ -79,7 +83,10 @@
                 removed.extend(self.finish_attempt(keyspace, finish)?);
             }
         }
-        Ok(Reply::More(rows.len() == limit))
+        Ok(Reply::Purged(PurgeResult {
+            ended,
+            more: rows.len() == limit,
+        }))
     }
 
     /// Changes a finished message to waiting. If the message may have arrived and is not
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -102,6 +102,7 @@
             | Op::BecomePrimary(_)
             | Op::ResignPrimary(_)
             | Op::RegisterDisk(_)
+            | Op::StoreTenants(_)
     )
 }
 
@@ -222,11 +223,27 @@
         }
     }
 
+    /// Drops the deferred tenants, which later ones replace: administrators may change tenants while
+    /// the store is closed.
+    fn drop_deferred_tenants(&mut self) {
+        let (replaced, kept) = self
+            .deferred
+            .drain(..)
+            .partition::<VecDeque<_>, _>(|(_, op)| matches!(op, Op::StoreTenants(_)));
+        self.deferred = kept;
+        for (number, _) in replaced {
+            (self.reply_handler)(number, Ok(Reply::Done));
+        }
+    }
+
     /// Defers the operations of a failed batch that must become durable, and answers the others
     /// with the error. Their compensations are deferred too.
     fn fail(&mut self, batch: Vec<(u64, Op)>, error: &StoreError) {
         for (number, op) in batch {
             if must_become_durable(&op) {
+                if matches!(op, Op::StoreTenants(_)) {
+                    self.drop_deferred_tenants();
+                }
                 self.deferred.push_back((number, op));
                 continue;
             }
--- a/src/tenancy/former.rs
+++ b/src/tenancy/former.rs
@@ -45,7 +45,7 @@
 
 impl Tenant {
     /// Returns whether a change takes something away that calls of this version were promised.
-    fn drops_obligations(&self, after: Option<&Tenant>, now: Micros) -> bool {
+    pub(super) fn drops_obligations(&self, after: Option<&Tenant>, now: Micros) -> bool {
         let Some(after) = after.filter(|after| after.serial == self.serial) else {
             return !self.endpoints.is_empty();
         };
--- a/src/tenancy/mod.rs
+++ b/src/tenancy/mod.rs
@@ -8,6 +8,7 @@
 use crate::api::{Micros, TenantId};
 use crate::delivery::{Enabled, EndpointId};
 
+mod continuity;
 mod endpoint;
 mod error;
 #[cfg(test)]
@@ -19,6 +20,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use continuity::{PreviousTenants, TenantMatching};
 pub use endpoint::{Endpoint, EndpointSpec, EndpointView, Portal, COMPLETED};
 pub use error::TenantError;
 pub use former::{DeliveryTarget, FormerVersion, Released, MAX_FORMER_VERSIONS};
@@ -85,6 +87,21 @@
         >> 1
 }
 
+/// Returns the serial number of a tenant that is created after `removals` removals.
+fn tenant_serial(name: &str, removals: u64) -> u64 {
+    identity(&[name.as_bytes(), &removals.to_le_bytes()])
+}
+
+/// Returns the identifier of an endpoint of the tenant with this serial number, of which `removed`
+/// endpoints were removed before.
+fn endpoint_identity(serial: u64, name: &str, removed: u64) -> EndpointId {
+    EndpointId(identity(&[
+        &serial.to_le_bytes(),
+        name.as_bytes(),
+        &removed.to_le_bytes(),
+    ]))
+}
+
 impl Tenant {
     /// Returns the secrets valid at `now`, the current one first.
     pub fn secrets(&self, now: Micros) -> impl Iterator<Item = &Secret> {
@@ -122,8 +139,7 @@
         if self.endpoints.len() >= MAX_ENDPOINTS {
             return Err(TenantError::TooMany);
         }
-        let (serial, removed) = (self.serial.to_le_bytes(), self.removed.to_le_bytes());
-        let id = EndpointId(identity(&[&serial, name.as_bytes(), &removed]));
+        let id = endpoint_identity(self.serial, name, self.removed);
         self.endpoints
             .insert(name.to_owned(), Endpoint::new(id, spec)?);
         Ok(true)
@@ -207,9 +223,8 @@
         if new && self.tenants.len() >= MAX_TENANTS {
             return Err(TenantError::TooMany);
         }
-        let generation = self.serials.to_le_bytes();
         let mut t = known.cloned().unwrap_or_else(|| Tenant {
-            serial: identity(&[name.as_bytes(), &generation]),
+            serial: tenant_serial(name, self.serials),
             id: TenantId(0),
             share_per_s: self.reserved.get(name).map_or(0.0, |(_, share)| *share),
             endpoints: BTreeMap::new(),
@@ -234,17 +249,22 @@
             t.secrets = secrets;
         }
         if new {
-            let known = self.reserved.get(name).map(|(id, _)| *id);
-            t.id = known.or_else(|| self.free_ids.pop()).unwrap_or_else(|| {
-                self.next_id += 1;
-                TenantId(self.next_id - 1)
-            });
+            t.id = self.allocate_number(name);
         }
         t.version += 1;
         self.tenants.insert(name.to_owned(), t);
         Ok(new)
     }
 
+    /// Returns the number of a platform's tenant, or else a free number.
+    fn allocate_number(&mut self, name: &str) -> TenantId {
+        let reserved = self.reserved.get(name).map(|(id, _)| *id);
+        reserved.or_else(|| self.free_ids.pop()).unwrap_or_else(|| {
+            self.next_id += 1;
+            TenantId(self.next_id - 1)
+        })
+    }
+
     /// Creates an endpoint, or changes the given fields of an existing one. Returns whether the
     /// endpoint is new.
     pub fn put_endpoint(
--- a/testbed/src/guarantees/tenants.rs
+++ b/testbed/src/guarantees/tenants.rs
@@ -1,5 +1,5 @@
-//! Accepted calls whose tenant is changed at some step, by the administration interface, with and
-//! without an end of the process between.
+//! Accepted calls whose tenant is changed at some step, by the administration interface or in the
+//! operator's file, with and without an end of the process between.
 
 use std::collections::BTreeMap;
 use std::io::{Error, Result};
@@ -38,6 +38,25 @@
     Retrying,
 }
 
+/// How a change is made.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Source {
+    Administration,
+    /// The next process starts with another operator's file.
+    OperatorFile,
+}
+
+/// What a seed draws.
+#[derive(Clone, Copy, Debug)]
+struct Scenario {
+    change: Change,
+    step: Step,
+    /// How the process ends after the change; `None` if it runs on.
+    end: Option<End>,
+}
+
+/// Plays a change by the administration interface, and the same one in the operator's file if the
+/// process ends.
 pub(super) fn play(seed: u64, draw: &mut Draw, folder: &Path) -> Result<Verdict> {
     let change = draw.one_of(&[
         Change::Remove,
@@ -49,22 +68,44 @@
     ]);
     let step = draw.one_of(&[Step::Accepted, Step::Running, Step::Retrying]);
     let end = draw.flip().then(|| draw.one_of(&End::ALL));
+    let scenario = Scenario { change, step, end };
+    let mut violations = play_change(scenario, Source::Administration, folder)?;
+    if end.is_some() {
+        let other_folder = folder.join("by-file");
+        std::fs::create_dir(&other_folder)?;
+        let by_file = play_change(scenario, Source::OperatorFile, &other_folder)?;
+        violations.extend(by_file.iter().map(|text| format!("by file: {text}")));
+    }
+    let ended = end.map_or("runs on".to_owned(), |end| format!("{end:?}, also by file"));
+    Ok(Verdict {
+        seed,
+        scenario: format!("tenants, {change:?} when {step:?}, {ended}"),
+        violations,
+    })
+}
+
+/// Plays a change; returns what broke a guarantee.
+fn play_change(scenario: Scenario, source: Source, folder: &Path) -> Result<Vec<String>> {
+    let Scenario { change, step, end } = scenario;
     let workers = RackWorker::start_rack(2, Duration::from_millis(400))?;
     let portal = Portal::start(secret(1), PortalBehavior::Good)?;
     let newcomer = Portal::start(secret(2), PortalBehavior::Good)?;
     if step == Step::Retrying {
         portal.set(PortalBehavior::Says(500, ""));
     }
-    let operator = format!(
+    let settings = format!(
         "state = \"tenants.json\"\n[webhooks]\nlisten = \"127.0.0.1:0\"\nstore = \"store\"\n\
-         schedule_s = [2, 2, 2]\n{}[[tenants]]\nname = \"{TENANT}\"\nportal = \"http://{}/in\"\nsecrets = [\"{}\"]\n",
-        admin::write(folder)?,
-        portal.address,
-        secret_text(1)
+         schedule_s = [2, 2, 2]\n{}",
+        admin::write(folder)?
     );
+    let file = settings.clone() + &tenant_in_file(portal.address, secret_text(1).as_str());
+    let next_file = match source {
+        Source::Administration => file.clone(),
+        Source::OperatorFile => settings + &changed_file(change, portal.address, newcomer.address),
+    };
     let addresses: Vec<SocketAddr> = workers.iter().map(|worker| worker.address).collect();
-    let start = || Gateway::start_as("a", folder, &addresses, &operator, DEADLINE_MS);
-    let mut gateway = start()?;
+    let start = |file: &str| Gateway::start_as("a", folder, &addresses, file, DEADLINE_MS);
+    let mut gateway = start(&file)?;
     let webhooks = gateway
         .webhooks
         .ok_or_else(|| Error::other("webhooks are off"))?;
@@ -89,11 +130,14 @@
     if !has_begun {
         violations.push(format!("{step:?} was not reached"));
     }
-    make_change(&gateway, folder, change, newcomer.address)?;
-    portal.set(PortalBehavior::Good);
+    if source == Source::Administration {
+        make_change(&gateway, folder, change, newcomer.address)?;
+        portal.set(PortalBehavior::Good);
+    }
     if let Some(end) = end {
         end.apply(&mut gateway)?;
-        gateway = start()?;
+        portal.set(PortalBehavior::Good);
+        gateway = start(&next_file)?;
     }
     let told = |number: u64| {
         let id = format!("call-{number}");
@@ -125,12 +169,7 @@
             violations.push(format!("call-{number}, {state}, was told: {deliveries:?}"));
         }
     }
-    let ended = end.map_or("runs on".to_owned(), |end| format!("{end:?}"));
-    Ok(Verdict {
-        seed,
-        scenario: format!("tenants, {change:?} when {step:?}, {ended}"),
-        violations,
-    })
+    Ok(violations)
 }
 
 /// Returns whether a call's callback came as its class allows. A callback that must not come twice
@@ -167,6 +206,32 @@
         .collect())
 }
 
+/// The tenant in an operator's file.
+fn tenant_in_file(portal: SocketAddr, secret: &str) -> String {
+    format!(
+        "[[tenants]]\nname = \"{TENANT}\"\nportal = \"http://{portal}/in\"\nsecrets = [\"{secret}\"]\n"
+    )
+}
+
+/// The tenants of an operator's file after a change.
+fn changed_file(change: Change, portal: SocketAddr, newcomer: SocketAddr) -> String {
+    let unchanged = tenant_in_file(portal, &secret_text(1));
+    match change {
+        Change::Remove => String::new(),
+        Change::RemoveAndFoundAnew => tenant_in_file(newcomer, &secret_text(2)),
+        Change::RemoveEndpoint => {
+            let is_portal = |line: &&str| line.starts_with("portal");
+            let kept = unchanged.lines().filter(|line| !is_portal(line));
+            kept.map(|line| format!("{line}\n")).collect()
+        }
+        Change::DropType => {
+            unchanged + "[[tenants.endpoints]]\nname = \"portal\"\ntypes = [\"endpoint.*\"]\n"
+        }
+        Change::ReplaceSecret => tenant_in_file(portal, &secret_text(2)),
+        Change::LowerShare => unchanged + "share_per_s = 0.1\n",
+    }
+}
+
 fn make_change(
     gateway: &Gateway,
     folder: &Path,
