Let only a tenant's home take signed calls where gateways share no identities

What callers saw: a signed booking that one gateway took was accepted with 202 by another gateway of the group, ran a second time and got a second callback.

Cause: a gateway took what it did not know for new, and gateways with a folder or a store each know only their own calls.

Change: in a group without copies a tenant's signed calls are taken by one gateway, its home, which follows from the settings alone: number `webhooks.home` (0 by default), or `webhooks.homes` for single tenants. Others answer 421 with X-Home-Gateway once the signature holds; nothing is remembered or run there. Gateways that are all registered, by name, number and group size, in the file of identities that they use take every call, as before. `check-config` and the start's log say which rule is in force; a home outside the group is refused at the start.

The fixture of the operator's file and its recorded keys have the two new settings.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,7 +7,7 @@
 use calloop::EventLoop;
 
 use crate::clock::Clock;
-use crate::config::{Config, ConfigError, Operator};
+use crate::config::{Config, ConfigError, Operator, Webhooks};
 use crate::consensus::config::ConsensusConfig;
 use crate::gateway::{Gateway, OptionalSubsystems};
 use crate::membership::config::Gossip;
@@ -195,6 +195,24 @@
     Ok(())
 }
 
+/// Prints by which rule the gateways of a group take signed calls.
+fn print_take_rule(webhooks: &Webhooks, config: &Config) -> Result<(), ConfigError> {
+    let place = config.group_place();
+    let homes = webhooks.home_gateways(place)?;
+    if place.size > 1 {
+        println!(
+            "signed calls: taken by gateway {} unless named otherwise for the tenant, or by all {} \
+             gateways with one file of identities or copies; this is gateway {}",
+            homes.default,
+            place.size,
+            place
+                .number
+                .map_or("without a number".into(), |number| number.to_string())
+        );
+    }
+    Ok(())
+}
+
 fn check(operator: Option<PathBuf>, file: Option<PathBuf>) -> Result<(), ConfigError> {
     let config = match file {
         Some(path) => Config::read(&path, None, None)?,
@@ -222,6 +240,9 @@
                 .map_or("off".into(), |a| a.listen.to_string()),
             operator.tenants.len()
         );
+        if let Some(webhooks) = &operator.webhooks {
+            print_take_rule(webhooks, &config)?;
+        }
     }
     Ok(())
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -13,6 +13,7 @@
 use crate::api::{Micros, Settings};
 use crate::delivery::schedule::Schedule;
 use crate::discovery::WatchEvent;
+use crate::front::webhook::home::{GroupPlace, HomeGateways};
 use crate::identity::{self, Role};
 use crate::names::Names;
 use crate::settings;
@@ -144,6 +145,8 @@
     pub initial_revision: u64,
     /// The discovery updates in the file, applied at the start.
     pub initial_updates: Vec<WatchEvent>,
+    /// The gateway's number among the gateways of its group, if the settings have one.
+    pub number_in_group: Option<u32>,
     /// The decision module's settings.
     pub settings: Settings,
     /// The names of classes, tenants and zones, and the classes' deadlines.
@@ -187,6 +190,14 @@
         })
     }
 
+    /// Returns the gateway's place in its group.
+    pub fn group_place(&self) -> GroupPlace {
+        GroupPlace {
+            number: self.number_in_group,
+            size: self.settings.instances,
+        }
+    }
+
     /// Reads the same file again, with the same name and listen address.
     pub fn reload(&self) -> Result<Config, ConfigError> {
         let path = self
@@ -282,6 +293,7 @@
             initial_revision: raw.known.rev,
             initial_updates: known.collect::<Result<_, _>>()?,
             names,
+            number_in_group: values.get("me").and_then(|number| number.parse().ok()),
             connect_timeout: number("caps.connectTimeoutMs")
                 .map_or(250_000, |ms| (ms * 1e3) as Micros),
             connection_idle_timeout: number("caps.connIdleMs")
@@ -348,6 +360,13 @@
     /// file, so that gateways whose operator's files are in one folder share it.
     #[serde(skip)]
     pub default_replay_file: Option<PathBuf>,
+    /// The number of the gateway that takes signed calls where the gateways of a group do not share
+    /// the identities of taken calls.
+    #[serde(default)]
+    pub home: u32,
+    /// The same for single tenants, by name.
+    #[serde(default)]
+    pub homes: BTreeMap<String, u32>,
     /// The store's file for calls and callbacks; without it they last as long as the process.
     pub store: Option<PathBuf>,
     /// Maximum size of calls and callbacks in the store, in MiB.
@@ -474,6 +493,25 @@
     }
 }
 
+impl Webhooks {
+    /// Returns the homes of tenants.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError::Value`] if the group has no gateway of such a number.
+    pub fn home_gateways(&self, group: GroupPlace) -> Result<HomeGateways, ConfigError> {
+        let homes = HomeGateways {
+            default: self.home,
+            by_tenant: self.homes.clone(),
+        };
+        if homes.max() >= group.size {
+            let value = format!("{} in a group of {}", homes.max(), group.size);
+            return Err(ConfigError::Value("webhooks.home", value));
+        }
+        Ok(homes)
+    }
+}
+
 impl Operator {
     /// Reads an operator's file; relative paths in it are resolved against the file's directory.
     pub fn read(path: &Path) -> Result<Operator, ConfigError> {
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -19,6 +19,8 @@
     pub reason: &'static str,
     /// True if the connection must be closed, as the next request's start is unknown.
     pub fatal: bool,
+    /// The number of the gateway that handles the request, if that is another one.
+    pub home: Option<u32>,
 }
 
 impl fmt::Display for RequestError {
@@ -33,6 +35,7 @@
         status,
         reason: why,
         fatal: true,
+        home: None,
     }
 }
 
@@ -42,6 +45,7 @@
         status,
         reason: why,
         fatal: false,
+        home: None,
     }
 }
 
@@ -149,6 +153,7 @@
         411 => "Length Required",
         413 => "Content Too Large",
         415 => "Unsupported Media Type",
+        421 => "Misdirected Request",
         422 => "Unprocessable Content",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
 
+use super::home::TakeRule;
 use super::replay::{identity_digest, RecordResult, ReplayStore};
 use crate::api::{Arrival, Class, ClassId, Effect, FunctionId, Micros, RequestId};
 use crate::core::{Call, IdempotencyKey};
@@ -106,6 +107,8 @@
     pub seed: u64,
     /// The decision module's classes, indexed by class id.
     pub classes: Vec<Class>,
+    /// The rule by which gateways of a group take calls.
+    pub take_rule: TakeRule,
 }
 
 impl WebhookVerifier {
@@ -134,6 +137,7 @@
                 "the tenant has no portal for the answer",
             ));
         }
+        self.require_home(name, now)?;
         let until = (stamp + self.tolerance_s + 1) * 1_000_000;
         match self.replays.take(name, id, now, until) {
             RecordResult::New => Ok((call, identity_digest(name, id), until)),
@@ -144,6 +148,27 @@
         }
     }
 
+    /// Rejects a call that another gateway has to take: this one cannot know whether that was done.
+    fn require_home(&mut self, tenant: &str, now: Micros) -> Result<(), RequestError> {
+        let group_size = self.take_rule.place.size;
+        let other_home = |verifier: &WebhookVerifier| {
+            let has_all_members = verifier.replays.has_all_members(group_size);
+            verifier.take_rule.other_home(tenant, has_all_members)
+        };
+        if other_home(self).is_none() {
+            return Ok(());
+        }
+        // Another gateway may have registered meanwhile.
+        self.replays.refresh(now);
+        match other_home(self) {
+            None => Ok(()),
+            Some(home) => Err(RequestError {
+                home: Some(home),
+                ..request_error(421, "not run: another gateway takes this tenant's calls")
+            }),
+        }
+    }
+
     /// Verifies the signature and time stamp of a request. Returns the tenant, the `webhook-id` and
     /// the time stamp in seconds.
     fn verify<'a, 't>(
--- a/src/front/webhook/inbound/fixture_tests.rs
+++ b/src/front/webhook/inbound/fixture_tests.rs
@@ -5,6 +5,7 @@
 use super::{CallContext, EarlierIdentities, WebhookVerifier};
 use crate::api::{Effect, FunctionId, IdempotencyScope};
 use crate::fixtures::check_lines;
+use crate::front::webhook::home::{GroupPlace, HomeGateways, SharedIdentities, TakeRule};
 use crate::front::webhook::replay::ReplayStore;
 
 #[test]
@@ -15,6 +16,14 @@
         replays: ReplayStore::new(1),
         seed: 0x5eed,
         classes: Vec::new(),
+        take_rule: TakeRule {
+            place: GroupPlace {
+                number: Some(0),
+                size: 1,
+            },
+            homes: HomeGateways::default(),
+            shared: SharedIdentities::ByFile,
+        },
     };
     check_lines(
         "wire/worker_identity.txt",
--- a/src/front/webhook/replay.rs
+++ b/src/front/webhook/replay.rs
@@ -15,7 +15,8 @@
 
 mod file;
 
-use file::{Line, ReplayFile};
+use super::home::GroupPlace;
+use file::{Line, Member, ReplayFile};
 
 /// The file is rewritten once it has more lines than [`MIN_REWRITE_LINES`] and than this multiple
 /// of the number of stored identities.
@@ -58,6 +59,9 @@
     forgotten_until: Micros,
     /// The gateways that have recorded all their identities in the file.
     users: BTreeSet<String>,
+    /// The gateways that record all their identities in the file, by name: a gateway that gets
+    /// another number has one place only.
+    members: BTreeMap<String, GroupPlace>,
     file: Option<ReplayFile>,
     /// `None` if all processes that use the file go by one clock.
     foreign_validity: Option<ForeignValidity>,
@@ -81,6 +85,7 @@
             order: BTreeSet::new(),
             forgotten_until: 0,
             users: BTreeSet::new(),
+            members: BTreeMap::new(),
             file: None,
             foreign_validity: None,
         }
@@ -133,6 +138,53 @@
         Ok(false)
     }
 
+    /// Registers a gateway that records all its identities in the file from now on.
+    pub fn add_member(&mut self, name: &str, place: GroupPlace) -> io::Result<()> {
+        let Some(number) = place.number.filter(|_| !name.contains('\n')) else {
+            return Ok(());
+        };
+        if self.file.is_none() || self.members.get(name) == Some(&place) {
+            return Ok(());
+        }
+        let member = Member {
+            name: name.to_owned(),
+            number,
+            group_size: place.size,
+        };
+        self.locked(|store| store.append(&Line::Member(member.clone())))?;
+        self.insert_member(member);
+        Ok(())
+    }
+
+    /// Returns whether all gateways of a group of this size are registered in the file.
+    pub fn has_all_members(&self, group_size: u32) -> bool {
+        let is_registered = |number: u32| {
+            let place = GroupPlace {
+                number: Some(number),
+                size: group_size,
+            };
+            self.members.values().any(|known| *known == place)
+        };
+        self.file.is_some() && (0..group_size).all(is_registered)
+    }
+
+    /// Reads what other processes have appended to the file.
+    pub fn refresh(&mut self, now: Micros) {
+        if let Err(error) = self.locked(|store| store.read_new(now)) {
+            tracing::debug!(%error, "the file of identities cannot be read");
+        }
+    }
+
+    fn insert_member(&mut self, member: Member) {
+        if self.members.len() < MAX_USERS || self.members.contains_key(&member.name) {
+            let place = GroupPlace {
+                number: Some(member.number),
+                size: member.group_size,
+            };
+            self.members.insert(member.name, place);
+        }
+    }
+
     /// The number of identities.
     pub fn len(&self) -> usize {
         self.until.len()
@@ -231,6 +283,7 @@
                     self.users.insert(name);
                 }
                 Line::User(_) => {}
+                Line::Member(member) => self.insert_member(member),
             }
         }
         if was_removed {
@@ -273,6 +326,14 @@
             return Ok(());
         };
         let mut lines: Vec<Line> = self.users.iter().cloned().map(Line::User).collect();
+        let members = self.members.iter();
+        lines.extend(members.filter_map(|(name, place)| {
+            Some(Line::Member(Member {
+                name: name.clone(),
+                number: place.number?,
+                group_size: place.size,
+            }))
+        }));
         if self.forgotten_until > 0 {
             lines.push(Line::ForgottenUntil(self.forgotten_until));
         }
--- a/src/front/webhook/replay/file.rs
+++ b/src/front/webhook/replay/file.rs
@@ -20,6 +20,7 @@
 const RELEASED: &str = "released";
 const FORGOTTEN: &str = "forgotten";
 const USER: &str = "user";
+const MEMBER: &str = "member";
 
 /// One line of the file. Programs that do not know a line ignore it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +33,27 @@
     ForgottenUntil(Micros),
     /// A gateway that has recorded all its identities here.
     User(String),
+    /// A gateway that records all its identities here, and its place in its group.
+    Member(Member),
+}
+
+/// A gateway that is registered in the file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Member {
+    pub(super) name: String,
+    pub(super) number: u32,
+    pub(super) group_size: u32,
+}
+
+impl Member {
+    fn parse(text: &str) -> Option<Member> {
+        let mut words = text.splitn(3, ' ');
+        Some(Member {
+            number: words.next()?.parse().ok()?,
+            group_size: words.next()?.parse().ok()?,
+            name: words.next()?.to_owned(),
+        })
+    }
 }
 
 impl Line {
@@ -41,6 +63,7 @@
             RELEASED => Line::Released(parse_digest(rest)?),
             FORGOTTEN => Line::ForgottenUntil(rest.parse().ok()?),
             USER => Line::User(rest.to_owned()),
+            MEMBER => Line::Member(Member::parse(rest)?),
             until => Line::Taken(until.parse().ok()?, parse_digest(rest)?),
         })
     }
@@ -51,6 +74,10 @@
             Line::Released(digest) => format!("{RELEASED} {}\n", hex(digest)),
             Line::ForgottenUntil(until) => format!("{FORGOTTEN} {until}\n"),
             Line::User(name) => format!("{USER} {name}\n"),
+            Line::Member(member) => format!(
+                "{MEMBER} {} {} {}\n",
+                member.number, member.group_size, member.name
+            ),
         };
         text.push_str(&line);
     }
--- a/src/front/webhook/replay/tests.rs
+++ b/src/front/webhook/replay/tests.rs
@@ -187,3 +187,35 @@
         assert_eq!(other.take("t", id, 0, 9), RecordResult::Before, "{id}");
     }
 }
+
+fn place(number: u32, size: u32) -> GroupPlace {
+    GroupPlace {
+        number: Some(number),
+        size,
+    }
+}
+
+#[test]
+fn group_is_complete_once_each_number_is_registered() {
+    let scratch = Scratch::new("members");
+    let path = scratch.0.join("seen");
+    let mut first = ReplayStore::open(&path, 3, 0).unwrap();
+    let mut second = ReplayStore::open(&path, 3, 0).unwrap();
+    first.add_member("a", place(0, 2)).unwrap();
+    assert!(!first.has_all_members(2));
+    // A gateway that is renumbered leaves its former place.
+    second.add_member("b", place(0, 2)).unwrap();
+    second.add_member("b", place(1, 2)).unwrap();
+    first.refresh(1);
+    second.refresh(1);
+    assert!(first.has_all_members(2) && second.has_all_members(2));
+    assert!(!first.has_all_members(3), "a group that grows");
+    for i in 0..2 * MIN_REWRITE_LINES as u64 {
+        first.take("t", &format!("c{i}"), 100 + i, 100 + i);
+    }
+    let third = ReplayStore::open(&path, 3, 0).unwrap();
+    assert!(third.has_all_members(2), "the file was rewritten");
+    first.add_member("a", place(1, 2)).unwrap();
+    assert!(!first.has_all_members(2));
+    assert!(!ReplayStore::new(3).has_all_members(0), "in memory");
+}
--- a/src/gateway/secondary_listeners.rs
+++ b/src/gateway/secondary_listeners.rs
@@ -28,6 +28,8 @@
     state_file: Option<PathBuf>,
     /// How tenants are recognized as those of the previous process.
     pub(super) tenant_matching: TenantMatching,
+    /// Who decides on the tenants.
+    pub(super) tenant_agreement: TenantAgreement,
     /// When the former versions of tenants are checked next.
     pub(super) former_check_at: Option<Micros>,
     pub(super) webhooks: Option<WebhookDriver>,
@@ -35,9 +37,10 @@
 }
 
 /// Who decides on the tenants.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum TenantAgreement {
     /// This gateway's files.
+    #[default]
     None,
     /// All gateways together.
     AmongGateways,
@@ -64,6 +67,7 @@
         tenant_agreement: TenantAgreement,
     ) -> Result<(), GatewayError> {
         self.load_tenants(&operator)?;
+        self.secondary.tenant_agreement = tenant_agreement;
         if tenant_agreement == TenantAgreement::AmongGateways {
             // The other gateways know a tenant by the serial number that follows from its name.
             self.secondary.tenant_matching = TenantMatching::BySerial;
--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -311,14 +311,16 @@
 
 /// Returns the response to a refused request.
 pub(super) fn refuse(bad: &RequestError, stays: bool) -> Vec<u8> {
-    let extra = if bad.status == 503 {
-        "Content-Type: text/plain\r\nRetry-After: 1\r\n"
-    } else {
-        "Content-Type: text/plain\r\n"
-    };
+    let mut extra = "Content-Type: text/plain\r\n".to_owned();
+    if bad.status == 503 {
+        extra.push_str("Retry-After: 1\r\n");
+    }
+    if let Some(number) = bad.home {
+        extra.push_str(&format!("X-Home-Gateway: {number}\r\n"));
+    }
     http::response(
         bad.status,
-        extra,
+        &extra,
         bad.reason.as_bytes(),
         stays && !bad.fatal,
     )
--- a/src/gateway/webhooks/start.rs
+++ b/src/gateway/webhooks/start.rs
@@ -1,5 +1,8 @@
 //! Start of webhooks, and recovery of the calls of the previous process.
 
+use crate::front::webhook::home::{SharedIdentities, TakeRule};
+use crate::gateway::secondary_listeners::TenantAgreement;
+
 use super::{
     channel, store_error, Backend, ConfigError, Delivery, Disk, EarlierIdentities, EgressPolicy,
     EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Input, Limits, ListenerKind,
@@ -60,6 +63,7 @@
         };
         let durable = w.store.is_some();
         let (mut replays, earlier_identities) = self.open_replays(&w, now)?;
+        let take_rule = self.take_rule(&w, &mut replays)?;
         replays.load(&found.identities);
         replays.set_forgotten_until(found.identities_expired_until);
         let schedule = match (&w.schedule_s, durable) {
@@ -94,6 +98,7 @@
                 replays,
                 seed,
                 classes: self.config.settings.classes.clone(),
+                take_rule,
             },
             delivery: Delivery::new(limits, seed, now),
             jobs: SlotMap::with_key(),
@@ -140,6 +145,41 @@
         Ok(())
     }
 
+    /// Determines by which rule this gateway takes signed calls, and registers it in the file of
+    /// identities, if there is one.
+    fn take_rule(
+        &self,
+        webhooks: &Webhooks,
+        replays: &mut ReplayStore,
+    ) -> Result<TakeRule, GatewayError> {
+        let place = self.config.group_place();
+        let rule = TakeRule {
+            place,
+            homes: webhooks
+                .home_gateways(place)
+                .map_err(GatewayError::Operator)?,
+            shared: match self.secondary.tenant_agreement {
+                TenantAgreement::AmongGateways => SharedIdentities::Replicated,
+                TenantAgreement::None => SharedIdentities::ByFile,
+            },
+        };
+        if place.size <= 1 || rule.shared == SharedIdentities::Replicated {
+            return Ok(rule);
+        }
+        if let Err(error) = replays.add_member(&self.config.name, place) {
+            tracing::warn!(%error, "this gateway is not registered in the file of identities");
+        }
+        tracing::info!(
+            number = place.number,
+            gateways = place.size,
+            home = rule.homes.default,
+            every_gateway = replays.has_all_members(place.size),
+            "signed calls are taken by a tenant's home, or by every gateway once all are registered \
+             in one file of identities"
+        );
+        Ok(rule)
+    }
+
     /// Opens the identities that were accepted before: from the configured file or the store, or
     /// else from the file beside the operator's file.
     fn open_replays(
--- a/testbed/src/fakes/gateway.rs
+++ b/testbed/src/fakes/gateway.rs
@@ -57,6 +57,15 @@
     })
 }
 
+/// A gateway's place in its group.
+#[derive(Clone, Copy, Debug)]
+pub struct GroupMember {
+    /// The gateway's number, from 0.
+    pub number: usize,
+    /// The number of gateways.
+    pub size: usize,
+}
+
 /// Default limit on a gateway's open sockets.
 pub const DEFAULT_MAX_SOCKETS: usize = 1024;
 
@@ -149,9 +158,24 @@
         workers: &[SocketAddr],
         operator: &str,
         deadline_ms: f64,
+    ) -> Result<Gateway> {
+        let alone = GroupMember { number: 0, size: 1 };
+        Gateway::start_member(name, folder, workers, operator, deadline_ms, alone)
+    }
+
+    /// Starts a gateway like [`Gateway::start_as`] as a member of a group.
+    pub fn start_member(
+        name: &str,
+        folder: &Path,
+        workers: &[SocketAddr],
+        operator: &str,
+        deadline_ms: f64,
+        member: GroupMember,
     ) -> Result<Gateway> {
         let config = folder.join(format!("config-{name}.json"));
-        let settings = config_of(workers, deadline_ms, DEFAULT_MAX_SOCKETS);
+        let mut settings = config_of(workers, deadline_ms, DEFAULT_MAX_SOCKETS);
+        settings["settings"]["groupSize"] = json!(member.size);
+        settings["settings"]["me"] = json!(member.number);
         std::fs::write(&config, settings.to_string())?;
         std::fs::write(folder.join("operator.toml"), operator)?;
         let mut command = Gateway::command(None, folder, None, None)?;
--- a/testbed/src/guarantees/mod.rs
+++ b/testbed/src/guarantees/mod.rs
@@ -2,6 +2,7 @@
 //! with a 202 is answered at its endpoints, and a keyed call is applied once. The seed draws
 //! what other rigs hold fixed: portals' clocks, changes of tenants, keys, and when processes end.
 
+mod homes;
 mod keys;
 mod replays;
 mod tenants;
--- a/testbed/src/guarantees/replays.rs
+++ b/testbed/src/guarantees/replays.rs
@@ -16,14 +16,14 @@
 /// How far time stamps may lie ahead, in seconds.
 const TOLERANCE_S: u64 = 300;
 
-struct Replay {
-    id: String,
-    body: String,
+pub(super) struct Replay {
+    pub(super) id: String,
+    pub(super) body: String,
     bytes: Vec<u8>,
 }
 
 impl Replay {
-    fn sign(number: u64, stamp: u64) -> Replay {
+    pub(super) fn sign(number: u64, stamp: u64) -> Replay {
         let (id, body) = (format!("call-{number}"), format!("trip-{number}"));
         let text = super::signed_body(UNSAFE_CLASS, &body);
         let signed = signature::sign(std::iter::once(&secret(1)), &id, stamp, &text);
@@ -36,7 +36,7 @@
         Replay { id, body, bytes }
     }
 
-    fn send(&self, to: &Gateway) -> u16 {
+    pub(super) fn send(&self, to: &Gateway) -> u16 {
         let Some(address) = to.webhooks else { return 0 };
         let answer = Caller::new(address).exchange(&self.bytes);
         answer.map_or(0, |answer| status(&answer))
@@ -118,9 +118,18 @@
     for gateway in &mut running {
         gateway.stop()?;
     }
+    let mut scenario =
+        format!("replays, {gateways} gateways, {end:?}, up to {max_ahead_s} s ahead");
+    if gateways > 1 {
+        let group_folder = folder.join("group");
+        std::fs::create_dir(&group_folder)?;
+        let group = super::homes::play(draw, &group_folder)?;
+        scenario += &format!("; group: {}", group.scenario);
+        violations.extend(group.violations.iter().map(|text| format!("group: {text}")));
+    }
     Ok(Verdict {
         seed,
-        scenario: format!("replays, {gateways} gateways, {end:?}, up to {max_ahead_s} s ahead"),
+        scenario,
         violations,
     })
 }
--- a/testbed/src/guarantees/tenants.rs
+++ b/testbed/src/guarantees/tenants.rs
@@ -55,8 +55,8 @@
     end: Option<End>,
 }
 
-/// Plays a change by the administration interface, and the same one in the operator's file if the
-/// process ends.
+/// Plays a change by the administration interface, and the same one in the operator's file of the
+/// next process.
 pub(super) fn play(seed: u64, draw: &mut Draw, folder: &Path) -> Result<Verdict> {
     let change = draw.one_of(&[
         Change::Remove,
@@ -68,18 +68,21 @@
     ]);
     let step = draw.one_of(&[Step::Accepted, Step::Running, Step::Retrying]);
     let end = draw.flip().then(|| draw.one_of(&End::ALL));
+    let end_by_file = end.unwrap_or_else(|| draw.one_of(&End::ALL));
     let scenario = Scenario { change, step, end };
     let mut violations = play_change(scenario, Source::Administration, folder)?;
-    if end.is_some() {
-        let other_folder = folder.join("by-file");
-        std::fs::create_dir(&other_folder)?;
-        let by_file = play_change(scenario, Source::OperatorFile, &other_folder)?;
-        violations.extend(by_file.iter().map(|text| format!("by file: {text}")));
-    }
-    let ended = end.map_or("runs on".to_owned(), |end| format!("{end:?}, also by file"));
+    let other_folder = folder.join("by-file");
+    std::fs::create_dir(&other_folder)?;
+    let scenario = Scenario {
+        end: Some(end_by_file),
+        ..scenario
+    };
+    let by_file = play_change(scenario, Source::OperatorFile, &other_folder)?;
+    violations.extend(by_file.iter().map(|text| format!("by file: {text}")));
+    let ended = end.map_or("runs on".to_owned(), |end| format!("{end:?}"));
     Ok(Verdict {
         seed,
-        scenario: format!("tenants, {change:?} when {step:?}, {ended}"),
+        scenario: format!("tenants, {change:?} when {step:?}, {ended}; by file at {end_by_file:?}"),
         violations,
     })
 }
@@ -90,7 +93,8 @@
     let workers = RackWorker::start_rack(2, Duration::from_millis(400))?;
     let portal = Portal::start(secret(1), PortalBehavior::Good)?;
     let newcomer = Portal::start(secret(2), PortalBehavior::Good)?;
-    if step == Step::Retrying {
+    // Callbacks wait for the process that knows another file.
+    if step == Step::Retrying || source == Source::OperatorFile {
         portal.set(PortalBehavior::Says(500, ""));
     }
     let settings = format!(
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -444,6 +444,12 @@
 
 /// Sends one HTTP request on a new connection and returns status and body.
 pub fn http(to: SocketAddr, head: &str, body: &[u8]) -> (u16, Vec<u8>) {
+    let (head, body) = http_exchange(to, head, body);
+    (head[9..12].parse().expect("a status"), body)
+}
+
+/// Sends a request; returns the response's head and body.
+pub fn http_exchange(to: SocketAddr, head: &str, body: &[u8]) -> (String, Vec<u8>) {
     let mut s = TcpStream::connect(to).expect("the address accepts connections");
     let text = format!(
         "{head}\r\nHost: t\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
@@ -453,12 +459,10 @@
         .and_then(|()| s.write_all(body))
         .expect("the peer reads");
     let answer = read_message(&mut s, &mut Vec::new(), http_length).expect("a response");
-    let head = String::from_utf8_lossy(&answer).into_owned();
+    let mut head = String::from_utf8_lossy(&answer).into_owned();
     let at = head.find("\r\n\r\n").expect("a head") + 4;
-    (
-        head[9..12].parse().expect("a status"),
-        answer[at..].to_vec(),
-    )
+    head.truncate(at);
+    (head, answer[at..].to_vec())
 }
 
 /// The reaction of a stub worker to a complete request.
--- a/tests/common/signed.rs
+++ b/tests/common/signed.rs
@@ -85,6 +85,12 @@
 
     /// Sends the call and returns the status.
     pub fn send(&self, g: &Gateway) -> u16 {
+        let head = self.send_for_head(g);
+        head[9..12].parse().expect("a status")
+    }
+
+    /// Sends the call and returns the head of the response.
+    pub fn send_for_head(&self, g: &Gateway) -> String {
         let path = format!("POST /webhooks/{TENANT}");
         self.request(g, &path, &self.body).0
     }
@@ -92,18 +98,19 @@
     /// Asks for the state of the call. Returns the status and the outcome.
     pub fn state(&self, g: &Gateway) -> (u16, String) {
         let path = format!("GET /webhooks/{TENANT}/calls/{}", self.id);
-        let (status, body) = self.request(g, &path, b"");
+        let (head, body) = self.request(g, &path, b"");
+        let status = head[9..12].parse().expect("a status");
         let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
         let outcome = answer["outcome"].as_str().unwrap_or_default();
         (status, outcome.to_owned())
     }
 
-    fn request(&self, g: &Gateway, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+    fn request(&self, g: &Gateway, path: &str, body: &[u8]) -> (String, Vec<u8>) {
         let (id, stamp) = (&self.id, self.stamp.to_string());
         let head = format!(
             "{path} HTTP/1.1\r\nwebhook-id: {id}\r\nwebhook-timestamp: {stamp}\r\nwebhook-signature: {}",
             signature(&self.key, id, &stamp, body)
         );
-        http(g.webhooks.expect("webhooks are on"), &head, body)
+        http_exchange(g.webhooks.expect("webhooks are on"), &head, body)
     }
 }
--- a/tests/operator_files.rs
+++ b/tests/operator_files.rs
@@ -170,6 +170,8 @@
     out.add("webhooks.replay_entries", webhooks.replay_entries);
     out.add("webhooks.removed_grace_s", webhooks.removed_grace_s);
     out.add("webhooks.replay_file", &webhooks.replay_file);
+    out.add("webhooks.home", webhooks.home);
+    out.add("webhooks.homes", &webhooks.homes);
     out.add("webhooks.store", &webhooks.store);
     out.add("webhooks.store_mb", webhooks.store_mb);
     out.add("webhooks.retention_days", webhooks.retention_days);
