Read the identities from before a store was given, and leave their file

Cause: without a store the identities of taken calls are in `replays` beside the operator's file, and a process with a store did not read it. The file went on naming the gateway as one that records everything there, so the way back had the same gap.

Change: a process with a store and without a replay_file reads `replays`, if it exists, and appends `left NAME`. A later start without a store is a first start again, and the other gateways of a folder see that one of them keeps its identities elsewhere: whether all are registered is read before each call that only a shared file permits.

Why it works: every identity that an earlier process of the gateway took is in the file or in the store, and a process with a store has both.

--- a/src/front/webhook/inbound.rs
+++ b/src/front/webhook/inbound.rs
@@ -150,17 +150,16 @@
 
     /// Rejects a call that another gateway has to take: this one cannot know whether that was done.
     fn require_home(&mut self, tenant: &str, now: Micros) -> Result<(), RequestError> {
-        let group_size = self.take_rule.place.size;
-        let other_home = |verifier: &WebhookVerifier| {
-            let has_all_members = verifier.replays.has_all_members(group_size);
-            verifier.take_rule.other_home(tenant, has_all_members)
-        };
-        if other_home(self).is_none() {
+        if self.take_rule.other_home(tenant, false).is_none() {
             return Ok(());
         }
-        // Another gateway may have registered meanwhile.
-        self.replays.refresh(now);
-        match other_home(self) {
+        // Another gateway may have registered or left meanwhile.
+        self.replays.refresh(now).map_err(|error| {
+            tracing::warn!(%error, "the file of identities cannot be read: a call is rejected");
+            request_error(503, "the call cannot be remembered")
+        })?;
+        let has_all_members = self.replays.has_all_members(self.take_rule.place.size);
+        match self.take_rule.other_home(tenant, has_all_members) {
             None => Ok(()),
             Some(home) => Err(RequestError {
                 home: Some(home),
--- a/src/front/webhook/replay.rs
+++ b/src/front/webhook/replay.rs
@@ -156,6 +156,25 @@
         Ok(())
     }
 
+    /// Takes a gateway off the file, which keeps its identities elsewhere from now on, and returns
+    /// those of the file. A later start that uses the file again is a first start.
+    pub fn leave(&mut self, name: &str) -> io::Result<Vec<(IdentityDigest, Micros)>> {
+        if self.users.contains(name) || self.members.contains_key(name) {
+            self.locked(|store| store.append(&Line::Left(name.to_owned())))?;
+            self.users.remove(name);
+            self.members.remove(name);
+        }
+        let identities = self.until.iter();
+        Ok(identities
+            .map(|(digest, until)| (*digest, *until))
+            .collect())
+    }
+
+    /// The end of the validity of identities that may have been dropped.
+    pub fn forgotten_until(&self) -> Micros {
+        self.forgotten_until
+    }
+
     /// Returns whether all gateways of a group of this size are registered in the file.
     pub fn has_all_members(&self, group_size: u32) -> bool {
         let is_registered = |number: u32| {
@@ -169,10 +188,8 @@
     }
 
     /// Reads what other processes have appended to the file.
-    pub fn refresh(&mut self, now: Micros) {
-        if let Err(error) = self.locked(|store| store.read_new(now)) {
-            tracing::debug!(%error, "the file of identities cannot be read");
-        }
+    pub fn refresh(&mut self, now: Micros) -> io::Result<()> {
+        self.locked(|store| store.read_new(now))
     }
 
     fn insert_member(&mut self, member: Member) {
@@ -284,6 +301,10 @@
                 }
                 Line::User(_) => {}
                 Line::Member(member) => self.insert_member(member),
+                Line::Left(name) => {
+                    self.users.remove(&name);
+                    self.members.remove(&name);
+                }
             }
         }
         if was_removed {
--- a/src/front/webhook/replay/file.rs
+++ b/src/front/webhook/replay/file.rs
@@ -21,6 +21,7 @@
 const FORGOTTEN: &str = "forgotten";
 const USER: &str = "user";
 const MEMBER: &str = "member";
+const LEFT: &str = "left";
 
 /// One line of the file. Programs that do not know a line ignore it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +36,8 @@
     User(String),
     /// A gateway that records all its identities here, and its place in its group.
     Member(Member),
+    /// A gateway that keeps its identities elsewhere from now on.
+    Left(String),
 }
 
 /// A gateway that is registered in the file.
@@ -64,6 +67,7 @@
             FORGOTTEN => Line::ForgottenUntil(rest.parse().ok()?),
             USER => Line::User(rest.to_owned()),
             MEMBER => Line::Member(Member::parse(rest)?),
+            LEFT => Line::Left(rest.to_owned()),
             until => Line::Taken(until.parse().ok()?, parse_digest(rest)?),
         })
     }
@@ -74,6 +78,7 @@
             Line::Released(digest) => format!("{RELEASED} {}\n", hex(digest)),
             Line::ForgottenUntil(until) => format!("{FORGOTTEN} {until}\n"),
             Line::User(name) => format!("{USER} {name}\n"),
+            Line::Left(name) => format!("{LEFT} {name}\n"),
             Line::Member(member) => format!(
                 "{MEMBER} {} {} {}\n",
                 member.number, member.group_size, member.name
--- a/src/front/webhook/replay/tests.rs
+++ b/src/front/webhook/replay/tests.rs
@@ -206,8 +206,8 @@
     // A gateway that is renumbered leaves its former place.
     second.add_member("b", place(0, 2)).unwrap();
     second.add_member("b", place(1, 2)).unwrap();
-    first.refresh(1);
-    second.refresh(1);
+    first.refresh(1).unwrap();
+    second.refresh(1).unwrap();
     assert!(first.has_all_members(2) && second.has_all_members(2));
     assert!(!first.has_all_members(3), "a group that grows");
     for i in 0..2 * MIN_REWRITE_LINES as u64 {
@@ -218,4 +218,12 @@
     first.add_member("a", place(1, 2)).unwrap();
     assert!(!first.has_all_members(2));
     assert!(!ReplayStore::new(3).has_all_members(0), "in memory");
+    first.add_member("a", place(0, 2)).unwrap();
+    let mut leaving = ReplayStore::open(&path, 3, 0).unwrap();
+    leaving.leave("b").unwrap();
+    first.refresh(1).unwrap();
+    assert!(
+        !first.has_all_members(2),
+        "one keeps its identities elsewhere"
+    );
 }
--- a/src/gateway/webhooks/start.rs
+++ b/src/gateway/webhooks/start.rs
@@ -4,13 +4,31 @@
 use crate::gateway::secondary_listeners::TenantAgreement;
 
 use super::{
-    channel, store_error, Backend, ConfigError, Delivery, Disk, EarlierIdentities, EgressPolicy,
-    EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Input, Limits, ListenerKind,
-    MemoryKeyspace, Micros, PathBuf, RecoveredState, RecoveryAction, ReplayStore, ResumeAction,
-    Schedule, SecondaryMap, SlotMap, StoreError, Tables, VecDeque, WebhookDriver, WebhookVerifier,
-    Webhooks, Writer, RETENTION_CONTINUE_DELAY,
+    channel, io, store_error, Backend, ConfigError, Delivery, Disk, EarlierIdentities,
+    EgressPolicy, EndpointId, Gateway, GatewayDeadline, GatewayError, HashMap, Input, Limits,
+    ListenerKind, MemoryKeyspace, Micros, PathBuf, RecoveredState, RecoveryAction, ReplayStore,
+    ResumeAction, Schedule, SecondaryMap, SlotMap, StoreError, Tables, VecDeque, WebhookDriver,
+    WebhookVerifier, Webhooks, Writer, RETENTION_CONTINUE_DELAY,
 };
 
+/// Maximum number of tries to lock a file at the start, where nothing else waits for this process.
+const MAX_LOCK_TRIES: usize = 100;
+
+/// Repeats an action on a file of identities while another process holds its lock.
+fn retry_while_locked<T>(mut action: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let is_locked = |result: &io::Result<T>| {
+        let error = result.as_ref().err();
+        error.is_some_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    };
+    for _ in 1..MAX_LOCK_TRIES {
+        let result = action();
+        if !is_locked(&result) {
+            return result;
+        }
+    }
+    action()
+}
+
 impl Gateway {
     /// Sets up webhooks and resumes the calls and messages in the store.
     pub(in crate::gateway) fn set_up_webhooks(
@@ -180,6 +198,29 @@
         Ok(rule)
     }
 
+    /// Loads the identities that earlier processes accepted while the gateway had no store: those
+    /// in the file beside the operator's file, if there is one.
+    fn load_identities_without_store(
+        &self,
+        webhooks: &Webhooks,
+        replays: &mut ReplayStore,
+        now: Micros,
+    ) -> Result<(), GatewayError> {
+        let file = webhooks.default_replay_file.as_ref();
+        let Some(path) = file.filter(|path| path.is_file()) else {
+            return Ok(());
+        };
+        let read_error = |error| GatewayError::Operator(ConfigError::Read(path.clone(), error));
+        let mut earlier =
+            retry_while_locked(|| ReplayStore::open(path, webhooks.replay_entries, now))
+                .map_err(read_error)?;
+        replays.set_forgotten_until(earlier.forgotten_until());
+        let identities =
+            retry_while_locked(|| earlier.leave(&self.config.name)).map_err(read_error)?;
+        replays.load(&identities);
+        Ok(())
+    }
+
     /// Opens the identities that were accepted before: from the configured file or the store, or
     /// else from the file beside the operator's file.
     fn open_replays(
@@ -192,8 +233,9 @@
                 .map_err(|e| GatewayError::Operator(ConfigError::Read(path.clone(), e)))?;
             return Ok((replays, EarlierIdentities::Known));
         }
-        let in_memory = ReplayStore::new(w.replay_entries);
+        let mut in_memory = ReplayStore::new(w.replay_entries);
         if w.store.is_some() {
+            self.load_identities_without_store(w, &mut in_memory, now)?;
             return Ok((in_memory, EarlierIdentities::Known));
         }
         let Some(path) = &w.default_replay_file else {
--- a/tests/replayed_calls.rs
+++ b/tests/replayed_calls.rs
@@ -167,3 +167,42 @@
     drop(g);
     fleet.remove();
 }
+
+/// Guards against replays that run twice: the identities of the time without a store were not read
+/// by a process with one, nor those of the store by a process without one.
+#[test]
+fn replay_is_refused_after_store_is_given_and_taken_away() {
+    for end in [End::Kill, End::Stop] {
+        let mut fleet = Fleet::new("");
+        let worker = Worker::start();
+        let without_store = fleet.operator.clone();
+        let with_store = operator_file_with(fleet.portal.address, "store = \"store\"");
+        let mut g = fleet.start("g1", &worker);
+        wait_for_next_second();
+        let mut taken = Vec::new();
+        let operators = [&with_store, &without_store, &with_store];
+        for (number, next_operator) in operators.into_iter().enumerate() {
+            let call = SignedCall::new(&format!("call-{number}"), CLASS);
+            assert_eq!(call.send(&g), 202, "{end:?}, {number}");
+            taken.push(call);
+            until("the callback is delivered", || {
+                fleet.portal.count() == taken.len()
+            });
+            match end {
+                End::Kill => g.kill(),
+                End::Stop => drop(g.stop()),
+            }
+            wait_for_next_second();
+            fleet.operator.clone_from(next_operator);
+            g = fleet.start("g1", &worker);
+            for call in &taken {
+                let status = call.send(&g);
+                assert!([401, 409].contains(&status), "{end:?}, {number}: {status}");
+            }
+            wait_for_next_second();
+        }
+        assert_eq!(worker.gos.lock().unwrap().len(), taken.len(), "{end:?}");
+        drop(g);
+        fleet.remove();
+    }
+}
