Split the start's identities off, and read former versions like other ones

`webhooks/start.rs` had grown to hold what decides where the identities of taken calls are; that is a module of its own now. `read_former` built a tenant by taking the current one out and putting it back, beside the number's own rule; it reads the tenant alone and uses `number_of`.

--- a/src/gateway/webhooks.rs
+++ b/src/gateway/webhooks.rs
@@ -49,6 +49,7 @@
 
 mod calls;
 mod driver;
+mod identities;
 mod portals;
 mod replies;
 mod shard_calls;
--- a/src/tenancy/persistence.rs
+++ b/src/tenancy/persistence.rs
@@ -186,25 +186,10 @@
     /// Reads a former version. Versions of the same tenant have the same number.
     fn read_former(&mut self, kept: StoredFormerVersion) -> Result<(), TenantError> {
         let name = kept.tenant.name.clone();
-        let current = self.tenants.remove(&name);
-        let free_ids = self.free_ids.clone();
-        let next_id = self.next_id;
-        let read = self.read(kept.tenant);
-        let tenant = self.tenants.remove(&name);
-        if let Some(current) = &current {
-            self.tenants.insert(name.clone(), current.clone());
-        }
-        read?;
-        let mut tenant = tenant.ok_or(TenantError::Unknown)?;
-        let former = self.former.iter().map(|version| &version.tenant);
-        let same = current
-            .iter()
-            .chain(former)
-            .find(|other| other.serial == tenant.serial);
-        if let Some(same) = same {
-            tenant.id = same.id;
-            (self.free_ids, self.next_id) = (free_ids, next_id);
-        }
+        let mut alone = Registry::default();
+        alone.read(kept.tenant)?;
+        let mut tenant = alone.tenants.remove(&name).ok_or(TenantError::Unknown)?;
+        tenant.id = self.number_of(&name, tenant.serial);
         self.former.push(FormerVersion {
             name,
             tenant,
